--- /dev/null
+++ b/src/process/control/clock_reading.hpp
@@ -0,0 +1,26 @@
+#ifndef HICKORYGAP_PROCESS_CONTROL_CLOCK_READING_HPP
+#define HICKORYGAP_PROCESS_CONTROL_CLOCK_READING_HPP
+
+#include "common/time.hpp"
+
+namespace hickorygap
+{
+
+// Both clocks, read once for each turn of the control loop.
+struct clock_reading
+{
+    // For timeouts.
+    time_point monotonic;
+
+    // For records.
+    unix_millis unix_time = 0;
+};
+
+inline clock_reading read_clocks()
+{
+    return {monotonic_now(), unix_now()};
+}
+
+} // namespace hickorygap
+
+#endif
--- /dev/null
+++ b/src/process/control/configuration_tracker.hpp
@@ -0,0 +1,48 @@
+#ifndef HICKORYGAP_PROCESS_CONTROL_CONFIGURATION_TRACKER_HPP
+#define HICKORYGAP_PROCESS_CONTROL_CONFIGURATION_TRACKER_HPP
+
+#include "process/membership/version_document.hpp"
+#include "version/configuration/configuration.hpp"
+
+#include <absl/status/status.h>
+
+#include <atomic>
+#include <span>
+
+namespace hickorygap
+{
+
+// The configuration in force on this instance. The control thread applies
+// accepted tickets; any thread reads the current configuration.
+class configuration_tracker
+{
+public:
+    configuration_tracker();
+
+    // Applies documents that follow the current version, in order. Error:
+    // ticket_invalid when a document that a quorum accepted does not apply
+    // here, which means that the instances run different releases; the
+    // configuration is then unchanged.
+    absl::Status
+    apply(std::span<const version_document_ptr> documents, unix_millis now);
+
+    // Never nullptr. Safe from any thread.
+    configuration_ptr current() const
+    {
+        return current_.load();
+    }
+
+    // When the current version came into force here; zero at version 0.
+    unix_millis since() const
+    {
+        return since_;
+    }
+
+private:
+    std::atomic<configuration_ptr> current_;
+    unix_millis since_ = 0;
+};
+
+} // namespace hickorygap
+
+#endif
--- /dev/null
+++ b/src/process/control/control_node.cpp
@@ -0,0 +1,437 @@
+#include "process/control/control_node.hpp"
+
+#include "common/logging.hpp"
+#include "process/consensus/file_log_storage.hpp"
+#include "process/control/document_validator.hpp"
+
+#include <algorithm>
+#include <filesystem>
+
+namespace hickorygap
+{
+
+namespace
+{
+
+// Different state machines draw from different sequences.
+enum seed_offset : std::uint64_t
+{
+    membership_seed = 1,
+    version_seed = 2,
+    proposal_seed = 3,
+    placement_seed = 4,
+    raft_seed = 5
+};
+
+membership_options make_membership_options(const control_node_options& options)
+{
+    membership_options result;
+    result.self = options.self;
+    result.incarnation = options.incarnation;
+    result.address = options.address;
+    result.failure_domain = options.failure_domain;
+    result.voter = std::ranges::count(options.voters, options.self) > 0;
+    result.seeds = options.seeds;
+    result.random_seed = options.seed + membership_seed;
+    return result;
+}
+
+version_sync_options make_version_options(const control_node_options& options)
+{
+    version_sync_options result;
+    result.self = options.self;
+    result.random_seed = options.seed + version_seed;
+    return result;
+}
+
+proposal_client_options
+make_proposal_options(const control_node_options& options)
+{
+    proposal_client_options result;
+    result.voters = options.voters;
+    result.seed = options.seed + proposal_seed;
+    return result;
+}
+
+placement_service_options
+make_placement_options(const control_node_options& options)
+{
+    placement_service_options result;
+    result.self = options.self;
+    result.seed = options.seed + placement_seed;
+    result.limits = options.cell_limits;
+    return result;
+}
+
+version_document
+make_version_document(const ticket_record& record, const digest& previous)
+{
+    version_document result;
+    result.version = record.number;
+    result.document = record.document;
+    result.accepted = record.accepted;
+    result.chain = chain_digest(previous, record.document);
+    return result;
+}
+
+} // namespace
+
+control_node::control_node(
+    control_node_options options, shared_blame_tracker& blame,
+    const clock_reading& now)
+    : options_(std::move(options))
+    , blame_(blame)
+    , membership_(make_membership_options(options_), now.monotonic)
+    , versions_(make_version_options(options_), now.monotonic)
+    , proposals_(make_proposal_options(options_))
+    , placement_(make_placement_options(options_))
+    , readiness_rule_(options_.freshness)
+    , voters_(options_.voters)
+    , last_advance_(now.monotonic)
+{
+    membership_.set_voters(voters_);
+}
+
+absl::StatusOr<std::unique_ptr<control_node>> control_node::open(
+    control_node_options options, shared_blame_tracker& blame,
+    const clock_reading& now)
+{
+    std::unique_ptr<control_node> node{
+        new control_node{std::move(options), blame, now}};
+    if (!node->options_.data_folder.empty())
+    {
+        const absl::Status status = node->open_storage(now);
+        if (!status.ok())
+        {
+            return status;
+        }
+    }
+    return node;
+}
+
+absl::Status control_node::open_storage(const clock_reading& now)
+{
+    const std::filesystem::path folder{options_.data_folder};
+    std::error_code error;
+    std::filesystem::create_directories(folder, error);
+    if (error)
+    {
+        return make_error(
+            error_kind::storage_failed,
+            fmt::format(
+                "can't create the data folder {}: {}; check its path and "
+                "permissions",
+                options_.data_folder, error.message()));
+    }
+    auto log_file = version_log_file::open(folder / "versions");
+    if (!log_file.ok())
+    {
+        return log_file.status();
+    }
+    version_log_ = std::move(*log_file);
+    versions_.set_floor(version_log_->last_version());
+    const absl::Status restored =
+        versions_.restore(version_log_->take_documents());
+    if (!restored.ok())
+    {
+        return restored;
+    }
+    if (std::ranges::count(voters_, options_.self) == 0)
+    {
+        return absl::OkStatus();
+    }
+    voter_options voting;
+    voting.raft.self = options_.self;
+    voting.raft.initial_voters = options_.voters;
+    voting.raft.seed = options_.seed + raft_seed;
+    voting.calls = options_.calls;
+    auto opened = voter::open(
+        std::move(voting),
+        std::make_unique<file_log_storage>((folder / "log").string()),
+        std::make_shared<document_validator>(), now.monotonic);
+    if (!opened.ok())
+    {
+        return opened.status();
+    }
+    voter_ = std::move(*opened);
+    voter_->set_acceptance_check([this]
+                                 { return check_acceptance(last_advance_); });
+    return absl::OkStatus();
+}
+
+absl::Status control_node::check_acceptance(time_point now) const
+{
+    if (membership_.hears_half_of_members(now, options_.freshness))
+    {
+        return absl::OkStatus();
+    }
+    return make_error(
+        error_kind::no_quorum,
+        fmt::format(
+            "the leader hears only {} of {} members and accepts no ticket "
+            "while it hears less than half; restore the network or wait until "
+            "lost instances are forgotten",
+            membership_.heard_members(now, options_.freshness),
+            membership_.counted_members()));
+}
+
+void control_node::receive(
+    instance_id from, incarnation_number incarnation,
+    const wire::payloadUnion& payload, const clock_reading& now)
+{
+    if (const auto* report = message_in<wire::suspect_report_msg>(payload))
+    {
+        take_suspect_report(*report, now);
+        return;
+    }
+    // Each part ignores the kinds of message that are not its own.
+    membership_.receive(from, incarnation, payload, now.monotonic);
+    versions_.receive(from, payload, now.monotonic);
+    proposals_.receive(from, payload, now.monotonic);
+    placement_.receive(from, payload, now.monotonic);
+    if (voter_ != nullptr)
+    {
+        voter_->receive(from, payload, now.monotonic, now.unix_time);
+    }
+}
+
+absl::Status control_node::advance(const clock_reading& now)
+{
+    last_advance_ = now.monotonic;
+    membership_.tick(now.monotonic);
+    versions_.tick(now.monotonic);
+    proposals_.tick(now.monotonic);
+    if (voter_ != nullptr)
+    {
+        voter_->tick(now.monotonic, now.unix_time);
+        const absl::Status flushed = voter_->flush();
+        if (!flushed.ok() && kind_of(flushed) == error_kind::storage_damaged)
+        {
+            return flushed;
+        }
+        take_accepted_tickets();
+    }
+    const absl::Status applied = apply_versions(now);
+    if (!applied.ok())
+    {
+        return applied;
+    }
+    update_members(now);
+    update_readiness(now);
+    placement_.tick(now.monotonic);
+    exchange_blame(now);
+    return absl::OkStatus();
+}
+
+void control_node::take_accepted_tickets()
+{
+    for (const ticket_record& record : voter_->take_applied())
+    {
+        if (record.number <= versions_.version())
+        {
+            continue;
+        }
+        const absl::Status added =
+            versions_.add(make_version_document(record, versions_.chain()));
+        if (!added.ok())
+        {
+            log(log_level::error, subsystem::configuration,
+                "ticket_rejected number={} reason=\"{}\"", record.number,
+                added.message());
+        }
+    }
+}
+
+absl::Status control_node::apply_versions(const clock_reading& now)
+{
+    std::ranges::move(
+        versions_.take_new_documents(), std::back_inserter(unapplied_));
+    if (unapplied_.empty())
+    {
+        return absl::OkStatus();
+    }
+    if (version_log_ != nullptr)
+    {
+        const absl::Status written = version_log_->append(unapplied_);
+        if (!written.ok())
+        {
+            log(log_level::error, subsystem::storage,
+                "version_not_stored reason=\"{}\"", written.message());
+            return absl::OkStatus();
+        }
+    }
+    const absl::Status applied =
+        configuration_.apply(unapplied_, now.unix_time);
+    unapplied_.clear();
+    if (!applied.ok())
+    {
+        return make_error(
+            error_kind::storage_damaged,
+            fmt::format(
+                "an accepted ticket can't be applied: {}; run the same "
+                "release on all instances",
+                applied.message()));
+    }
+    on_new_configuration(now);
+    return absl::OkStatus();
+}
+
+void control_node::on_new_configuration(const clock_reading& now)
+{
+    const configuration_ptr current = configuration_.current();
+    membership_.set_version(current->version(), configuration_.since());
+    placement_.set_configuration(current, now.monotonic);
+    if (!current->voters().empty())
+    {
+        voters_.assign(current->voters().begin(), current->voters().end());
+        membership_.set_voters(voters_);
+        proposals_.set_voters(voters_);
+    }
+}
+
+void control_node::update_members(const clock_reading& now)
+{
+    std::vector<instance_id> live = membership_.live_members(now.monotonic);
+    if (live != live_)
+    {
+        live_ = std::move(live);
+        log(log_level::info, subsystem::membership, "live_members count={}",
+            live_.size());
+        placement_.set_members(live_, now.monotonic);
+    }
+}
+
+void control_node::update_readiness(const clock_reading& now)
+{
+    readiness_inputs inputs;
+    inputs.version = configuration_.current()->version();
+    inputs.highest_announced = versions_.highest_announced();
+    inputs.reached_floor = versions_.reached_floor();
+    inputs.hears_voters = membership_.hears_majority_of(
+        voters_, now.monotonic, options_.freshness);
+    inputs.hears_half_of_members =
+        membership_.hears_half_of_members(now.monotonic, options_.freshness);
+    inputs.draining = draining_;
+    const readiness updated = readiness_rule_.update(inputs, now.monotonic);
+    if (updated != readiness_.load())
+    {
+        log(log_level::info, subsystem::process,
+            "readiness state={} hears_voters={} hears_half={} version={}",
+            static_cast<int>(updated), inputs.hears_voters,
+            inputs.hears_half_of_members, inputs.version);
+        readiness_.store(updated);
+        membership_.set_ready(updated == readiness::ready);
+        placement_.set_partitioned(
+            updated == readiness::cut_off, now.monotonic);
+    }
+}
+
+// Crashes are rare, so each is told to every live member at once: a retry
+// that enters through another instance must not crash a third server.
+void control_node::exchange_blame(const clock_reading& now)
+{
+    const auto reports = blame_.with([](blame_tracker& blame)
+                                     { return blame.take_suspect_reports(); });
+    for (const suspect_notice& notice : reports)
+    {
+        wire::suspect_report_msg message;
+        message.fingerprint = notice.fingerprint;
+        message.backend_server = notice.backend_server;
+        message.crashed_unix_ms = notice.crashed;
+        message.confirmed = notice.confirmed;
+        for (const instance_id member : live_)
+        {
+            if (member != options_.self)
+            {
+                outgoing_.push_back(make_outgoing(member, message));
+            }
+        }
+    }
+    const auto quarantines = blame_.with(
+        [&](blame_tracker& blame) { return blame.quarantines(now.unix_time); });
+    for (const quarantine& entry : quarantines)
+    {
+        membership_.add_quarantine(entry.fingerprint, entry.until);
+    }
+    for (const auto& entry : membership_.quarantines(now.unix_time))
+    {
+        blame_.with(
+            [&](blame_tracker& blame)
+            {
+                blame.merge(
+                    quarantine{entry.fingerprint, entry.until_unix_ms},
+                    now.unix_time);
+            });
+    }
+}
+
+void control_node::take_suspect_report(
+    const wire::suspect_report_msg& report, const clock_reading& now)
+{
+    const suspect_notice notice{
+        report.fingerprint, report.backend_server, report.crashed_unix_ms,
+        report.confirmed};
+    blame_.with([&](blame_tracker& blame)
+                { blame.merge(notice, now.unix_time); });
+}
+
+template <typename Part>
+void control_node::collect(Part& part)
+{
+    std::ranges::move(part.take_outgoing(), std::back_inserter(outgoing_));
+}
+
+std::vector<outgoing_message> control_node::take_outgoing()
+{
+    collect(membership_);
+    collect(versions_);
+    collect(proposals_);
+    collect(placement_);
+    if (voter_ != nullptr)
+    {
+        collect(*voter_);
+    }
+    return std::exchange(outgoing_, {});
+}
+
+void control_node::begin_drain(const clock_reading& now)
+{
+    draining_ = true;
+    update_readiness(now);
+    placement_.begin_handover(now.monotonic);
+}
+
+void control_node::leave(const clock_reading& now)
+{
+    membership_.leave(now.monotonic);
+}
+
+std::vector<std::string>
+control_node::conditions(const clock_reading& now) const
+{
+    std::vector<std::string> result;
+    if (!membership_.hears_majority_of(
+            voters_, now.monotonic, options_.freshness))
+    {
+        result.emplace_back("no majority of the voters is heard");
+    }
+    if (current_readiness() == readiness::cut_off)
+    {
+        result.emplace_back(
+            "this instance may miss tickets and refuses new work");
+    }
+    if (versions_.version() < versions_.highest_announced())
+    {
+        result.push_back(fmt::format(
+            "version {} has been announced and is not applied here yet",
+            versions_.highest_announced()));
+    }
+    if (voter_ != nullptr && !voter_->status().storage.ok())
+    {
+        result.push_back(
+            fmt::format("storage: {}", voter_->status().storage.message()));
+    }
+    return result;
+}
+
+} // namespace hickorygap
--- /dev/null
+++ b/src/process/control/control_node.hpp
@@ -0,0 +1,173 @@
+#ifndef HICKORYGAP_PROCESS_CONTROL_CONTROL_NODE_HPP
+#define HICKORYGAP_PROCESS_CONTROL_CONTROL_NODE_HPP
+
+#include "process/control/clock_reading.hpp"
+#include "process/control/configuration_tracker.hpp"
+#include "process/control/readiness_rule.hpp"
+#include "process/membership/membership.hpp"
+#include "process/membership/version_log_file.hpp"
+#include "process/membership/version_sync.hpp"
+#include "process/replicated_state/proposal_client.hpp"
+#include "process/replicated_state/voter.hpp"
+#include "request/attempt/shared_blame_tracker.hpp"
+#include "request/placement/placement_service.hpp"
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace hickorygap
+{
+
+struct control_node_options
+{
+    instance_id self = 0;
+    std::string failure_domain;
+
+    // Control address of this instance, "host:port".
+    std::string address;
+    incarnation_number incarnation = 0;
+
+    // Voters until a ticket names others.
+    std::vector<instance_id> voters;
+    std::vector<seed_member> seeds;
+
+    // Empty on an instance without a disk.
+    std::string data_folder;
+    duration freshness{std::chrono::seconds{10}};
+    cell_owner_limits cell_limits;
+    call_record_options calls;
+    std::uint64_t seed = 0;
+};
+
+// All control state of one instance. A state machine but for the files in the
+// data folder: takes messages, calls and clock readings, and gives out
+// messages and results. Belongs to the control thread, except where noted.
+class control_node
+{
+public:
+    // Reads the data folder. Errors: storage_damaged, storage_failed.
+    static absl::StatusOr<std::unique_ptr<control_node>> open(
+        control_node_options options, shared_blame_tracker& blame,
+        const clock_reading& now);
+
+    void receive(
+        instance_id from, incarnation_number incarnation,
+        const wire::payloadUnion& payload, const clock_reading& now);
+
+    // Runs timers, applies what was accepted, and makes durable what the
+    // outgoing messages promise. To be called after each batch of messages.
+    // Error: storage_damaged; this instance must stop.
+    absl::Status advance(const clock_reading& now);
+
+    std::vector<outgoing_message> take_outgoing();
+
+    placement_service& placement()
+    {
+        return placement_;
+    }
+    const placement_service& placement() const
+    {
+        return placement_;
+    }
+    proposal_client& proposals()
+    {
+        return proposals_;
+    }
+    const membership& members() const
+    {
+        return membership_;
+    }
+    membership& members()
+    {
+        return membership_;
+    }
+    const version_sync& versions() const
+    {
+        return versions_;
+    }
+    const control_node_options& options() const
+    {
+        return options_;
+    }
+
+    // Null on an instance that is no voter.
+    const voter* replica() const
+    {
+        return voter_.get();
+    }
+
+    // Safe from any thread.
+    configuration_ptr current_configuration() const
+    {
+        return configuration_.current();
+    }
+    readiness current_readiness() const
+    {
+        return readiness_.load();
+    }
+
+    // When the current version came into force on this instance.
+    unix_millis version_since() const
+    {
+        return configuration_.since();
+    }
+
+    std::span<const instance_id> voters() const
+    {
+        return voters_;
+    }
+
+    // Starts a graceful shutdown: no new work, owned cells are handed over.
+    void begin_drain(const clock_reading& now);
+
+    // Tells the other members that this instance is gone for good.
+    void leave(const clock_reading& now);
+
+    // Conditions that an operator should know of; empty when all is well.
+    std::vector<std::string> conditions(const clock_reading& now) const;
+
+private:
+    control_node(
+        control_node_options options, shared_blame_tracker& blame,
+        const clock_reading& now);
+
+    absl::Status open_storage(const clock_reading& now);
+    absl::Status apply_versions(const clock_reading& now);
+    void take_accepted_tickets();
+    void on_new_configuration(const clock_reading& now);
+    void update_members(const clock_reading& now);
+    void update_readiness(const clock_reading& now);
+    void exchange_blame(const clock_reading& now);
+    void take_suspect_report(
+        const wire::suspect_report_msg& report, const clock_reading& now);
+    absl::Status check_acceptance(time_point now) const;
+
+    template <typename Part>
+    void collect(Part& part);
+
+    control_node_options options_;
+    shared_blame_tracker& blame_;
+    membership membership_;
+    version_sync versions_;
+    proposal_client proposals_;
+    placement_service placement_;
+    configuration_tracker configuration_;
+    readiness_rule readiness_rule_;
+    std::atomic<readiness> readiness_{readiness::starting};
+    std::unique_ptr<voter> voter_;
+    std::unique_ptr<version_log_file> version_log_;
+
+    // Documents that could not be written to disk yet.
+    std::vector<version_document_ptr> unapplied_;
+    std::vector<instance_id> voters_;
+    std::vector<instance_id> live_;
+    bool draining_ = false;
+    time_point last_advance_;
+    std::vector<outgoing_message> outgoing_;
+};
+
+} // namespace hickorygap
+
+#endif
--- /dev/null
+++ b/src/process/control/control_thread.cpp
@@ -0,0 +1,231 @@
+#include "process/control/control_thread.hpp"
+
+#include "common/logging.hpp"
+
+namespace hickorygap
+{
+
+namespace
+{
+
+// Longest time between two turns of the loop; timers of the state machines
+// are this exact.
+constexpr duration turn_interval = std::chrono::milliseconds{20};
+
+placement_refusal
+make_shutdown_refusal(request_id request, std::uint8_t attempt)
+{
+    placement_refusal refusal;
+    refusal.request = request;
+    refusal.attempt = attempt;
+    refusal.reason = wire::refusal_reason::draining;
+    refusal.retry_after = std::chrono::seconds{1};
+    return refusal;
+}
+
+} // namespace
+
+control_thread::control_thread(
+    std::unique_ptr<control_node> node, std::unique_ptr<peer_network> network)
+    : node_(std::move(node))
+    , network_(std::move(network))
+{
+}
+
+control_thread::~control_thread()
+{
+    stop();
+}
+
+void control_thread::start()
+{
+    thread_ = std::thread{[this] { run(); }};
+}
+
+void control_thread::stop()
+{
+    stopping_ = true;
+    network_->wake();
+    if (thread_.joinable())
+    {
+        thread_.join();
+    }
+}
+
+bool control_thread::post(task work)
+{
+    {
+        const std::lock_guard lock{mutex_};
+        if (closed_)
+        {
+            return false;
+        }
+        tasks_.push_back(std::move(work));
+    }
+    network_->wake();
+    return true;
+}
+
+std::shared_ptr<pending_placement>
+control_thread::submit(const placement_query& query)
+{
+    auto result = std::make_shared<pending_placement>();
+    const bool posted = post(
+        [this, result, query](control_node& node, const clock_reading& now)
+        {
+            placements_[{query.request, query.attempt}] = result;
+            node.placement().submit(query, now.monotonic);
+        });
+    if (!posted)
+    {
+        result->set(make_shutdown_refusal(query.request, query.attempt));
+    }
+    return result;
+}
+
+std::shared_ptr<pending_proposal> control_thread::propose(
+    wire::entry_kind kind, std::vector<std::uint8_t> data, time_point deadline)
+{
+    auto result = std::make_shared<pending_proposal>();
+    const bool posted = post(
+        [this, result, kind, data = std::move(data),
+         deadline](control_node& node, const clock_reading& now)
+        {
+            await(
+                node.proposals().propose(kind, data, now.monotonic, deadline),
+                result);
+        });
+    if (!posted)
+    {
+        result->set(proposal_result{});
+    }
+    return result;
+}
+
+std::shared_ptr<pending_proposal>
+control_thread::read_version(time_point deadline)
+{
+    auto result = std::make_shared<pending_proposal>();
+    const bool posted = post(
+        [this, result, deadline](control_node& node, const clock_reading& now)
+        { await(node.proposals().read(now.monotonic, deadline), result); });
+    if (!posted)
+    {
+        result->set(proposal_result{});
+    }
+    return result;
+}
+
+void control_thread::run()
+{
+    while (!stopping_ && !failed_)
+    {
+        turn();
+    }
+    send_outgoing();
+    abandon_waiting();
+}
+
+void control_thread::turn()
+{
+    const auto messages = network_->poll(turn_interval);
+    const clock_reading now = read_clocks();
+    for (const received_message& message : messages)
+    {
+        node_->receive(
+            message.sender, message.incarnation, message.payload, now);
+    }
+    run_tasks(now);
+    const absl::Status status = node_->advance(now);
+    if (!status.ok())
+    {
+        log(log_level::error, subsystem::process, "stopped reason=\"{}\"",
+            status.message());
+        failed_ = true;
+        return;
+    }
+    if (turn_hook_)
+    {
+        turn_hook_(*node_, now);
+    }
+    send_outgoing();
+    deliver_results();
+}
+
+void control_thread::run_tasks(const clock_reading& now)
+{
+    std::vector<task> tasks;
+    {
+        const std::lock_guard lock{mutex_};
+        tasks.swap(tasks_);
+    }
+    for (const task& each : tasks)
+    {
+        each(*node_, now);
+    }
+}
+
+void control_thread::send_outgoing()
+{
+    for (const auto& [id, address] : node_->members().take_address_changes())
+    {
+        const std::size_t colon = address.rfind(':');
+        const auto port =
+            static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)));
+        const absl::Status status =
+            network_->set_address(id, address.substr(0, colon), port);
+        if (!status.ok())
+        {
+            log(log_level::warning, subsystem::network,
+                "bad_address instance={} reason=\"{}\"", id, status.message());
+        }
+    }
+    for (const outgoing_message& message : node_->take_outgoing())
+    {
+        network_->send(message);
+    }
+}
+
+void control_thread::deliver_results()
+{
+    for (auto& decided : node_->placement().take_decisions())
+    {
+        const auto found = placements_.find({decided.request, decided.attempt});
+        if (found != placements_.end())
+        {
+            found->second->set(std::move(decided.decision));
+            placements_.erase(found);
+        }
+    }
+    for (proposal_result& result : node_->proposals().take_results())
+    {
+        const auto found = proposals_.find(result.proposal);
+        if (found != proposals_.end())
+        {
+            found->second->set(std::move(result));
+            proposals_.erase(found);
+        }
+    }
+}
+
+void control_thread::abandon_waiting()
+{
+    {
+        const std::lock_guard lock{mutex_};
+        closed_ = true;
+    }
+    // Tasks posted before the thread closed register their waiters here.
+    run_tasks(read_clocks());
+    for (const auto& [key, waiting] : placements_)
+    {
+        waiting->set(make_shutdown_refusal(key.first, key.second));
+    }
+    for (const auto& [number, waiting] : proposals_)
+    {
+        proposal_result result;
+        result.proposal = number;
+        waiting->set(result);
+    }
+}
+
+} // namespace hickorygap
--- /dev/null
+++ b/src/process/control/document_validator.hpp
@@ -0,0 +1,32 @@
+#ifndef HICKORYGAP_PROCESS_CONTROL_DOCUMENT_VALIDATOR_HPP
+#define HICKORYGAP_PROCESS_CONTROL_DOCUMENT_VALIDATOR_HPP
+
+#include "process/replicated_state/ticket_validator.hpp"
+#include "version/configuration/configuration.hpp"
+
+namespace hickorygap
+{
+
+// Checks a ticket against the configuration that the accepted tickets define.
+// Belongs to the control thread.
+class document_validator final : public ticket_validator
+{
+public:
+    absl::StatusOr<digest> validate(
+        std::span<const std::uint8_t> document,
+        std::span<const ticket_record> accepted) const override;
+
+private:
+    absl::StatusOr<configuration_ptr>
+    configuration_after(std::span<const ticket_record> accepted) const;
+
+    // Configuration after the tickets up to the one with this chain value. A
+    // cache: replaying the whole history for each check would make filing
+    // ticket n cost n builds.
+    mutable digest cached_chain_{};
+    mutable configuration_ptr cached_;
+};
+
+} // namespace hickorygap
+
+#endif
--- a/src/request/attempt/control_client.hpp
+++ b/src/request/attempt/control_client.hpp
@@ -31,6 +31,10 @@
 
     // SHA-256 of method, path and body.
     digest request_digest{};
+
+    // The caller request that carries the call. A retry of the call is
+    // another request with the same key.
+    request_id request = 0;
 };
 
 // What a traffic thread may do with a non-repeatable call.
