Add cells, the rank queue and placement over several instances

Schema: placement_request.waited_ms carries the time since the caller's arrival, because clocks of instances differ and the rank's target counts from the arrival. placement_queued acknowledges a queued request; without it an entry router cannot tell a queue from a lost owner within 200 ms. grants_held.complete tells answers of a new owner's query from renewals.

--- /dev/null
+++ b/src/request/placement/entry_router.cpp
@@ -0,0 +1,750 @@
+#include "request/placement/entry_router.hpp"
+
+#include "common/hashing.hpp"
+#include "version/configuration/cell_map.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <memory>
+#include <span>
+#include <utility>
+
+namespace hickorygap
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Time within which an owner answers; the round trip takes at most a few
+// milliseconds.
+constexpr duration answer_timeout{milliseconds{200}};
+
+// Sendings without an answer after which the next owner is asked.
+constexpr std::uint32_t sendings_per_owner = 2;
+
+// A queued query is repeated at this interval, so that the loss of the grant
+// or of the owner is noticed.
+constexpr duration queued_repeat{seconds{1}};
+
+// Time for which an owner that did not answer is left out. One query in this
+// time finds out whether it answers again.
+constexpr duration unanswered_skip{seconds{1}};
+
+// Time for which an instance that does not consider itself the owner is left
+// out; views of the members converge within seconds.
+constexpr duration declined_skip{milliseconds{300}};
+
+// Longest wait for a place while no owner can be reached.
+constexpr duration without_owner_limit{seconds{1}};
+
+// Queries that may wait at once while no owner can be reached.
+constexpr std::size_t without_owner_queries = 256;
+
+constexpr duration retry_after_without_owner{seconds{1}};
+constexpr duration retry_after_partitioned{seconds{10}};
+
+// Grants are renewed when half of their lease has passed.
+constexpr duration renewal_age = cell_owner::grant_lease / 2;
+
+// Cells that are asked for one query: the chat's cell and one for spillover.
+constexpr std::size_t cells_per_query = 2;
+
+request_key key_of(const placement_query& query)
+{
+    return {query.request, query.attempt};
+}
+
+std::uint32_t to_ms(duration value)
+{
+    const auto count = std::chrono::duration_cast<milliseconds>(value).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+        count, 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
+bool may_spill(wire::refusal_reason reason)
+{
+    return reason == wire::refusal_reason::overloaded ||
+           reason == wire::refusal_reason::no_backend_server ||
+           reason == wire::refusal_reason::unknown_cell;
+}
+
+} // namespace
+
+entry_router::entry_router(instance_id self, owner_map& owners)
+    : self_(self)
+    , owners_(owners)
+    , topology_(std::make_shared<placement_topology>())
+{
+}
+
+void entry_router::set_topology(topology_ptr topology, time_point now)
+{
+    topology_ = std::move(topology);
+    members_changed(now);
+}
+
+// A query whose owner is gone is sent to the new owner without waiting for
+// the timeout.
+void entry_router::members_changed(time_point now)
+{
+    const auto members = owners_.members();
+    std::vector<request_key> orphans;
+    for (auto& [key, pending] : pending_)
+    {
+        const bool live =
+            std::binary_search(members.begin(), members.end(), pending.owner);
+        if (pending.owner != 0 && !live)
+        {
+            orphans.push_back(key);
+        }
+    }
+    for (const request_key& key : orphans)
+    {
+        pending_query& pending = pending_.at(key);
+        std::erase_if(
+            pending.asked, [&](const asked_owner& asked)
+            { return asked.owner == pending.owner; });
+        ask(pending, now);
+    }
+}
+
+void entry_router::set_partitioned(bool partitioned, time_point)
+{
+    partitioned_ = partitioned;
+    while (partitioned_ && !pending_.empty())
+    {
+        withdraw_from_others(
+            pending_.begin()->second, pending_.begin()->first, {});
+        decide_refusal(
+            pending_.begin(), wire::refusal_reason::cut_off,
+            retry_after_partitioned);
+    }
+}
+
+void entry_router::submit(const placement_query& query, time_point now)
+{
+    const request_key key = key_of(query);
+    if (held_.contains(key) || pending_.contains(key))
+    {
+        return;
+    }
+    const auto position = pending_.emplace(key, pending_query{}).first;
+    pending_query& pending = position->second;
+    pending.query = query;
+    pending.submitted = now;
+    if (partitioned_)
+    {
+        decide_refusal(
+            position, wire::refusal_reason::cut_off, retry_after_partitioned);
+        return;
+    }
+    const std::uint64_t hash_key = query.chat != 0 ? query.chat : query.request;
+    for (const cell* candidate :
+         cells_in_order(topology_->cells, query.service, hash_key))
+    {
+        if (pending.cells.size() < cells_per_query)
+        {
+            pending.cells.push_back(candidate->id);
+        }
+    }
+    if (pending.cells.empty())
+    {
+        decide_refusal(
+            position, wire::refusal_reason::no_backend_server,
+            retry_after_without_owner);
+        return;
+    }
+    ask(pending, now);
+    if (pending.owner == 0)
+    {
+        ask_without_owner(position, now);
+    }
+}
+
+// Chooses the owner to ask and sends the request; the owner is 0 afterwards
+// when none can be reached.
+void entry_router::ask(pending_query& pending, time_point now)
+{
+    const cell_id cell = pending.cells[pending.cell_position];
+    pending.owner = owners_.candidate(cell, now);
+    pending.unanswered = 0;
+    pending.acknowledged = false;
+    if (pending.owner != 0)
+    {
+        pending.without_owner_since.reset();
+        send_request(pending, now);
+    }
+}
+
+void entry_router::send_request(pending_query& pending, time_point now)
+{
+    const cell_id cell = pending.cells[pending.cell_position];
+    const placement_query& query = pending.query;
+    wire::placement_request_msg message;
+    message.request = query.request;
+    message.attempt = query.attempt;
+    message.cell = cell;
+    message.chat = query.chat;
+    message.organisation = query.organisation;
+    message.rank = static_cast<std::uint8_t>(query.request_rank);
+    message.expected_cost = query.expected_cost;
+    message.deadline_ms = to_ms(query.deadline - now);
+    message.excluded = query.excluded;
+    message.isolated = query.isolated;
+    message.waited_ms = to_ms(query.waited + (now - pending.submitted));
+    pending.sent = now;
+    const bool known = std::any_of(
+        pending.asked.begin(), pending.asked.end(),
+        [&](const asked_owner& asked)
+        { return asked.owner == pending.owner && asked.cell == cell; });
+    if (!known)
+    {
+        pending.asked.push_back({pending.owner, cell});
+    }
+    send(pending.owner, std::move(message));
+}
+
+// No owner of the cell answers: use the other cell, else place locally
+// within this instance's share.
+void entry_router::ask_without_owner(
+    pending_map::iterator position, time_point now)
+{
+    pending_query& pending = position->second;
+    if (pending.first_refusal)
+    {
+        // Placing locally would go around the refusal.
+        decide_refusal(
+            position, pending.first_refusal->reason,
+            pending.first_refusal->retry_after);
+        return;
+    }
+    while (pending.cell_position + 1 < pending.cells.size())
+    {
+        ++pending.cell_position;
+        ask(pending, now);
+        if (pending.owner != 0)
+        {
+            return;
+        }
+    }
+    if (try_local(position, now))
+    {
+        return;
+    }
+    if (!pending.without_owner_since)
+    {
+        pending.without_owner_since = now;
+        pending.sent = now;
+    }
+    const std::size_t waiting = static_cast<std::size_t>(std::count_if(
+        pending_.begin(), pending_.end(),
+        [](const auto& entry)
+        { return entry.second.without_owner_since.has_value(); }));
+    if (waiting > without_owner_queries ||
+        now - *pending.without_owner_since >= without_owner_limit ||
+        pending.query.deadline <= now)
+    {
+        decide_refusal(
+            position, wire::refusal_reason::overloaded,
+            retry_after_without_owner);
+    }
+}
+
+bool entry_router::try_local(pending_map::iterator position, time_point now)
+{
+    const pending_query& pending = position->second;
+    // Isolation can't be promised without the owner's view of the load.
+    if (pending.query.isolated || pending.query.deadline <= now)
+    {
+        return false;
+    }
+    const cell* chosen = topology_->find_cell(pending.cells.front());
+    if (chosen == nullptr)
+    {
+        return false;
+    }
+    const backend_server_id server = choose_local(*chosen, pending);
+    if (server == 0)
+    {
+        return false;
+    }
+    record_local(pending, *chosen, server);
+    withdraw_from_others(pending, position->first, {});
+    placement_grant grant;
+    grant.request = pending.query.request;
+    grant.attempt = pending.query.attempt;
+    grant.granting_cell = chosen->id;
+    grant.backend_server = server;
+    grant.queued = now - pending.submitted;
+    decide_grant(position, grant, self_, now);
+    return true;
+}
+
+// This instance's share of the cell's slots, over all that it has in flight
+// there. One is allowed always, so that a large fleet still serves.
+std::size_t entry_router::local_limit(const cell& chosen) const
+{
+    std::size_t slots = 0;
+    for (const backend_server_id id : chosen.backend_servers)
+    {
+        const auto server = topology_->backend_servers.find(id);
+        slots += server == topology_->backend_servers.end()
+                     ? 0
+                     : server->second.slots;
+    }
+    return std::max<std::size_t>(1, slots / owners_.members().size());
+}
+
+backend_server_id entry_router::choose_local(
+    const cell& chosen, const pending_query& pending) const
+{
+    if (owners_.members().empty())
+    {
+        return 0;
+    }
+    const auto in_cell = held_per_cell_.find(chosen.id);
+    if (in_cell != held_per_cell_.end() &&
+        in_cell->second >= local_limit(chosen))
+    {
+        return 0;
+    }
+    const std::uint64_t hash_key =
+        pending.query.chat != 0 ? pending.query.chat : pending.query.request;
+    backend_server_id best = 0;
+    std::uint64_t best_score = 0;
+    for (const backend_server_id id : chosen.backend_servers)
+    {
+        const auto server = topology_->backend_servers.find(id);
+        const std::vector<backend_server_id>& excluded = pending.query.excluded;
+        if (server == topology_->backend_servers.end() ||
+            server->second.state != backend_server_state::serving ||
+            down_.contains(id) ||
+            std::find(excluded.begin(), excluded.end(), id) != excluded.end())
+        {
+            continue;
+        }
+        const double share = server->second.slots /
+                             static_cast<double>(owners_.members().size());
+        const auto limit = std::max(1.0, std::ceil(share));
+        const auto held = held_per_server_.find(id);
+        if (held != held_per_server_.end() && held->second >= limit)
+        {
+            continue;
+        }
+        const std::uint64_t score = rendezvous_score(hash_key, id);
+        if (best == 0 || score > best_score)
+        {
+            best = id;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+void entry_router::withdraw(
+    request_id request, std::uint8_t attempt, time_point)
+{
+    const auto position = pending_.find({request, attempt});
+    if (position == pending_.end())
+    {
+        return;
+    }
+    withdraw_from_others(position->second, position->first, {});
+    decide_refusal(position, wire::refusal_reason::withdrawn, duration{0});
+}
+
+// Tells every owner that was asked, except the one whose answer was taken,
+// to forget the query or to release what it granted.
+void entry_router::withdraw_from_others(
+    const pending_query& pending, const request_key& key,
+    const asked_owner& kept)
+{
+    for (const asked_owner& asked : pending.asked)
+    {
+        if (asked.owner == kept.owner && asked.cell == kept.cell)
+        {
+            continue;
+        }
+        wire::placement_withdraw_msg message;
+        message.request = key.request;
+        message.attempt = key.attempt;
+        message.cell = asked.cell;
+        send(asked.owner, message);
+    }
+}
+
+void entry_router::finish(const attempt_report& report, time_point)
+{
+    const request_key key{report.request, report.attempt};
+    const auto position = held_.find(key);
+    if (position == held_.end())
+    {
+        return;
+    }
+    const held_grant held = position->second;
+    held_.erase(position);
+    --held_per_server_[held.server];
+    --held_per_cell_[held.cell];
+    wire::grant_end_msg message;
+    message.request = key.request;
+    message.attempt = key.attempt;
+    message.cell = held.cell;
+    message.backend_server = held.server;
+    message.outcome = report.outcome;
+    message.actual_cost = report.actual_cost;
+    message.first_token_ms = to_ms(report.first_byte);
+    message.duration_ms = to_ms(report.total);
+    const instance_id owner = owners_.owner_of(held.cell);
+    if (owner != 0)
+    {
+        send(owner, message);
+    }
+    // After a change of owner the one that granted may still count it.
+    const auto members = owners_.members();
+    if (held.granted_by != owner && held.granted_by != self_ &&
+        std::binary_search(members.begin(), members.end(), held.granted_by))
+    {
+        send(held.granted_by, message);
+    }
+}
+
+void entry_router::on_grant(
+    instance_id from, const wire::placement_grant_msg& grant, time_point now)
+{
+    const request_key key{grant.request, grant.attempt};
+    const auto held = held_.find(key);
+    if (held != held_.end())
+    {
+        const bool duplicate = held->second.granted_by == from &&
+                               held->second.cell == grant.cell &&
+                               held->second.server == grant.backend_server;
+        if (!duplicate)
+        {
+            return_grant(from, grant);
+        }
+        return;
+    }
+    const auto position = pending_.find(key);
+    if (position == pending_.end())
+    {
+        return_grant(from, grant);
+        return;
+    }
+    owners_.unskip(grant.cell, from);
+    placement_grant accepted;
+    accepted.request = grant.request;
+    accepted.attempt = grant.attempt;
+    accepted.granting_cell = grant.cell;
+    accepted.backend_server = grant.backend_server;
+    accepted.reused = grant.reused;
+    accepted.queued = milliseconds{grant.queued_ms};
+    withdraw_from_others(position->second, key, {from, grant.cell});
+    decide_grant(position, accepted, from, now);
+}
+
+void entry_router::return_grant(
+    instance_id to, const wire::placement_grant_msg& grant)
+{
+    wire::grant_end_msg message;
+    message.request = grant.request;
+    message.attempt = grant.attempt;
+    message.cell = grant.cell;
+    message.backend_server = grant.backend_server;
+    message.outcome = wire::attempt_outcome::never_used;
+    send(to, message);
+}
+
+void entry_router::on_refusal(
+    instance_id from, const wire::placement_refusal_msg& refusal,
+    time_point now)
+{
+    const auto position = pending_.find({refusal.request, refusal.attempt});
+    if (position == pending_.end())
+    {
+        return;
+    }
+    pending_query& pending = position->second;
+    const auto removed = std::erase_if(
+        pending.asked, [&](const asked_owner& asked)
+        { return asked.owner == from && asked.cell == refusal.cell; });
+    if (removed == 0 || pending.owner != from ||
+        pending.cells[pending.cell_position] != refusal.cell)
+    {
+        // An answer to an earlier sending; the current owner decides.
+        return;
+    }
+    if (refusal.reason == wire::refusal_reason::not_owner ||
+        refusal.reason == wire::refusal_reason::cut_off)
+    {
+        owners_.skip(refusal.cell, from, now + declined_skip);
+        ask(pending, now);
+        if (pending.owner == 0)
+        {
+            ask_without_owner(position, now);
+        }
+        return;
+    }
+    owners_.unskip(refusal.cell, from);
+    const duration retry_after = milliseconds{refusal.retry_after_ms};
+    if (may_spill(refusal.reason) && !pending.first_refusal &&
+        pending.cell_position + 1 < pending.cells.size())
+    {
+        pending.first_refusal = placement_refusal{
+            refusal.request, refusal.attempt, refusal.reason, retry_after};
+        ++pending.cell_position;
+        ask(pending, now);
+        if (pending.owner != 0)
+        {
+            return;
+        }
+    }
+    if (pending.first_refusal)
+    {
+        decide_refusal(
+            position, pending.first_refusal->reason,
+            std::min(retry_after, pending.first_refusal->retry_after));
+        return;
+    }
+    decide_refusal(position, refusal.reason, retry_after);
+}
+
+void entry_router::on_queued(
+    instance_id from, const wire::placement_queued_msg& queued, time_point)
+{
+    const auto position = pending_.find({queued.request, queued.attempt});
+    if (position == pending_.end())
+    {
+        // The withdrawal was lost or overtaken.
+        wire::placement_withdraw_msg message;
+        message.request = queued.request;
+        message.attempt = queued.attempt;
+        message.cell = queued.cell;
+        if (!held_.contains({queued.request, queued.attempt}))
+        {
+            send(from, message);
+        }
+        return;
+    }
+    if (position->second.owner == from)
+    {
+        position->second.acknowledged = true;
+        position->second.unanswered = 0;
+        owners_.unskip(queued.cell, from);
+    }
+}
+
+void entry_router::on_grants_query(
+    instance_id from, const wire::grants_query_msg& query)
+{
+    wire::grants_held_msg message;
+    message.cell = query.cell;
+    message.complete = true;
+    for (const auto& [key, held] : held_)
+    {
+        if (held.cell == query.cell)
+        {
+            message.grants.push_back(std::make_unique<wire::held_grant_msg>(
+                describe_held(key, held)));
+        }
+    }
+    send(from, std::move(message));
+}
+
+wire::held_grant_msg entry_router::describe_held(
+    const request_key& key, const held_grant& held) const
+{
+    wire::held_grant_msg described;
+    described.request = key.request;
+    described.attempt = key.attempt;
+    described.backend_server = held.server;
+    described.chat = held.chat;
+    described.organisation = held.organisation;
+    described.rank = static_cast<std::uint8_t>(held.request_rank);
+    described.expected_cost = held.cost;
+    return described;
+}
+
+void entry_router::tick(time_point now)
+{
+    std::vector<request_key> due;
+    for (const auto& [key, pending] : pending_)
+    {
+        const duration timeout =
+            pending.acknowledged ? queued_repeat : answer_timeout;
+        if (pending.owner == 0 || now - pending.sent >= timeout)
+        {
+            due.push_back(key);
+        }
+    }
+    for (const request_key& key : due)
+    {
+        const auto position = pending_.find(key);
+        if (position != pending_.end())
+        {
+            check_pending(position, now);
+        }
+    }
+    renew_grants(now);
+}
+
+void entry_router::check_pending(pending_map::iterator position, time_point now)
+{
+    pending_query& pending = position->second;
+    if (pending.query.deadline <= now)
+    {
+        withdraw_from_others(pending, position->first, {});
+        decide_refusal(
+            position, wire::refusal_reason::deadline,
+            retry_after_without_owner);
+        return;
+    }
+    if (pending.owner == 0)
+    {
+        pending.cell_position = 0;
+        ask(pending, now);
+        if (pending.owner == 0)
+        {
+            ask_without_owner(position, now);
+        }
+        return;
+    }
+    if (pending.acknowledged)
+    {
+        // The next answer decides whether the owner is still there.
+        pending.acknowledged = false;
+        send_request(pending, now);
+        return;
+    }
+    ++pending.unanswered;
+    if (pending.unanswered < sendings_per_owner)
+    {
+        send_request(pending, now);
+        return;
+    }
+    owners_.skip(
+        pending.cells[pending.cell_position], pending.owner,
+        now + unanswered_skip);
+    ask(pending, now);
+    if (pending.owner == 0)
+    {
+        ask_without_owner(position, now);
+    }
+}
+
+// Renewals go to the owner by the present view, which thus learns of grants
+// made by an earlier owner or without owner.
+void entry_router::renew_grants(time_point now)
+{
+    std::map<cell_id, wire::grants_held_msg> messages;
+    for (auto& [key, held] : held_)
+    {
+        if (held.renew_at <= now)
+        {
+            held.renew_at = now + renewal_age;
+            messages[held.cell].grants.push_back(
+                std::make_unique<wire::held_grant_msg>(
+                    describe_held(key, held)));
+        }
+    }
+    for (auto& [cell, message] : messages)
+    {
+        message.cell = cell;
+        const instance_id owner = owners_.owner_of(cell);
+        if (owner != 0)
+        {
+            send(owner, std::move(message));
+        }
+    }
+}
+
+void entry_router::decide_grant(
+    pending_map::iterator position, const placement_grant& grant,
+    instance_id granted_by, time_point now)
+{
+    const request_key key = position->first;
+    const placement_query& query = position->second.query;
+    held_grant held;
+    held.cell = grant.granting_cell;
+    held.server = grant.backend_server;
+    held.granted_by = granted_by;
+    held.chat = query.chat;
+    held.organisation = query.organisation;
+    held.request_rank = query.request_rank;
+    held.cost = query.expected_cost;
+    // The owner learns of a grant that it did not make as soon as possible.
+    held.renew_at = granted_by == self_ && owners_.owner_of(held.cell) != self_
+                        ? now
+                        : now + renewal_age;
+    held_.emplace(key, held);
+    ++held_per_server_[held.server];
+    ++held_per_cell_[held.cell];
+    pending_.erase(position);
+    decisions_.push_back({key.request, key.attempt, grant});
+}
+
+void entry_router::decide_refusal(
+    pending_map::iterator position, wire::refusal_reason reason,
+    duration retry_after)
+{
+    const request_key key = position->first;
+    pending_.erase(position);
+    decisions_.push_back(
+        {key.request, key.attempt,
+         placement_refusal{key.request, key.attempt, reason, retry_after}});
+}
+
+void entry_router::on_backend_health(backend_server_id server, bool up)
+{
+    if (up)
+    {
+        down_.erase(server);
+    }
+    else
+    {
+        down_.insert(server);
+    }
+}
+
+void entry_router::record_local(
+    const pending_query& pending, const cell& chosen, backend_server_id server)
+{
+    const placement_query& query = pending.query;
+    wire::decision_record_msg record;
+    record.request = query.request;
+    record.chat = query.chat;
+    record.organisation = query.organisation;
+    record.rank = static_cast<std::uint8_t>(query.request_rank);
+    record.version = topology_->version;
+    record.cell = chosen.id;
+    for (const backend_server_id id : chosen.backend_servers)
+    {
+        const auto held = held_per_server_.find(id);
+        record.candidates.push_back(id);
+        record.loads.push_back(static_cast<std::uint16_t>(
+            held == held_per_server_.end() ? 0 : held->second));
+    }
+    record.choice = server;
+    record.reason = static_cast<std::uint8_t>(placement_reason::local);
+    records_.push_back(std::move(record));
+}
+
+std::vector<outgoing_message> entry_router::take_outgoing()
+{
+    return std::exchange(outgoing_, {});
+}
+
+std::vector<decided_placement> entry_router::take_decisions()
+{
+    return std::exchange(decisions_, {});
+}
+
+std::vector<wire::decision_record_msg> entry_router::take_records()
+{
+    return std::exchange(records_, {});
+}
+
+} // namespace hickorygap
--- a/src/request/placement/placement_query.hpp
+++ b/src/request/placement/placement_query.hpp
@@ -30,6 +30,10 @@
     // Latest time at which the answer is still of use to the caller.
     time_point deadline;
 
+    // Time since the caller request arrived; more than zero for later
+    // attempts. The rank's target counts from the arrival.
+    duration waited{0};
+
     // Backend servers that failed earlier attempts of this request.
     std::vector<backend_server_id> excluded;
     request_fingerprint fingerprint = 0;
