Add the request relay, the HTTP server and stand-ins for backend servers

A first version that serves a streamed chat and a booking end to end through a control_client: the HTTP server keeps idle connections on one polling thread, the caller handler validates and limits what callers send, the relay places, sends, resumes or restarts streams and runs non-repeatable calls once.

A connection pool towards backend servers was ruled out for now: a reused connection may close just when a request is sent, and then it is unknown whether the request ran.

--- /dev/null
+++ b/src/connection/http/answer_classes.cpp
@@ -0,0 +1,56 @@
+#include "connection/http/answer_classes.hpp"
+
+#include <Poco/Exception.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <Poco/Net/HTTPResponse.h>
+
+namespace hickorygap
+{
+
+namespace
+{
+
+using Poco::Net::HTTPResponse;
+
+bool says_not_run(const std::string& body)
+{
+    try
+    {
+        Poco::JSON::Parser parser;
+        const auto root = parser.parse(body).extract<Poco::JSON::Object::Ptr>();
+        if (root->optValue("not_run", false))
+        {
+            return true;
+        }
+        const auto error = root->getObject("error");
+        return !error.isNull() && error->optValue("not_run", false);
+    }
+    catch (const Poco::Exception&)
+    {
+        return false;
+    }
+}
+
+} // namespace
+
+bool is_possible_refusal(std::uint16_t status)
+{
+    return status == HTTPResponse::HTTP_TOO_MANY_REQUESTS ||
+           status == HTTPResponse::HTTP_SERVICE_UNAVAILABLE;
+}
+
+bool is_refused_before_start(std::uint16_t status, const std::string& body)
+{
+    return status == HTTPResponse::HTTP_TOO_MANY_REQUESTS ||
+           (status == HTTPResponse::HTTP_SERVICE_UNAVAILABLE &&
+            says_not_run(body));
+}
+
+bool is_gateway_failure(std::uint16_t status)
+{
+    return status == HTTPResponse::HTTP_BAD_GATEWAY ||
+           status == HTTPResponse::HTTP_GATEWAY_TIMEOUT;
+}
+
+} // namespace hickorygap
--- /dev/null
+++ b/src/connection/http/call_relay.cpp
@@ -0,0 +1,277 @@
+#include "connection/http/call_relay.hpp"
+
+#include "common/hashing.hpp"
+#include "common/logging.hpp"
+#include "connection/http/answer_classes.hpp"
+#include "connection/http/backend_exchange.hpp"
+#include "connection/http/blame_guard.hpp"
+
+#include <fmt/format.h>
+
+#include <variant>
+
+namespace hickorygap
+{
+
+namespace
+{
+
+constexpr duration retry_after_refusal = std::chrono::seconds{1};
+
+idempotent_call identity_of(const relayed_request& request)
+{
+    idempotent_call call;
+    call.organisation = request.caller->id;
+    call.service = request.target->id;
+    call.key = request.idempotency_key;
+    call.request_digest = sha256(
+        fmt::format("{}\n{}\n{}", request.method, request.path, request.body));
+    return call;
+}
+
+recorded_response recorded_refusal(const refusal& reason)
+{
+    return {
+        static_cast<std::uint16_t>(http_status_of(reason.kind)),
+        "application/json", error_body(reason)};
+}
+
+recorded_response not_run_response()
+{
+    return recorded_refusal(
+        {error_kind::no_backend_server,
+         "the call was not run because its backend server took no work; this "
+         "answer is final for the Idempotency-Key, send the call again with a "
+         "new key",
+         true, retry_after_refusal});
+}
+
+// Whether the call of this request certainly has not run, by the error of
+// begin_call. An expired key says nothing about the call that it once named.
+bool is_not_run(error_kind kind)
+{
+    return kind == error_kind::no_quorum ||
+           kind == error_kind::deadline_exceeded ||
+           kind == error_kind::idempotency_key_reused;
+}
+
+// Commits the outcome of a permitted call exactly once; unknown unless told
+// otherwise.
+class outcome_guard
+{
+public:
+    outcome_guard(control_client& control, const idempotent_call& call)
+        : control_(control)
+        , call_(call)
+    {
+    }
+
+    ~outcome_guard()
+    {
+        if (!ended_)
+        {
+            end(nullptr);
+        }
+    }
+
+    outcome_guard(const outcome_guard&) = delete;
+    outcome_guard& operator=(const outcome_guard&) = delete;
+
+    void end(const recorded_response* response)
+    {
+        ended_ = true;
+        const absl::Status status = control_.end_call(call_, response);
+        if (!status.ok())
+        {
+            log(log_level::warning, subsystem::attempt,
+                "outcome_not_recorded error=\"{}\"",
+                std::string{status.message()});
+        }
+    }
+
+private:
+    control_client& control_;
+    const idempotent_call& call_;
+    bool ended_ = false;
+};
+
+} // namespace
+
+call_relay::call_relay(
+    relay_context& context, const relayed_request& request,
+    caller_channel& caller)
+    : context_(context)
+    , request_(request)
+    , caller_(caller)
+{
+}
+
+void call_relay::run()
+{
+    if (request_.idempotency_key.empty())
+    {
+        context_.refuse(
+            caller_, {error_kind::idempotency_key_required,
+                      "this service runs each call at most once; send the "
+                      "header Idempotency-Key with a value unique to the call",
+                      true,
+                      {}});
+        return;
+    }
+    if (const auto quarantined = context_.find_quarantine(request_.fingerprint))
+    {
+        context_.refuse(caller_, *quarantined);
+        return;
+    }
+    const placement_query query = context_.make_query(request_, 1);
+    const placement_decision decision =
+        context_.control().place(query, [this] { return caller_.left(); });
+    if (const auto* refused = std::get_if<placement_refusal>(&decision))
+    {
+        if (refused->reason == wire::refusal_reason::withdrawn)
+        {
+            ++context_.counters().cancelled;
+            return;
+        }
+        context_.refuse(caller_, refusal_of(*refused));
+        return;
+    }
+    run_granted(query, std::get<placement_grant>(decision));
+}
+
+void call_relay::run_granted(
+    const placement_query& query, const placement_grant& grant)
+{
+    attempt granted{context_.control(), query, grant, request_.arrival};
+    const idempotent_call call = identity_of(request_);
+    const absl::StatusOr<call_permission> permission =
+        context_.control().begin_call(call, request_.deadline);
+    if (!permission.ok())
+    {
+        granted.end(wire::attempt_outcome::never_used);
+        refuse_call(permission.status());
+        return;
+    }
+    if (!permission->run)
+    {
+        granted.end(wire::attempt_outcome::never_used);
+        const recorded_response& recorded = permission->recorded;
+        caller_.respond(
+            recorded.http_status, recorded.content_type, recorded.body);
+        return;
+    }
+    run_permitted(query, granted, call);
+}
+
+void call_relay::refuse_call(const absl::Status& status)
+{
+    const error_kind kind = kind_of(status);
+    const bool repeat_pays = kind == error_kind::call_running ||
+                             kind == error_kind::no_quorum ||
+                             kind == error_kind::deadline_exceeded;
+    context_.refuse(
+        caller_, {kind, std::string{status.message()}, is_not_run(kind),
+                  repeat_pays ? retry_after_refusal : duration::zero()});
+}
+
+void call_relay::run_permitted(
+    const placement_query& query, attempt& granted, const idempotent_call& call)
+{
+    outcome_guard outcome{context_.control(), call};
+    const configuration_ptr in_force =
+        context_.control().current_configuration();
+    const backend_server* server =
+        in_force->find_backend_server(granted.backend_server());
+    std::optional<recorded_response> response = not_run_response();
+    if (server != nullptr)
+    {
+        response = send_once(query, granted, *server);
+    }
+    if (!response)
+    {
+        outcome.end(nullptr);
+        context_.refuse(
+            caller_,
+            {error_kind::outcome_unknown,
+             "the call was sent and its outcome is unknown; it is not run "
+             "again, find out from the service whether it took effect",
+             false,
+             {}});
+        return;
+    }
+    outcome.end(&*response);
+    caller_.respond(
+        response->http_status, response->content_type, response->body);
+}
+
+std::optional<recorded_response> call_relay::send_once(
+    const placement_query& query, attempt& granted,
+    const backend_server& server)
+{
+    const relay_options& options = context_.options();
+    blame_guard blame{
+        context_.blame(), server.id, request_.fingerprint, query.isolated};
+    // The call goes on when its caller leaves, so that its outcome is known.
+    backend_exchange exchange{nullptr};
+    if (!blame.admitted() ||
+        !exchange.connect(server.host, server.port, options.connect_timeout))
+    {
+        granted.end(wire::attempt_outcome::failed_before_start);
+        return not_run_response();
+    }
+    exchange.set_deadline(monotonic_now() + options.answer_timeout);
+    granted.mark_sent();
+    backend_call call;
+    call.method = request_.method;
+    call.path = request_.path;
+    call.content_type = request_.content_type;
+    call.body = request_.body;
+    call.attempt = granted.name();
+    call.request_rank = request_.request_rank;
+    const bool answered = exchange.send(call);
+    if (answered && exchange.answer().attempt != granted.name())
+    {
+        ++context_.counters().late_answers_dropped;
+        return std::nullopt;
+    }
+    recorded_response response;
+    const auto read =
+        answered
+            ? exchange.read_body(response.body, options.call_response_limit)
+            : backend_exchange::read_result::failed;
+    if (read == backend_exchange::read_result::failed)
+    {
+        if (exchange.why_failed() != watched_socket::failure::timed_out &&
+            context_.is_dead(server))
+        {
+            ++context_.counters().backend_servers_lost;
+            blame.backend_server_died();
+            granted.end(wire::attempt_outcome::backend_server_lost);
+        }
+        return std::nullopt;
+    }
+    if (read == backend_exchange::read_result::too_large)
+    {
+        return recorded_refusal(
+            {error_kind::internal,
+             "the call has run, but its answer is over the limit for "
+             "non-repeatable calls; ask the service for the result",
+             false,
+             {}});
+    }
+    response.http_status = exchange.answer().status;
+    response.content_type = exchange.answer().content_type;
+    if (is_refused_before_start(response.http_status, response.body))
+    {
+        granted.end(wire::attempt_outcome::failed_before_start);
+        return not_run_response();
+    }
+    granted.mark_first_byte(monotonic_now());
+    granted.add_cost(request_.expected_cost);
+    granted.end(wire::attempt_outcome::completed);
+    blame.completed();
+    context_.on_success(request_.target->id);
+    return response;
+}
+
+} // namespace hickorygap
--- /dev/null
+++ b/src/connection/http/caller_handler.hpp
@@ -0,0 +1,74 @@
+#ifndef HICKORYGAP_CONNECTION_HTTP_CALLER_HANDLER_HPP
+#define HICKORYGAP_CONNECTION_HTTP_CALLER_HANDLER_HPP
+
+#include "common/random.hpp"
+#include "connection/http/caller_limits.hpp"
+#include "connection/http/http_server.hpp"
+#include "connection/http/organisation_streams.hpp"
+#include "connection/http/request_relay.hpp"
+
+#include <absl/status/status.h>
+
+#include <mutex>
+#include <string>
+
+namespace hickorygap
+{
+
+// Serves callers: chat completions, plain services, health and readiness.
+class caller_handler : public http_handler
+{
+public:
+    // The seed makes the request identifiers, which must differ between
+    // instances and restarts.
+    caller_handler(
+        control_client& control, request_relay& relay, relay_counters& counters,
+        const caller_limits& limits, std::uint64_t seed);
+
+    void handle(
+        Poco::Net::HTTPServerRequest& request,
+        Poco::Net::HTTPServerResponse& response) override;
+
+private:
+    void serve_readiness(Poco::Net::HTTPServerResponse& response);
+    void serve_work(
+        Poco::Net::HTTPServerRequest& request,
+        Poco::Net::HTTPServerResponse& response);
+    void serve_for(
+        Poco::Net::HTTPServerRequest& request,
+        Poco::Net::HTTPServerResponse& response, relayed_request& work);
+    absl::Status read_caller(
+        const Poco::Net::HTTPServerRequest& request,
+        relayed_request& work) const;
+    absl::Status read_target(
+        const Poco::Net::HTTPServerRequest& request, std::string_view path,
+        relayed_request& work) const;
+    absl::Status read_chat_target(
+        const Poco::Net::HTTPServerRequest& request,
+        relayed_request& work) const;
+    absl::Status read_plain_target(
+        const Poco::Net::HTTPServerRequest& request, std::string_view path,
+        relayed_request& work) const;
+    absl::Status read_chat_name(
+        const Poco::Net::HTTPServerRequest& request, std::string_view in_body,
+        relayed_request& work) const;
+    absl::Status read_idempotency_key(
+        const Poco::Net::HTTPServerRequest& request,
+        relayed_request& work) const;
+    void refuse(Poco::Net::HTTPServerResponse& response, const refusal& reason);
+    void
+    refuse(Poco::Net::HTTPServerResponse& response, const absl::Status& status);
+    request_id next_request();
+
+    control_client& control_;
+    request_relay& relay_;
+    relay_counters& counters_;
+    const caller_limits limits_;
+    organisation_streams streams_;
+    std::mutex mutex_;
+    random_engine random_;
+};
+
+} // namespace hickorygap
+
+#endif
--- /dev/null
+++ b/src/connection/http/repeatable_relay.hpp
@@ -0,0 +1,80 @@
+#ifndef HICKORYGAP_CONNECTION_HTTP_REPEATABLE_RELAY_HPP
+#define HICKORYGAP_CONNECTION_HTTP_REPEATABLE_RELAY_HPP
+
+#include "connection/http/backend_exchange.hpp"
+#include "connection/http/blame_guard.hpp"
+#include "connection/http/relay_context.hpp"
+#include "request/attempt/attempt.hpp"
+#include "request/attempt/stream_progress.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace hickorygap
+{
+
+// Relays one request that may be run again when an attempt fails.
+class repeatable_relay
+{
+public:
+    repeatable_relay(
+        relay_context& context, const relayed_request& request,
+        caller_channel& caller);
+
+    void run();
+
+private:
+    enum class attempt_result
+    {
+        // The caller has its final answer or has left.
+        finished,
+        // The attempt failed; another one may follow.
+        failed
+    };
+
+    // One granted attempt with what belongs to it.
+    struct running_attempt
+    {
+        attempt& granted;
+        blame_guard& blame;
+        const backend_server& server;
+        backend_exchange& exchange;
+    };
+
+    attempt_result
+    run_attempt(const placement_query& query, const placement_grant& grant);
+    attempt_result run_exchange(running_attempt& running);
+    attempt_result relay_answer(running_attempt& running);
+    attempt_result relay_refused(running_attempt& running);
+    attempt_result relay_whole(running_attempt& running);
+    attempt_result relay_stream(running_attempt& running);
+    attempt_result
+    relay_event(running_attempt& running, const std::string& event);
+    attempt_result on_broken(running_attempt& running);
+    attempt_result
+    on_failed(running_attempt& running, wire::attempt_outcome outcome);
+    attempt_result on_caller_left(running_attempt& running);
+    attempt_result on_unusable(running_attempt& running, const char* message);
+    void on_completed(running_attempt& running);
+    bool begin_stream_attempt(const backend_answer& answer);
+    bool may_try_again();
+    void give_up(refusal reason);
+    backend_call make_call(const attempt& granted) const;
+
+    relay_context& context_;
+    const relayed_request& request_;
+    caller_channel& caller_;
+    stream_progress progress_;
+
+    // Continuations of a stream get a deadline of their own.
+    time_point deadline_;
+    std::uint8_t attempts_ = 0;
+    bool maybe_run_ = false;
+    bool stream_started_ = false;
+    std::vector<backend_server_id> excluded_;
+};
+
+} // namespace hickorygap
+
+#endif
--- /dev/null
+++ b/src/request/attempt/blame_tracker.cpp
@@ -0,0 +1,273 @@
+#include "request/attempt/blame_tracker.hpp"
+
+#include "common/hashing.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace hickorygap
+{
+
+namespace
+{
+
+// Several instances notice one crash within this time. Their reports about one
+// backend server that are closer together are taken for the same crash. Crashes
+// seen by one instance are told apart exactly.
+constexpr unix_millis same_crash_millis = 2000;
+
+unix_millis as_millis(std::chrono::milliseconds time)
+{
+    return static_cast<unix_millis>(time.count());
+}
+
+unix_millis distance(unix_millis left, unix_millis right)
+{
+    return left > right ? left - right : right - left;
+}
+
+} // namespace
+
+request_fingerprint
+fingerprint_of(std::string_view model, std::string_view body)
+{
+    // The model's hash is the seed of the body's, so that the border between
+    // the two can't shift.
+    return hash_chat(hash_name(model), body);
+}
+
+blame_tracker::blame_tracker(blame_options options)
+    : options_(options)
+{
+}
+
+bool blame_tracker::on_sent(
+    backend_server_id backend_server, request_fingerprint fingerprint,
+    bool isolated, unix_millis now)
+{
+    const auto found = records_.find(fingerprint);
+    if (found != records_.end() && is_suspect(found->second, now))
+    {
+        if (!isolated || found->second.running_isolated)
+        {
+            return false;
+        }
+        found->second.running_isolated = true;
+    }
+    ++in_flight_[backend_server][fingerprint];
+    return true;
+}
+
+void blame_tracker::on_ended(
+    backend_server_id backend_server, request_fingerprint fingerprint,
+    bool isolated, bool completed)
+{
+    const auto running = in_flight_.find(backend_server);
+    if (running != in_flight_.end())
+    {
+        const auto entry = running->second.find(fingerprint);
+        if (entry != running->second.end() && --entry->second == 0)
+        {
+            running->second.erase(entry);
+        }
+        if (running->second.empty())
+        {
+            in_flight_.erase(running);
+        }
+    }
+    const auto found = records_.find(fingerprint);
+    if (!isolated || found == records_.end())
+    {
+        return;
+    }
+    found->second.running_isolated = false;
+    if (completed && found->second.until == 0)
+    {
+        records_.erase(found);
+    }
+}
+
+void blame_tracker::on_backend_server_died(
+    backend_server_id backend_server, request_fingerprint running,
+    bool isolated, unix_millis now)
+{
+    const auto found = in_flight_.find(backend_server);
+    if (found == in_flight_.end() || !found->second.contains(running))
+    {
+        // Another attempt has noticed the same crash first.
+        return;
+    }
+    std::vector<request_fingerprint> suspects;
+    for (const auto& [fingerprint, count] : found->second)
+    {
+        suspects.push_back(fingerprint);
+    }
+    in_flight_.erase(found);
+    const bool confirmed = isolated && suspects.size() == 1;
+    for (const request_fingerprint fingerprint : suspects)
+    {
+        const suspect_notice notice{
+            fingerprint, backend_server, now, confirmed};
+        if (add_crash(notice, true, now))
+        {
+            reports_.push_back(notice);
+        }
+    }
+    // The reports wait for the control thread; the oldest go first if it
+    // doesn't take them.
+    if (reports_.size() > options_.capacity)
+    {
+        reports_.erase(
+            reports_.begin(),
+            reports_.end() - static_cast<std::ptrdiff_t>(options_.capacity));
+    }
+}
+
+bool blame_tracker::add_crash(
+    const suspect_notice& notice, bool seen_here, unix_millis now)
+{
+    record& known = remember(notice.fingerprint, now);
+    const auto same = std::find_if(
+        known.crashes.begin(), known.crashes.end(),
+        [&](const crash& seen)
+        {
+            return !(seen_here && seen.seen_here) &&
+                   seen.backend_server == notice.backend_server &&
+                   distance(seen.time, notice.crashed) < same_crash_millis;
+        });
+    if (same != known.crashes.end())
+    {
+        return false;
+    }
+    std::erase_if(
+        known.crashes, [&](const crash& seen)
+        { return seen.time + as_millis(options_.suspicion) <= now; });
+    known.crashes.push_back({notice.backend_server, notice.crashed, seen_here});
+    // One more crash is enough after a quarantine has ended.
+    if (known.until != 0 || known.crashes.size() >= options_.crash_limit)
+    {
+        known.until = std::max(
+            known.until, notice.crashed + as_millis(options_.quarantine));
+    }
+    return true;
+}
+
+bool blame_tracker::is_quarantined(
+    request_fingerprint fingerprint, unix_millis now) const
+{
+    return quarantined_until(fingerprint) > now;
+}
+
+unix_millis
+blame_tracker::quarantined_until(request_fingerprint fingerprint) const
+{
+    const auto found = records_.find(fingerprint);
+    return found == records_.end() ? 0 : found->second.until;
+}
+
+bool blame_tracker::must_isolate(
+    request_fingerprint fingerprint, unix_millis now) const
+{
+    const auto found = records_.find(fingerprint);
+    return found != records_.end() && is_suspect(found->second, now);
+}
+
+bool blame_tracker::is_suspect(const record& known, unix_millis now) const
+{
+    // After its quarantine a fingerprint is a suspect again, not innocent.
+    if (known.until != 0)
+    {
+        return known.until + as_millis(options_.suspicion) > now;
+    }
+    return std::any_of(
+        known.crashes.begin(), known.crashes.end(),
+        [&](const crash& seen)
+        { return seen.time + as_millis(options_.suspicion) > now; });
+}
+
+std::vector<suspect_notice> blame_tracker::take_suspect_reports()
+{
+    return std::exchange(reports_, {});
+}
+
+void blame_tracker::merge(const suspect_notice& notice, unix_millis now)
+{
+    if (notice.crashed + as_millis(options_.suspicion) > now)
+    {
+        add_crash(notice, false, now);
+    }
+}
+
+void blame_tracker::merge(const quarantine& entry, unix_millis now)
+{
+    if (entry.until > now)
+    {
+        record& known = remember(entry.fingerprint, now);
+        known.until = std::max(known.until, entry.until);
+    }
+}
+
+std::vector<quarantine> blame_tracker::quarantines(unix_millis now) const
+{
+    std::vector<quarantine> result;
+    for (const auto& [fingerprint, known] : records_)
+    {
+        if (known.until > now)
+        {
+            result.push_back({fingerprint, known.until});
+        }
+    }
+    std::sort(
+        result.begin(), result.end(),
+        [](const quarantine& left, const quarantine& right)
+        { return left.until > right.until; });
+    return result;
+}
+
+unix_millis blame_tracker::last_change(const record& known)
+{
+    unix_millis latest = known.until;
+    for (const crash& seen : known.crashes)
+    {
+        latest = std::max(latest, seen.time);
+    }
+    return latest;
+}
+
+blame_tracker::record&
+blame_tracker::remember(request_fingerprint fingerprint, unix_millis now)
+{
+    const auto found = records_.find(fingerprint);
+    if (found != records_.end())
+    {
+        return found->second;
+    }
+    if (records_.size() >= options_.capacity)
+    {
+        forget_oldest(now);
+    }
+    return records_[fingerprint];
+}
+
+void blame_tracker::forget_oldest(unix_millis now)
+{
+    std::erase_if(
+        records_,
+        [&](const auto& entry) {
+            return !is_suspect(entry.second, now) &&
+                   !entry.second.running_isolated;
+        });
+    if (records_.size() < options_.capacity)
+    {
+        return;
+    }
+    // A quarantine's time of change is its end, which lies in the future, so
+    // that plain suspects go first.
+    const auto oldest = std::min_element(
+        records_.begin(), records_.end(),
+        [](const auto& left, const auto& right)
+        { return last_change(left.second) < last_change(right.second); });
+    records_.erase(oldest);
+}
+
+} // namespace hickorygap
--- /dev/null
+++ b/src/request/attempt/blame_tracker.hpp
@@ -0,0 +1,133 @@
+#ifndef HICKORYGAP_REQUEST_ATTEMPT_BLAME_TRACKER_HPP
+#define HICKORYGAP_REQUEST_ATTEMPT_BLAME_TRACKER_HPP
+
+#include "common/ids.hpp"
+#include "common/time.hpp"
+
+#include <cstddef>
+#include <span>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace hickorygap
+{
+
+struct blame_options
+{
+    // Crashes after which a fingerprint is quarantined.
+    std::size_t crash_limit = 2;
+    std::chrono::milliseconds quarantine{std::chrono::minutes{10}};
+
+    // Time after which a single crash no longer counts against a request.
+    std::chrono::milliseconds suspicion{std::chrono::minutes{10}};
+
+    // Fingerprints remembered; the oldest suspects are forgotten first, and
+    // quarantines only when nothing else is left.
+    std::size_t capacity = 4096;
+};
+
+// Digest of a request's model and body.
+request_fingerprint
+fingerprint_of(std::string_view model, std::string_view body);
+
+// One crash with the fingerprint in flight, as instances tell each other.
+struct suspect_notice
+{
+    request_fingerprint fingerprint = 0;
+    backend_server_id backend_server = 0;
+    unix_millis crashed = 0;
+
+    // The request ran isolated, so that it alone can be the cause.
+    bool confirmed = false;
+};
+
+struct quarantine
+{
+    request_fingerprint fingerprint = 0;
+    unix_millis until = 0;
+};
+
+// Finds the requests that crash backend servers. Every request in flight on a
+// crashed backend server becomes a suspect. A suspect runs next in isolation,
+// which clears it when it completes. A fingerprint with a second crash is
+// quarantined: whether by isolation or as the one common to two crashes, and
+// also when two crashes leave several candidates, because a third crash must
+// not happen. Pure; times are Unix time because instances exchange them.
+class blame_tracker
+{
+public:
+    explicit blame_tracker(blame_options options = {});
+
+    // An attempt goes to a backend server. False when a suspect is already
+    // being run in isolation; sending it twice at once could crash two more.
+    bool on_sent(
+        backend_server_id backend_server, request_fingerprint fingerprint,
+        bool isolated, unix_millis now);
+
+    // The attempt ended without a crash; `completed` clears a suspect that
+    // ran in isolation.
+    void on_ended(
+        backend_server_id backend_server, request_fingerprint fingerprint,
+        bool isolated, bool completed);
+
+    // The backend server died: its connections were reset or refused and its
+    // health check fails. `running` is the attempt that noticed. Counts once
+    // for each fingerprint and crash.
+    void on_backend_server_died(
+        backend_server_id backend_server, request_fingerprint running,
+        bool isolated, unix_millis now);
+
+    bool is_quarantined(request_fingerprint fingerprint, unix_millis now) const;
+    unix_millis quarantined_until(request_fingerprint fingerprint) const;
+    bool must_isolate(request_fingerprint fingerprint, unix_millis now) const;
+
+    // Crashes seen here since the last call, for the other instances.
+    std::vector<suspect_notice> take_suspect_reports();
+
+    // Takes over what another instance has seen; repeats change nothing.
+    void merge(const suspect_notice& notice, unix_millis now);
+    void merge(const quarantine& entry, unix_millis now);
+
+    // Quarantines in force, the newest first.
+    std::vector<quarantine> quarantines(unix_millis now) const;
+
+    // Fingerprints remembered.
+    std::size_t size() const
+    {
+        return records_.size();
+    }
+
+private:
+    struct crash
+    {
+        backend_server_id backend_server = 0;
+        unix_millis time = 0;
+        bool seen_here = false;
+    };
+
+    struct record
+    {
+        std::vector<crash> crashes;
+        unix_millis until = 0;
+        bool running_isolated = false;
+    };
+
+    bool
+    add_crash(const suspect_notice& notice, bool seen_here, unix_millis now);
+    record& remember(request_fingerprint fingerprint, unix_millis now);
+    void forget_oldest(unix_millis now);
+    bool is_suspect(const record& known, unix_millis now) const;
+    static unix_millis last_change(const record& known);
+
+    blame_options options_;
+    std::unordered_map<request_fingerprint, record> records_;
+    std::unordered_map<
+        backend_server_id, std::unordered_map<request_fingerprint, std::size_t>>
+        in_flight_;
+    std::vector<suspect_notice> reports_;
+};
+
+} // namespace hickorygap
+
+#endif
--- /dev/null
+++ b/src/request/attempt/retry_budget.cpp
@@ -0,0 +1,48 @@
+#include "request/attempt/retry_budget.hpp"
+
+#include <algorithm>
+
+namespace hickorygap
+{
+
+retry_budget::retry_budget(retry_budget_options options)
+    : options_(options)
+{
+}
+
+retry_budget::balance& retry_budget::refill(service_id service, time_point now)
+{
+    const auto [entry, inserted] =
+        balances_.try_emplace(service, balance{options_.capacity, now});
+    balance& current = entry->second;
+    if (now > current.updated)
+    {
+        const double seconds =
+            std::chrono::duration<double>(now - current.updated).count();
+        current.retries = std::min(
+            options_.capacity,
+            current.retries + seconds * options_.minimum_per_second);
+        current.updated = now;
+    }
+    return current;
+}
+
+void retry_budget::on_success(service_id service, time_point now)
+{
+    balance& current = refill(service, now);
+    current.retries = std::min(
+        options_.capacity, current.retries + options_.share_of_successes);
+}
+
+bool retry_budget::try_take(service_id service, time_point now)
+{
+    balance& current = refill(service, now);
+    if (current.retries < 1.0)
+    {
+        return false;
+    }
+    current.retries -= 1.0;
+    return true;
+}
+
+} // namespace hickorygap
--- /dev/null
+++ b/tests/connection/http/raw_client.hpp
@@ -0,0 +1,72 @@
+#ifndef HICKORYGAP_TESTS_CONNECTION_HTTP_RAW_CLIENT_HPP
+#define HICKORYGAP_TESTS_CONNECTION_HTTP_RAW_CLIENT_HPP
+
+#include <Poco/Net/StreamSocket.h>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace hickorygap::testing
+{
+
+struct raw_response
+{
+    // Zero when the connection closed before a whole header block.
+    int status = 0;
+    std::map<std::string, std::string> headers;
+    std::string body;
+    bool complete = false;
+};
+
+// HTTP client that shows single bytes, for broken and pipelined requests.
+class raw_client
+{
+public:
+    explicit raw_client(std::uint16_t port);
+
+    void send(std::string_view text);
+
+    // Reads one response; with chunked bodies put together.
+    raw_response read_response();
+
+    // Reads until the text has arrived; false at the end of the connection.
+    bool read_until(std::string_view text);
+
+    // What has arrived and isn't part of a response that was read.
+    const std::string& received() const
+    {
+        return received_;
+    }
+
+    // True when the server has closed the connection.
+    bool at_end();
+
+    void close();
+
+private:
+    bool read_more();
+    bool read_line(std::string& line);
+    bool read_bytes(std::size_t count, std::string& bytes);
+    bool read_chunks(std::string& body);
+
+    Poco::Net::StreamSocket socket_;
+    std::string received_;
+};
+
+// Text of a request with a Content-Length.
+std::string make_request(
+    std::string_view method, std::string_view path, std::string_view headers,
+    std::string_view body);
+
+std::string chat_request_text(
+    std::string_view body, std::string_view headers = {},
+    std::string_view key = "key-diarroi");
+
+std::string
+booking_request_text(std::string_view body, std::string_view idempotency_key);
+
+} // namespace hickorygap::testing
+
+#endif
--- /dev/null
+++ b/tests/connection/http/relay_fixture.hpp
@@ -0,0 +1,105 @@
+#ifndef HICKORYGAP_TESTS_CONNECTION_HTTP_RELAY_FIXTURE_HPP
+#define HICKORYGAP_TESTS_CONNECTION_HTTP_RELAY_FIXTURE_HPP
+
+#include "connection/http/caller_handler.hpp"
+#include "connection/http/raw_client.hpp"
+#include "support/engine_handler.hpp"
+#include "support/fake_control_client.hpp"
+#include "support/service_handler.hpp"
+#include "support/test_configuration.hpp"
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace hickorygap::testing
+{
+
+// Waits until the condition holds. The limit only ends a test that would hang.
+inline bool eventually(const std::function<bool()>& condition)
+{
+    const time_point limit = monotonic_now() + std::chrono::seconds{60};
+    while (!condition())
+    {
+        if (monotonic_now() > limit)
+        {
+            return false;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds{2});
+    }
+    return true;
+}
+
+// A router with fake control and stand-in backend servers in one process.
+class relay_fixture
+{
+public:
+    explicit relay_fixture(
+        caller_limits limits = {}, relay_options relaying = {},
+        http_server_options serving = {})
+        : relay(control, blame, counters, relaying)
+        , handler(control, relay, counters, limits, 1)
+        , server(serving, handler)
+    {
+    }
+
+    ~relay_fixture()
+    {
+        server.stop_accepting();
+        control.hold_queries(false);
+    }
+
+    void add_server(
+        const std::string& name, const std::string& service,
+        stand_in_function handle)
+    {
+        stand_ins.push_back(start_stand_in(0, 32, std::move(handle)));
+        servers.push_back({name, service, stand_ins.back()->port()});
+    }
+
+    engine_model&
+    add_engine(const std::string& name, const engine_options& options = {})
+    {
+        engines.push_back(std::make_unique<engine_model>(options));
+        add_server(name, "report-7b", make_engine_handler(*engines.back()));
+        return *engines.back();
+    }
+
+    void start()
+    {
+        control.set_configuration(make_test_configuration(servers));
+        const absl::Status status = server.start();
+        if (!status.ok())
+        {
+            throw std::runtime_error{std::string{status.message()}};
+        }
+    }
+
+    // Sends one request on a new connection and reads the response.
+    raw_response ask(const std::string& text)
+    {
+        raw_client client{server.port()};
+        client.send(text);
+        return client.read_response();
+    }
+
+    fake_control_client control;
+    shared_blame_tracker blame;
+    relay_counters counters;
+    request_relay relay;
+    caller_handler handler;
+    std::vector<std::unique_ptr<engine_model>> engines;
+    std::vector<std::unique_ptr<Poco::Net::HTTPServer>> stand_ins;
+    std::vector<test_server> servers;
+    http_server server;
+};
+
+inline constexpr const char* streamed_body =
+    R"({"model":"report-7b","stream":true,"user":"ada"})";
+
+} // namespace hickorygap::testing
+
+#endif
--- /dev/null
+++ b/tests/support/engine_model.cpp
@@ -0,0 +1,192 @@
+#include "support/engine_model.hpp"
+
+#include <algorithm>
+
+namespace hickorygap::testing
+{
+
+namespace
+{
+
+// Events and load samples kept; older ones are lost like in a real engine's
+// ring buffer.
+constexpr std::size_t event_capacity = 1024;
+constexpr std::size_t load_capacity = 1024;
+
+} // namespace
+
+engine_model::engine_model(engine_options options)
+    : options_(std::move(options))
+{
+}
+
+bool engine_model::acquire_slot(std::uint32_t rank)
+{
+    std::unique_lock lock{mutex_};
+    if (running_ >= options_.slots && waiting_.size() >= options_.queue_limit)
+    {
+        ++counters_.refused;
+        return false;
+    }
+    const auto place = std::pair{rank, ++tickets_};
+    waiting_.insert(place);
+    record_load();
+    slot_freed_.wait(
+        lock, [&]
+        { return running_ < options_.slots && *waiting_.begin() == place; });
+    waiting_.erase(place);
+    ++running_;
+    ++counters_.requests;
+    counters_.max_running =
+        std::max<std::uint64_t>(counters_.max_running, running_);
+    record_load();
+    slot_freed_.notify_all();
+    return true;
+}
+
+void engine_model::release_slot()
+{
+    const std::lock_guard lock{mutex_};
+    --running_;
+    record_load();
+    slot_freed_.notify_all();
+}
+
+bool engine_model::use_cache(const std::string& chat)
+{
+    if (chat.empty())
+    {
+        return false;
+    }
+    const std::lock_guard lock{mutex_};
+    const auto found = std::find(cached_.begin(), cached_.end(), chat);
+    if (found != cached_.end())
+    {
+        cached_.splice(cached_.begin(), cached_, found);
+        ++hits_[chat];
+        ++counters_.cache_hits;
+        return true;
+    }
+    cached_.push_front(chat);
+    add_event(chat, true);
+    if (cached_.size() > options_.cache_chats)
+    {
+        add_event(cached_.back(), false);
+        cached_.pop_back();
+    }
+    return false;
+}
+
+void engine_model::add_event(const std::string& chat, bool stored)
+{
+    ++last_sequence_;
+    if (options_.event_gap != 0 && last_sequence_ % options_.event_gap == 0)
+    {
+        return;
+    }
+    events_.push_back(
+        {last_sequence_, monotonic_now() + options_.event_lag, chat, stored});
+    if (events_.size() > event_capacity)
+    {
+        events_.pop_front();
+    }
+}
+
+duration engine_model::current_token_time()
+{
+    const std::lock_guard lock{mutex_};
+    return options_.token_time +
+           options_.token_time_per_peer * (std::max(running_, 1U) - 1);
+}
+
+bool engine_model::take_break()
+{
+    const std::lock_guard lock{mutex_};
+    return !std::exchange(broke_, true);
+}
+
+void engine_model::count_cancelled()
+{
+    const std::lock_guard lock{mutex_};
+    ++counters_.cancelled;
+}
+
+void engine_model::record_load()
+{
+    load_history_.emplace_back(
+        monotonic_now(),
+        std::pair{running_, static_cast<std::uint32_t>(waiting_.size())});
+    if (load_history_.size() > load_capacity)
+    {
+        load_history_.pop_front();
+    }
+}
+
+std::pair<std::uint32_t, std::uint32_t> engine_model::reported_load()
+{
+    const std::lock_guard lock{mutex_};
+    const time_point shown = monotonic_now() - options_.load_lag;
+    std::pair<std::uint32_t, std::uint32_t> load{0, 0};
+    for (const auto& [time, sample] : load_history_)
+    {
+        if (time > shown)
+        {
+            break;
+        }
+        load = sample;
+    }
+    return load;
+}
+
+std::vector<engine_model::event>
+engine_model::events_after(std::uint64_t sequence)
+{
+    const std::lock_guard lock{mutex_};
+    std::vector<event> result;
+    for (const event& each : events_)
+    {
+        if (each.sequence > sequence && each.visible <= monotonic_now())
+        {
+            result.push_back(each);
+        }
+    }
+    return result;
+}
+
+std::uint64_t engine_model::last_event()
+{
+    const std::lock_guard lock{mutex_};
+    return last_sequence_;
+}
+
+bool engine_model::take_order(fence number, const std::string& text)
+{
+    const std::lock_guard lock{mutex_};
+    if (options_.checks_fencing && number < highest_fence_)
+    {
+        return false;
+    }
+    highest_fence_ = std::max(highest_fence_, number);
+    last_order_ = text;
+    return true;
+}
+
+std::string engine_model::last_order()
+{
+    const std::lock_guard lock{mutex_};
+    return last_order_;
+}
+
+engine_model::counters engine_model::counts()
+{
+    const std::lock_guard lock{mutex_};
+    return counters_;
+}
+
+std::map<std::string, std::uint64_t> engine_model::hits_by_chat()
+{
+    const std::lock_guard lock{mutex_};
+    return hits_;
+}
+
+} // namespace hickorygap::testing
