--- a/src/connection/http/backend_monitor.cpp
+++ b/src/connection/http/backend_monitor.cpp
@@ -25,9 +25,9 @@
     return object.has(name) ? object.getValue<std::uint32_t>(name) : 0;
 }
 
-load_report read_load(const Object& object)
+polled_load read_load(const Object& object)
 {
-    load_report report;
+    polled_load report;
     report.in_flight = read_number(object, "in_flight");
     report.queued = read_number(object, "queued");
     report.slots = read_number(object, "slots");
@@ -35,9 +35,9 @@
     return report;
 }
 
-cache_event read_event(const Object& object)
+polled_event read_event(const Object& object)
 {
-    cache_event event;
+    polled_event event;
     event.sequence = object.getValue<Poco::UInt64>("sequence");
     event.chat =
         Poco::NumberParser::parseHex64(object.getValue<std::string>("chat"));
@@ -171,7 +171,7 @@
     const auto events = root->getArray("events");
     for (std::size_t i = 0; !events.isNull() && i < events->size(); ++i)
     {
-        const cache_event event =
+        const polled_event event =
             read_event(*events->getObject(static_cast<unsigned>(i)));
         result.events_missing |= event.sequence != last + 1;
         last = event.sequence;
--- a/src/connection/http/backend_monitor.hpp
+++ b/src/connection/http/backend_monitor.hpp
@@ -29,7 +29,7 @@
 };
 
 // What a backend server said about its load, some time ago.
-struct load_report
+struct polled_load
 {
     std::uint32_t in_flight = 0;
     std::uint32_t queued = 0;
@@ -40,7 +40,7 @@
 };
 
 // A prompt prefix came into or left a backend server's cache.
-struct cache_event
+struct polled_event
 {
     std::uint64_t sequence = 0;
     chat_id chat = 0;
@@ -54,8 +54,8 @@
 
     // Answers its load report in time.
     bool healthy = false;
-    std::optional<load_report> load;
-    std::vector<cache_event> events;
+    std::optional<polled_load> load;
+    std::vector<polled_event> events;
 
     // Events before the first of `events` were lost; what is known about the
     // server's cache may be wrong.
--- /dev/null
+++ b/src/process/control/thread_operator_client.hpp
@@ -0,0 +1,33 @@
+#ifndef HICKORYGAP_PROCESS_CONTROL_THREAD_OPERATOR_CLIENT_HPP
+#define HICKORYGAP_PROCESS_CONTROL_THREAD_OPERATOR_CLIENT_HPP
+
+#include "connection/http/operator_client.hpp"
+#include "process/control/control_thread.hpp"
+
+namespace hickorygap
+{
+
+// What operators ask of the control thread.
+class thread_operator_client final : public operator_client
+{
+public:
+    thread_operator_client(control_thread& control, std::string name);
+
+    absl::StatusOr<ticket_receipt> file_ticket(std::string_view text) override;
+    absl::StatusOr<std::vector<ticket_record>> tickets() override;
+    absl::StatusOr<std::optional<ticket_record>>
+    ticket(configuration_version number) override;
+    absl::StatusOr<in_force_report> in_force() override;
+    absl::StatusOr<instance_status> status() override;
+    absl::StatusOr<decision_list>
+    decisions(const decision_query& query) override;
+    absl::StatusOr<burn_report> burn() override;
+
+private:
+    control_thread& control_;
+    std::string name_;
+};
+
+} // namespace hickorygap
+
+#endif
--- /dev/null
+++ b/tests/scenarios/runner/http_exchange.hpp
@@ -0,0 +1,33 @@
+#ifndef HICKORYGAP_TESTS_SCENARIOS_RUNNER_HTTP_EXCHANGE_HPP
+#define HICKORYGAP_TESTS_SCENARIOS_RUNNER_HTTP_EXCHANGE_HPP
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace hickorygap::testing
+{
+
+struct http_call
+{
+    std::uint16_t port = 0;
+    std::string method = "GET";
+    std::string path;
+    std::map<std::string, std::string> headers;
+    std::string body;
+};
+
+struct http_result
+{
+    // Zero when the connection failed; `body` then says why.
+    int status = 0;
+    std::string body;
+};
+
+// Sends one request on a new connection to loopback and reads the whole
+// answer. A connection that breaks in the answer gives status 0.
+http_result exchange(const http_call& call);
+
+} // namespace hickorygap::testing
+
+#endif
--- /dev/null
+++ b/tests/scenarios/runner/runner.cpp
@@ -0,0 +1,549 @@
+#include "scenarios/runner/runner.hpp"
+
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+#include <absl/strings/str_split.h>
+#include <fmt/format.h>
+
+#include <chrono>
+#include <csignal>
+#include <thread>
+
+namespace hickorygap::testing
+{
+
+namespace
+{
+
+using Poco::JSON::Object;
+
+constexpr std::chrono::seconds wait_limit{90};
+
+Object::Ptr parse_object(const std::string& text)
+{
+    try
+    {
+        return Poco::JSON::Parser{}.parse(text).extract<Object::Ptr>();
+    }
+    catch (const Poco::Exception&)
+    {
+        return new Object;
+    }
+}
+
+std::string error_field(const std::string& body, const std::string& field)
+{
+    const Object::Ptr error = parse_object(body)->getObject("error");
+    return error.isNull() || !error->has(field)
+               ? ""
+               : error->get(field).convert<std::string>();
+}
+
+// Whether a streamed answer has every token in order and its end.
+bool is_complete(const std::string& body)
+{
+    std::size_t position = 0;
+    std::size_t index = 0;
+    while ((position = body.find("content\":\"t", position)) !=
+           std::string::npos)
+    {
+        position += std::string_view{"content\":\"t"}.size();
+        if (std::stoul(body.substr(position)) != index++)
+        {
+            return false;
+        }
+    }
+    return index > 0 && body.find("data: [DONE]") != std::string::npos;
+}
+
+std::string describe(const http_result& result)
+{
+    constexpr std::size_t shown = 300;
+    return fmt::format(
+        "status {}, body {}", result.status, result.body.substr(0, shown));
+}
+
+} // namespace
+
+runner::runner(fleet_options defaults)
+    : defaults_(std::move(defaults))
+{
+}
+
+absl::Status runner::run(const std::vector<script_line>& lines)
+{
+    for (const script_line& line : lines)
+    {
+        fmt::print("{:4} {}\n", line.number, line.text);
+        std::fflush(stdout);
+        const absl::Status status = run_line(line);
+        if (!status.ok())
+        {
+            return status;
+        }
+    }
+    return absl::OkStatus();
+}
+
+absl::Status runner::run_line(const script_line& line)
+{
+    if (line.verb == "fleet")
+    {
+        fleet_options options = defaults_;
+        options.instances = std::stoul(line.option("instances", "6"));
+        options.voters = std::stoul(line.option("voters", "3"));
+        options.freshness_ms = line.option("freshness_ms", "10000");
+        fleet_ = std::make_unique<fleet>(std::move(options));
+        return absl::OkStatus();
+    }
+    if (fleet_ == nullptr)
+    {
+        return line_error(line, "the first line must be fleet");
+    }
+    const std::map<std::string, std::function<absl::Status(const script_line&)>>
+        actions{
+            {"start", [this](const auto& each) { return start(each); }},
+            {"stop", [this](const auto& each) { return stop(each); }},
+            {"kill",
+             [this](const auto& each) { return signal(each, SIGKILL); }},
+            {"hang",
+             [this](const auto& each) { return signal(each, SIGSTOP); }},
+            {"resume",
+             [this](const auto& each) { return signal(each, SIGCONT); }},
+            {"cut", [this](const auto& each) { return cut(each); }},
+            {"heal",
+             [this](const auto&)
+             {
+                 fleet_->heal();
+                 return absl::OkStatus();
+             }},
+            {"wipe",
+             [this](const auto& each)
+             {
+                 fleet_->wipe(each.words.at(0));
+                 return absl::OkStatus();
+             }},
+            {"file", [this](const auto& each) { return file(each); }},
+            {"send", [this](const auto& each) { return send(each); }},
+            {"expect", [this](const auto& each) { return expect(each); }}};
+    try
+    {
+        return actions.at(line.verb)(line);
+    }
+    catch (const std::exception& error)
+    {
+        return line_error(line, error.what());
+    }
+}
+
+std::vector<std::string>
+runner::expand(const std::vector<std::string>& words, std::size_t first)
+{
+    std::vector<std::string> names;
+    for (std::size_t i = first; i < words.size(); ++i)
+    {
+        if (words[i] == "all")
+        {
+            const auto running = fleet_->running_instances();
+            names.insert(names.end(), running.begin(), running.end());
+        }
+        else if (words[i] == "leader")
+        {
+            names.push_back(find_leader());
+        }
+        else
+        {
+            names.push_back(words[i]);
+        }
+    }
+    return names;
+}
+
+std::string runner::find_leader()
+{
+    const auto limit = std::chrono::steady_clock::now() + wait_limit;
+    while (std::chrono::steady_clock::now() < limit)
+    {
+        for (const std::string& name : fleet_->running_instances())
+        {
+            const http_result result = ask_operator(name, "/operator/status");
+            if (parse_object(result.body)->optValue<std::string>("role", "") ==
+                "leader")
+            {
+                return name;
+            }
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds{100});
+    }
+    throw std::runtime_error{"no voter became leader"};
+}
+
+http_result
+runner::ask_operator(const std::string& instance, const std::string& path)
+{
+    http_call call;
+    call.port = fleet_->operator_port(instance);
+    call.path = path;
+    call.headers["Authorization"] =
+        fmt::format("Bearer {}", fleet::operator_token);
+    return exchange(call);
+}
+
+absl::Status runner::start(const script_line& line)
+{
+    for (const std::string& name : expand(line.words, 0))
+    {
+        fleet_->start(name, line.options);
+    }
+    return absl::OkStatus();
+}
+
+absl::Status runner::stop(const script_line& line)
+{
+    for (const std::string& name : expand(line.words, 0))
+    {
+        child_process* process = fleet_->find(name);
+        process->signal(SIGTERM);
+        const auto status =
+            process->wait(std::chrono::duration<double>{wait_limit}.count());
+        if (status != 0)
+        {
+            return line_error(
+                line, fmt::format(
+                          "{} ended with {}", name,
+                          status ? std::to_string(*status) : "no exit"));
+        }
+    }
+    return absl::OkStatus();
+}
+
+absl::Status runner::signal(const script_line& line, int number)
+{
+    for (const std::string& name : expand(line.words, 0))
+    {
+        fleet_->find(name)->signal(number);
+        if (number == SIGKILL)
+        {
+            constexpr double limit_seconds = 10;
+            fleet_->find(name)->wait(limit_seconds);
+        }
+    }
+    return absl::OkStatus();
+}
+
+absl::Status runner::cut(const script_line& line)
+{
+    std::set<std::string> left;
+    std::set<std::string> right;
+    std::set<std::string>* side = &left;
+    for (const std::string& name : expand(line.words, 0))
+    {
+        if (name == "from")
+        {
+            side = &right;
+            continue;
+        }
+        side->insert(name);
+    }
+    if (right.empty())
+    {
+        for (const std::string& name : fleet_->instances())
+        {
+            if (!left.contains(name))
+            {
+                right.insert(name);
+            }
+        }
+    }
+    fleet_->cut(left, right);
+    return absl::OkStatus();
+}
+
+absl::Status runner::file(const script_line& line)
+{
+    http_call call;
+    call.port = fleet_->operator_port(line.option("via", "i1"));
+    call.method = "POST";
+    call.path = "/operator/tickets";
+    call.headers["Authorization"] =
+        fmt::format("Bearer {}", fleet::operator_token);
+    call.body = fleet_->make_ticket(line);
+    const std::string name = line.option("as", "last");
+    if (line.options.contains("as"))
+    {
+        running_[name] =
+            std::async(std::launch::async, [call] { return exchange(call); });
+        return absl::OkStatus();
+    }
+    // An operator sends the same ticket again until it has a final answer.
+    const int wanted = std::stoi(line.option("status", "200"));
+    return wait_until(
+        line,
+        [this, call, wanted]
+        {
+            const http_result result = exchange(call);
+            answers_["last"] = result;
+            return result.status == wanted ? "" : describe(result);
+        });
+}
+
+http_call runner::make_chat(const script_line& line) const
+{
+    http_call call;
+    call.port = fleet_->caller_port(line.option("via", "i1"));
+    call.method = "POST";
+    call.path = "/v1/chat/completions";
+    call.headers["X-Chat-Id"] = line.words.at(1);
+    call.headers["X-Rank"] = line.option("rank", "normal");
+    call.body = fmt::format(
+        R"({{"model": "{}", "stream": true, "max_tokens": {}, )"
+        R"("messages": [{{"role": "user", "content": "{}"}}]}})",
+        line.option("model", "report-7b"), line.option("tokens", "8"),
+        line.option("body", line.words.at(1)));
+    return call;
+}
+
+http_call runner::make_booking(const script_line& line) const
+{
+    http_call call;
+    call.port = fleet_->caller_port(line.option("via", "i1"));
+    call.method = "POST";
+    call.path = "/services/booking/vans";
+    call.headers["Idempotency-Key"] = line.words.at(1);
+    call.body = line.option("body", line.words.at(1));
+    return call;
+}
+
+absl::Status runner::send(const script_line& line)
+{
+    http_call call =
+        line.words.at(0) == "chat" ? make_chat(line) : make_booking(line);
+    call.headers["Authorization"] = fmt::format(
+        "Bearer {}", line.option("org", "alpha") == "alpha"
+                         ? fleet::api_key_of_alpha
+                         : fleet::api_key_of_beta);
+    const std::string name = line.option("as", "last");
+    running_[name] =
+        std::async(std::launch::async, [call] { return exchange(call); });
+    if (!line.options.contains("as"))
+    {
+        answer(name);
+    }
+    return absl::OkStatus();
+}
+
+http_result& runner::answer(const std::string& name)
+{
+    const auto found = running_.find(name);
+    if (found != running_.end())
+    {
+        answers_[name] = found->second.get();
+        running_.erase(found);
+    }
+    return answers_[name];
+}
+
+absl::Status runner::wait_until(
+    const script_line& line, const std::function<std::string()>& problem)
+{
+    const auto limit = std::chrono::steady_clock::now() + wait_limit;
+    std::string last = problem();
+    while (!last.empty() && std::chrono::steady_clock::now() < limit)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds{100});
+        last = problem();
+    }
+    return last.empty() ? absl::OkStatus() : line_error(line, last);
+}
+
+absl::Status runner::expect(const script_line& line)
+{
+    const std::string& what = line.words.at(0);
+    if (what == "in-force")
+    {
+        return expect_in_force(line);
+    }
+    if (what == "runs")
+    {
+        return expect_runs(line);
+    }
+    if (what == "ready" || what == "not-ready")
+    {
+        return expect_ready(line);
+    }
+    if (what == "same-ticket")
+    {
+        return expect_same_ticket(line);
+    }
+    if (what == "one-engine")
+    {
+        return expect_one_engine(line);
+    }
+    if (what == "no-new-work")
+    {
+        return expect_no_new_work(line);
+    }
+    return expect_answer(line);
+}
+
+// expect in-force VERSION INSTANCE...
+absl::Status runner::expect_in_force(const script_line& line)
+{
+    const std::string& version = line.words.at(1);
+    for (const std::string& name : expand(line.words, 2))
+    {
+        const absl::Status status = wait_until(
+            line,
+            [&]() -> std::string
+            {
+                const http_result result =
+                    ask_operator(name, "/operator/status");
+                const std::string found =
+                    parse_object(result.body)
+                        ->optValue<std::string>("version", "none");
+                return found == version
+                           ? ""
+                           : fmt::format("{} has version {}", name, found);
+            });
+        if (!status.ok())
+        {
+            return status;
+        }
+    }
+    return absl::OkStatus();
+}
+
+// expect runs TEXT COUNT
+absl::Status runner::expect_runs(const script_line& line)
+{
+    const std::size_t wanted = std::stoul(line.words.at(2));
+    const std::size_t found = fleet_->count_runs(line.words.at(1));
+    return found == wanted
+               ? absl::OkStatus()
+               : line_error(line, fmt::format("it ran {} times", found));
+}
+
+// expect ready INSTANCE..., expect not-ready INSTANCE...
+absl::Status runner::expect_ready(const script_line& line)
+{
+    const bool wanted = line.words.at(0) == "ready";
+    for (const std::string& name : expand(line.words, 1))
+    {
+        http_call call;
+        call.port = fleet_->caller_port(name);
+        call.path = "/readyz";
+        constexpr int ok = 200;
+        const absl::Status status = wait_until(
+            line,
+            [&]() -> std::string
+            {
+                const http_result result = exchange(call);
+                return (result.status == ok) == wanted
+                           ? ""
+                           : name + ": " + describe(result);
+            });
+        if (!status.ok())
+        {
+            return status;
+        }
+    }
+    return absl::OkStatus();
+}
+
+// expect same-ticket NUMBER INSTANCE...: all show one content.
+absl::Status runner::expect_same_ticket(const script_line& line)
+{
+    const std::string path = "/operator/tickets/" + line.words.at(1);
+    std::string first;
+    for (const std::string& name : expand(line.words, 2))
+    {
+        const http_result result = ask_operator(name, path);
+        constexpr int ok = 200;
+        if (result.status != ok || (!first.empty() && first != result.body))
+        {
+            return line_error(line, name + ": " + describe(result));
+        }
+        first = result.body;
+    }
+    return absl::OkStatus();
+}
+
+// expect one-engine CHAT COUNT: the chat met its cached prefix this often.
+absl::Status runner::expect_one_engine(const script_line& line)
+{
+    const std::string& chat = line.words.at(1);
+    std::uint64_t hits = 0;
+    for (int i = 1; fleet_->find("e" + std::to_string(i)) != nullptr; ++i)
+    {
+        http_call call;
+        call.port = fleet_->stand_in_port("e" + std::to_string(i));
+        call.path = "/stats";
+        const Object::Ptr stats = parse_object(exchange(call).body);
+        const Object::Ptr by_chat = stats->getObject("hits_by_chat");
+        hits += by_chat.isNull() ? 0 : by_chat->optValue<Poco::UInt64>(chat, 0);
+    }
+    return hits == std::stoul(line.words.at(2))
+               ? absl::OkStatus()
+               : line_error(line, fmt::format("{} cache hits", hits));
+}
+
+// expect no-new-work ENGINE mark, later without mark: no request since.
+absl::Status runner::expect_no_new_work(const script_line& line)
+{
+    const std::string& name = line.words.at(1);
+    http_call call;
+    call.port = fleet_->stand_in_port(name);
+    call.path = "/stats";
+    const auto served = parse_object(exchange(call).body)
+                            ->optValue<Poco::UInt64>("requests", 0);
+    const bool marks = line.words.size() > 2;
+    if (marks)
+    {
+        served_before_[name] = served;
+        return absl::OkStatus();
+    }
+    return served == served_before_.at(name)
+               ? absl::OkStatus()
+               : line_error(
+                     line, fmt::format(
+                               "{} requests, {} when it was marked", served,
+                               served_before_.at(name)));
+}
+
+// expect NAME [complete] [status=] [kind=] [not_run=] [same=OTHER]
+absl::Status runner::expect_answer(const script_line& line)
+{
+    const http_result& result = answer(line.words.at(0));
+    for (const auto& [key, value] : line.options)
+    {
+        std::string found;
+        if (key == "status")
+        {
+            found = std::to_string(result.status);
+        }
+        else if (key == "same")
+        {
+            found = answer(value).body == result.body ? value : "another body";
+        }
+        else
+        {
+            found = error_field(result.body, key);
+        }
+        const std::vector<std::string> allowed = absl::StrSplit(value, '|');
+        if (std::find(allowed.begin(), allowed.end(), found) == allowed.end())
+        {
+            return line_error(
+                line,
+                fmt::format("{} is {}; {}", key, found, describe(result)));
+        }
+    }
+    const bool wants_complete =
+        line.words.size() > 1 && line.words.at(1) == "complete";
+    if (wants_complete && !is_complete(result.body))
+    {
+        return line_error(line, describe(result));
+    }
+    return absl::OkStatus();
+}
+
+} // namespace hickorygap::testing
--- /dev/null
+++ b/tests/scenarios/runner/runner.hpp
@@ -0,0 +1,70 @@
+#ifndef HICKORYGAP_TESTS_SCENARIOS_RUNNER_RUNNER_HPP
+#define HICKORYGAP_TESTS_SCENARIOS_RUNNER_RUNNER_HPP
+
+#include "scenarios/runner/fleet.hpp"
+#include "scenarios/runner/http_exchange.hpp"
+#include "scenarios/runner/script.hpp"
+
+#include <absl/status/status.h>
+
+#include <functional>
+#include <future>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace hickorygap::testing
+{
+
+// Carries out a scenario; see docs/scenarios.md for the language.
+class runner
+{
+public:
+    explicit runner(fleet_options defaults);
+
+    // The first line that fails ends the scenario.
+    absl::Status run(const std::vector<script_line>& lines);
+
+private:
+    absl::Status run_line(const script_line& line);
+    absl::Status start(const script_line& line);
+    absl::Status stop(const script_line& line);
+    absl::Status signal(const script_line& line, int number);
+    absl::Status cut(const script_line& line);
+    absl::Status file(const script_line& line);
+    absl::Status send(const script_line& line);
+    absl::Status expect(const script_line& line);
+    absl::Status expect_in_force(const script_line& line);
+    absl::Status expect_runs(const script_line& line);
+    absl::Status expect_ready(const script_line& line);
+    absl::Status expect_same_ticket(const script_line& line);
+    absl::Status expect_one_engine(const script_line& line);
+    absl::Status expect_no_new_work(const script_line& line);
+    absl::Status expect_answer(const script_line& line);
+
+    http_call make_chat(const script_line& line) const;
+    http_call make_booking(const script_line& line) const;
+    http_result& answer(const std::string& name);
+    std::vector<std::string>
+    expand(const std::vector<std::string>& words, std::size_t first);
+    std::string find_leader();
+    http_result
+    ask_operator(const std::string& instance, const std::string& path);
+
+    // Repeats the check until it holds; generous, because a scenario's
+    // verdict must not depend on the machine's speed.
+    absl::Status wait_until(
+        const script_line& line, const std::function<std::string()>& problem);
+
+    fleet_options defaults_;
+    std::unique_ptr<fleet> fleet_;
+    std::map<std::string, std::future<http_result>> running_;
+    std::map<std::string, http_result> answers_;
+    std::map<std::string, std::uint64_t> served_before_;
+};
+
+} // namespace hickorygap::testing
+
+#endif
--- /dev/null
+++ b/tests/scenarios/runner/script.hpp
@@ -0,0 +1,39 @@
+#ifndef HICKORYGAP_TESTS_SCENARIOS_RUNNER_SCRIPT_HPP
+#define HICKORYGAP_TESTS_SCENARIOS_RUNNER_SCRIPT_HPP
+
+#include <absl/status/statusor.h>
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hickorygap::testing
+{
+
+// One line of a scenario: a verb, its plain words and its key=value options.
+struct script_line
+{
+    std::size_t number = 0;
+    std::string text;
+    std::string verb;
+    std::vector<std::string> words;
+    std::map<std::string, std::string> options;
+
+    std::string
+    option(const std::string& key, std::string_view fallback = "") const
+    {
+        const auto found = options.find(key);
+        return found == options.end() ? std::string{fallback} : found->second;
+    }
+};
+
+// Parses a scenario. Errors name the line and the verbs that exist.
+absl::StatusOr<std::vector<script_line>> parse_script(std::string_view text);
+
+// Error that names a line of the scenario.
+absl::Status line_error(const script_line& line, std::string_view what);
+
+} // namespace hickorygap::testing
+
+#endif
