Add the replicated log, its file storage and the voter

A voter is identified by its instance and a random identifier of its data folder. A voter that lost its folder is thereby another voter, which gets no vote until a ticket lists it. A bootstrap setting was ruled out: left on, it would let a lost disk start the group again.

Records on disk are in src/messages/records.fbs.

--- a/scripts/generate-messages.sh
+++ b/scripts/generate-messages.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
-# Generates generated/messages_generated.h from the schema; needs the Debian
+# Generates generated/*_generated.h from the schemas; needs the Debian
 # package flatbuffers-compiler.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 flatc --cpp --cpp-std c++17 --gen-object-api --object-suffix _msg \
-    --scoped-enums -o generated src/messages/messages.fbs
+    --scoped-enums -o generated src/messages/messages.fbs \
+    src/messages/records.fbs
--- /dev/null
+++ b/src/process/consensus/file_log_storage.hpp
@@ -0,0 +1,66 @@
+#ifndef HICKORYGAP_PROCESS_CONSENSUS_FILE_LOG_STORAGE_HPP
+#define HICKORYGAP_PROCESS_CONSENSUS_FILE_LOG_STORAGE_HPP
+
+#include "process/consensus/log_storage.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hickorygap
+{
+
+// Stores the log in one folder, which belongs to it alone.
+//
+// log-<n>: the present segment. It starts with the complete state after the
+// snapshot, so older segments are not needed and are deleted. Each sync
+// appends one checksummed frame; only the last frame can be torn by a crash.
+//
+// snapshot-<index>: the snapshot that the segment's header names.
+//
+// synced: length of the segment after the last successful sync. It is written
+// without a sync of its own, so it may be too old, but never too new. Damage
+// below that length can't come from a crash.
+class file_log_storage final : public log_storage
+{
+public:
+    explicit file_log_storage(std::string folder);
+    ~file_log_storage() override;
+
+    absl::StatusOr<stored_state> load() override;
+    void write(storage_write change) override;
+    absl::Status sync() override;
+
+private:
+    absl::Status load_segment(stored_state& state);
+    absl::Status read_frames(
+        std::span<const std::uint8_t> content, stored_state& state,
+        std::uint64_t& valid_length);
+    absl::Status load_snapshot(std::uint64_t index, stored_state& state);
+    std::uint64_t read_synced_mark() const;
+    void write_synced_mark();
+
+    absl::Status append_pending();
+    absl::Status start_segment();
+    absl::Status write_snapshot_file();
+    void remove_old_files();
+    void close_segment();
+    std::string path(std::string_view name) const;
+
+    std::string folder_;
+    int segment_file_ = -1;
+    std::uint64_t segment_ = 0;
+    std::uint64_t segment_length_ = 0;
+
+    // The complete state with all changes, for the start of a segment.
+    stored_state state_;
+
+    // Changes since the last sync.
+    storage_write pending_;
+    bool new_segment_needed_ = true;
+};
+
+} // namespace hickorygap
+
+#endif
--- /dev/null
+++ b/src/process/consensus/voter_list.hpp
@@ -0,0 +1,74 @@
+#ifndef HICKORYGAP_PROCESS_CONSENSUS_VOTER_LIST_HPP
+#define HICKORYGAP_PROCESS_CONSENSUS_VOTER_LIST_HPP
+
+#include "common/ids.hpp"
+#include "messages/codec.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace hickorygap
+{
+
+// Random identifier of a data folder, drawn when it is created. Zero stands
+// for "none".
+using disk_id = std::uint64_t;
+
+// A member of the quorum. A process that lost its data folder comes back with
+// another disk and is thereby another voter: it has forgotten its votes and
+// its log, and must not act as the old one.
+struct voter_identity
+{
+    instance_id instance = 0;
+    disk_id disk = 0;
+
+    friend bool
+    operator==(const voter_identity&, const voter_identity&) = default;
+};
+
+// A former voter that came back without its disk. Only a ticket with a higher
+// number than `ticket` makes it a voter again.
+struct lost_disk
+{
+    instance_id instance = 0;
+    configuration_version ticket = 0;
+
+    friend bool operator==(const lost_disk&, const lost_disk&) = default;
+};
+
+// Who votes and who only receives the log, as of one log entry.
+struct voter_list
+{
+    std::vector<voter_identity> voters;
+    std::vector<instance_id> learners;
+    std::vector<lost_disk> lost;
+
+    friend bool operator==(const voter_list&, const voter_list&) = default;
+
+    // The voter on that instance, or nullptr.
+    const voter_identity* find_voter(instance_id instance) const;
+    bool has_voter(instance_id instance, disk_id disk) const;
+    bool has_learner(instance_id instance) const;
+
+    // The record of a lost disk on that instance, or nullptr.
+    const lost_disk* find_lost(instance_id instance) const;
+
+    // Copies with one change.
+    voter_list with_voter(voter_identity voter) const;
+    voter_list with_learner(instance_id instance) const;
+    voter_list without(instance_id instance) const;
+};
+
+wire::voters_entry_msg to_wire(const voter_list& list);
+
+// Entries without a disk get disk 0, which matches no disk.
+voter_list from_wire(const wire::voters_entry_msg& message);
+
+// Number of voters by which two lists differ, counting each voter that stands
+// in only one of them.
+std::size_t
+count_changed_voters(const voter_list& left, const voter_list& right);
+
+} // namespace hickorygap
+
+#endif
--- /dev/null
+++ b/src/process/replicated_state/ticket_record.cpp
@@ -0,0 +1,73 @@
+#include "process/replicated_state/ticket_record.hpp"
+
+#include "common/error.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <iterator>
+
+namespace hickorygap
+{
+
+namespace
+{
+
+void append_number(std::vector<std::uint8_t>& bytes, std::uint64_t number)
+{
+    constexpr unsigned bits_per_byte = 8;
+    for (unsigned shift = 0; shift < 64; shift += bits_per_byte)
+    {
+        bytes.push_back(static_cast<std::uint8_t>(number >> shift));
+    }
+}
+
+absl::Status chain_broken(configuration_version number, std::string_view what)
+{
+    return make_error(
+        error_kind::storage_damaged,
+        fmt::format(
+            "ticket {} {}; the history was changed or damaged, compare it "
+            "with the history of another voter",
+            number, what));
+}
+
+} // namespace
+
+digest ticket_chain(const digest& previous, const ticket_record& record)
+{
+    std::vector<std::uint8_t> bytes;
+    append_number(bytes, record.number);
+    append_number(bytes, record.accepted);
+    std::ranges::copy(record.canonical_digest, std::back_inserter(bytes));
+    std::ranges::copy(record.document, std::back_inserter(bytes));
+    return chain_digest(previous, bytes);
+}
+
+absl::Status verify_chain(std::span<const ticket_record> history)
+{
+    digest previous{};
+    unix_millis last_accepted = 0;
+    configuration_version expected = 1;
+    for (const ticket_record& record : history)
+    {
+        if (record.number != expected)
+        {
+            return chain_broken(expected, "is missing");
+        }
+        if (record.accepted < last_accepted)
+        {
+            return chain_broken(expected, "is older than the one before");
+        }
+        if (record.chain != ticket_chain(previous, record))
+        {
+            return chain_broken(expected, "does not match its chain value");
+        }
+        previous = record.chain;
+        last_accepted = record.accepted;
+        ++expected;
+    }
+    return absl::OkStatus();
+}
+
+} // namespace hickorygap
--- /dev/null
+++ b/src/process/replicated_state/ticket_record.hpp
@@ -0,0 +1,48 @@
+#ifndef HICKORYGAP_PROCESS_REPLICATED_STATE_TICKET_RECORD_HPP
+#define HICKORYGAP_PROCESS_REPLICATED_STATE_TICKET_RECORD_HPP
+
+#include "common/hashing.hpp"
+#include "common/ids.hpp"
+#include "common/time.hpp"
+
+#include <absl/status/status.h>
+
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace hickorygap
+{
+
+// An accepted ticket.
+struct ticket_record
+{
+    configuration_version number = 0;
+
+    // Bytes as first filed.
+    std::vector<std::uint8_t> document;
+
+    // Digest of the document's canonical form, see ticket_validator.
+    digest canonical_digest{};
+
+    // When the leader took the ticket; never before the previous ticket.
+    unix_millis accepted = 0;
+
+    // Hash over the previous ticket's chain value and this record.
+    digest chain{};
+
+    friend bool
+    operator==(const ticket_record&, const ticket_record&) = default;
+};
+
+// Chain value of a record; `previous` is all zeros for the first ticket.
+digest ticket_chain(const digest& previous, const ticket_record& record);
+
+// Checks a history that starts with ticket 1: numbers without gaps, times in
+// order and chain values. Error: error_kind::storage_damaged, naming the first
+// ticket that is wrong.
+absl::Status verify_chain(std::span<const ticket_record> history);
+
+} // namespace hickorygap
+
+#endif
--- /dev/null
+++ b/src/process/replicated_state/voter.cpp
@@ -0,0 +1,499 @@
+#include "process/replicated_state/voter.hpp"
+
+#include "common/logging.hpp"
+
+#include <algorithm>
+
+namespace hickorygap
+{
+
+absl::StatusOr<std::unique_ptr<voter>> voter::open(
+    voter_options options, std::unique_ptr<log_storage> storage,
+    std::shared_ptr<const ticket_validator> validator, time_point now)
+{
+    auto stored = storage->load();
+    if (!stored.ok())
+    {
+        return stored.status();
+    }
+    const snapshot_ptr snapshot = stored->snapshot;
+    std::unique_ptr<voter> opened{new voter{
+        std::move(options), std::move(storage), std::move(validator),
+        *std::move(stored), now}};
+    if (snapshot)
+    {
+        absl::Status status = opened->state_.restore(snapshot->data);
+        if (!status.ok())
+        {
+            return status;
+        }
+    }
+    return opened;
+}
+
+voter::voter(
+    voter_options options, std::unique_ptr<log_storage> storage,
+    std::shared_ptr<const ticket_validator> validator, stored_state stored,
+    time_point now)
+    : options_{std::move(options)}
+    , storage_{std::move(storage)}
+    , state_{options_.calls, std::move(validator)}
+    , raft_{options_.raft, std::move(stored), now}
+    , now_{now}
+{
+}
+
+void voter::tick(time_point now, unix_millis unix_now)
+{
+    now_ = now;
+    unix_now_ = unix_now;
+    raft_.tick(now);
+    if (raft_.is_leader())
+    {
+        drive_voters();
+        end_lost_calls();
+    }
+}
+
+void voter::receive(
+    instance_id from, const wire::payloadUnion& payload, time_point now,
+    unix_millis unix_now)
+{
+    now_ = now;
+    unix_now_ = unix_now;
+    if (const auto* propose = message_in<wire::propose_msg>(payload))
+    {
+        receive_propose(from, *propose);
+    }
+    else if (const auto* read = message_in<wire::read_request_msg>(payload))
+    {
+        receive_read(from, *read);
+    }
+    else
+    {
+        raft_.receive(from, payload, now);
+    }
+}
+
+// Proposals.
+
+void voter::receive_propose(instance_id from, const wire::propose_msg& message)
+{
+    if (!raft_.is_leader())
+    {
+        reply_not_leader(from, message.proposal);
+        return;
+    }
+    if (message.data.size() > options_.max_proposal_bytes)
+    {
+        apply_result refused;
+        refused.detail = fmt::format(
+            "the proposal has {} bytes and the limit is {}; split it",
+            message.data.size(), options_.max_proposal_bytes);
+        reply(from, message.proposal, refused);
+        return;
+    }
+    if (pending_indexes_.contains({from, message.proposal}))
+    {
+        // Sent again by a client that waits; the reply follows.
+        return;
+    }
+    if (!state_.answer(message.kind, message.data))
+    {
+        append_proposal(from, message);
+        return;
+    }
+    // The state may be behind that of a newer leader, so the answer is given
+    // only once a quorum confirmed this one.
+    const auto read = raft_.read_index(now_);
+    if (read.ok())
+    {
+        waiting_[*read] = {from, 0, message};
+    }
+}
+
+void voter::append_proposal(instance_id from, const wire::propose_msg& message)
+{
+    if (message.kind == wire::entry_kind::ticket && acceptance_check_)
+    {
+        const absl::Status status = acceptance_check_();
+        if (!status.ok())
+        {
+            apply_result refused;
+            refused.status = wire::proposal_status::unavailable;
+            refused.version = state_.version();
+            refused.detail = std::string{status.message()};
+            reply(from, message.proposal, refused);
+            return;
+        }
+    }
+    const auto index = raft_.propose(message.kind, stamp(message), now_);
+    if (!index.ok())
+    {
+        reply_not_leader(from, message.proposal);
+        return;
+    }
+    pending_[*index] = {raft_.term(), from, message.proposal};
+    pending_indexes_[{from, message.proposal}] = *index;
+}
+
+// The entry's data with the leader's time, which all voters apply.
+std::vector<std::uint8_t> voter::stamp(const wire::propose_msg& message) const
+{
+    if (message.kind == wire::entry_kind::ticket)
+    {
+        auto ticket = decode_table<wire::ticket_entry>(message.data);
+        if (ticket.ok())
+        {
+            ticket->accepted_unix_ms = unix_now_;
+            return encode_table<wire::ticket_entry>(*ticket);
+        }
+    }
+    if (message.kind == wire::entry_kind::call_intent)
+    {
+        auto intent = decode_table<wire::call_intent>(message.data);
+        if (intent.ok())
+        {
+            intent->created_unix_ms = unix_now_;
+            return encode_table<wire::call_intent>(*intent);
+        }
+    }
+    if (message.kind == wire::entry_kind::call_outcome)
+    {
+        auto outcome = decode_table<wire::call_outcome>(message.data);
+        if (outcome.ok())
+        {
+            outcome->ended_unix_ms = unix_now_;
+            return encode_table<wire::call_outcome>(*outcome);
+        }
+    }
+    return message.data;
+}
+
+void voter::receive_read(
+    instance_id from, const wire::read_request_msg& message)
+{
+    const auto read = raft_.read_index(now_);
+    waiting_answer waiting{from, message.read, std::nullopt};
+    if (!read.ok())
+    {
+        finish_answer(waiting, false);
+        return;
+    }
+    waiting_[*read] = std::move(waiting);
+}
+
+void voter::finish_answer(const waiting_answer& waiting, bool confirmed)
+{
+    if (!waiting.proposal)
+    {
+        wire::read_reply_msg message;
+        message.read = waiting.read_request;
+        message.status = confirmed ? wire::proposal_status::accepted
+                                   : wire::proposal_status::not_leader;
+        message.leader = raft_.leader();
+        message.version = confirmed ? state_.version() : 0;
+        outgoing_.push_back(make_outgoing(waiting.from, message));
+        return;
+    }
+    const wire::propose_msg& proposal = *waiting.proposal;
+    if (!confirmed)
+    {
+        reply_not_leader(waiting.from, proposal.proposal);
+        return;
+    }
+    // The state may have moved on since the proposal arrived.
+    if (const auto known = state_.answer(proposal.kind, proposal.data))
+    {
+        reply(waiting.from, proposal.proposal, *known);
+    }
+    else if (!pending_indexes_.contains({waiting.from, proposal.proposal}))
+    {
+        append_proposal(waiting.from, proposal);
+    }
+}
+
+void voter::reply(
+    instance_id to, std::uint64_t proposal, const apply_result& result)
+{
+    wire::propose_reply_msg message;
+    message.proposal = proposal;
+    message.status = result.status;
+    message.leader = raft_.leader();
+    message.version = result.version;
+    message.accepted_unix_ms = result.accepted;
+    message.detail = result.detail;
+    message.recorded = result.recorded;
+    outgoing_.push_back(make_outgoing(to, std::move(message)));
+}
+
+void voter::reply_not_leader(instance_id to, std::uint64_t proposal)
+{
+    apply_result result;
+    result.status = wire::proposal_status::not_leader;
+    result.detail = "this voter is not the leader; ask the leader";
+    reply(to, proposal, result);
+}
+
+// Durable writes and applied entries.
+
+absl::Status voter::flush()
+{
+    // A voter that elects itself alone writes again after its first sync.
+    while (raft_.has_writes() || unsynced_)
+    {
+        if (raft_.has_writes())
+        {
+            storage_->write(raft_.take_writes());
+            unsynced_ = true;
+        }
+        if (!storage_status_.ok() && now_ < next_storage_attempt_)
+        {
+            return storage_status_;
+        }
+        storage_status_ = storage_->sync();
+        if (!storage_status_.ok())
+        {
+            next_storage_attempt_ = now_ + options_.storage_retry;
+            raft_.on_storage_failed(now_);
+            if (absl::Status status = advance(); !status.ok())
+            {
+                return status;
+            }
+            return storage_status_;
+        }
+        unsynced_ = false;
+        raft_.on_synced(now_);
+    }
+    if (absl::Status status = advance(); !status.ok())
+    {
+        return status;
+    }
+    maybe_compact();
+    return absl::OkStatus();
+}
+
+absl::Status voter::advance()
+{
+    if (!state_status_.ok())
+    {
+        return state_status_;
+    }
+    const committed_batch batch = raft_.take_committed();
+    if (batch.snapshot)
+    {
+        state_status_ = state_.restore(batch.snapshot->data);
+        if (!state_status_.ok())
+        {
+            log(log_level::error, subsystem::consensus,
+                "snapshot_unusable index={} error=\"{}\"",
+                batch.snapshot->index, std::string{state_status_.message()});
+            return state_status_;
+        }
+        while (!pending_.empty() &&
+               pending_.begin()->first <= batch.snapshot->index)
+        {
+            const pending_proposal& lost = pending_.begin()->second;
+            pending_indexes_.erase({lost.from, lost.proposal});
+            pending_.erase(pending_.begin());
+        }
+    }
+    for (const wire::log_entry_msg& entry : batch.entries)
+    {
+        apply(entry);
+    }
+    for (const read_outcome& read : raft_.take_reads())
+    {
+        auto waiting = waiting_.extract(read.read);
+        if (!waiting.empty())
+        {
+            finish_answer(waiting.mapped(), read.confirmed);
+        }
+    }
+    return absl::OkStatus();
+}
+
+void voter::apply(const wire::log_entry_msg& entry)
+{
+    const apply_result result = state_.apply(entry);
+    const auto pending = pending_.extract(entry.index);
+    if (pending.empty())
+    {
+        return;
+    }
+    const pending_proposal& proposal = pending.mapped();
+    pending_indexes_.erase({proposal.from, proposal.proposal});
+    // Another leader's entry may stand at this index by now; then nothing is
+    // known and the client asks again.
+    if (proposal.term == entry.term)
+    {
+        reply(proposal.from, proposal.proposal, result);
+    }
+}
+
+void voter::maybe_compact()
+{
+    const std::uint64_t applied = state_.applied_index();
+    if (applied >= raft_.snapshot_index() + options_.snapshot_interval)
+    {
+        raft_.compact(applied, state_.snapshot());
+    }
+}
+
+std::vector<outgoing_message> voter::take_outgoing()
+{
+    std::vector<outgoing_message> messages = raft_.take_outgoing();
+    std::ranges::move(
+        std::exchange(outgoing_, {}), std::back_inserter(messages));
+    return messages;
+}
+
+std::vector<ticket_record> voter::take_applied()
+{
+    const auto added = state_.tickets().subspan(reported_tickets_);
+    reported_tickets_ = state_.version();
+    return {added.begin(), added.end()};
+}
+
+voter_status voter::status() const
+{
+    voter_status status;
+    status.role = raft_.role();
+    status.leader = raft_.leader();
+    status.term = raft_.term();
+    status.commit_index = raft_.commit_index();
+    status.last_index = raft_.last_index();
+    status.snapshot_index = raft_.snapshot_index();
+    status.version = state_.version();
+    status.votes = raft_.is_voter();
+    if (raft_.configuration() != nullptr)
+    {
+        status.voters = *raft_.configuration();
+    }
+    status.storage = storage_status_;
+    return status;
+}
+
+// Changes of the group.
+
+void voter::set_wanted_voters(
+    configuration_version ticket, std::vector<instance_id> voters)
+{
+    if (ticket >= wanted_ticket_)
+    {
+        wanted_ticket_ = ticket;
+        wanted_voters_ = std::move(voters);
+    }
+}
+
+void voter::drive_voters()
+{
+    if (!raft_.may_change_voters())
+    {
+        return;
+    }
+    const auto next = next_voters();
+    if (next && !raft_.propose_voters(*next, now_).ok())
+    {
+        log(log_level::warning, subsystem::consensus,
+            "voter_change_refused voters={}", next->voters.size());
+    }
+}
+
+// The next step towards the wanted voters, if one can be taken now.
+std::optional<voter_list> voter::next_voters() const
+{
+    const voter_list& list = *raft_.configuration();
+    const auto wanted = [this](instance_id instance)
+    { return std::ranges::count(wanted_voters_, instance) != 0; };
+    for (const voter_identity& voter : list.voters)
+    {
+        const disk_id disk = raft_.disk_of(voter.instance);
+        if (disk != 0 && disk != voter.disk)
+        {
+            voter_list next = list.with_learner(voter.instance);
+            next.lost.push_back({voter.instance, state_.version()});
+            return next;
+        }
+    }
+    if (wanted_voters_.empty())
+    {
+        return std::nullopt;
+    }
+    for (const instance_id instance : wanted_voters_)
+    {
+        if (list.find_voter(instance) != nullptr)
+        {
+            continue;
+        }
+        const lost_disk* lost = list.find_lost(instance);
+        if (lost != nullptr && wanted_ticket_ <= lost->ticket)
+        {
+            continue;
+        }
+        if (!list.has_learner(instance))
+        {
+            return list.with_learner(instance);
+        }
+        if (raft_.is_caught_up(instance))
+        {
+            return list.with_voter({instance, raft_.disk_of(instance)});
+        }
+        // Voters are removed only after the new ones joined.
+        return std::nullopt;
+    }
+    for (const instance_id instance : list.learners)
+    {
+        const lost_disk* lost = list.find_lost(instance);
+        if (!wanted(instance) &&
+            (lost == nullptr || wanted_ticket_ > lost->ticket))
+        {
+            return list.without(instance);
+        }
+    }
+    for (const voter_identity& voter : list.voters)
+    {
+        if (!wanted(voter.instance) && list.voters.size() > 1)
+        {
+            return list.without(voter.instance);
+        }
+    }
+    return std::nullopt;
+}
+
+void voter::set_oldest_incarnation(
+    instance_id instance, incarnation_number incarnation)
+{
+    incarnation_number& oldest = oldest_incarnations_[instance];
+    oldest = std::max(oldest, incarnation);
+}
+
+void voter::end_lost_calls()
+{
+    if (oldest_incarnations_.empty() || !raft_.may_change_voters())
+    {
+        return;
+    }
+    for (const open_call& call : state_.calls().open_calls())
+    {
+        const auto oldest = oldest_incarnations_.find(call.entry_instance);
+        if (oldest == oldest_incarnations_.end() ||
+            call.entry_incarnation >= oldest->second)
+        {
+            continue;
+        }
+        // Sent to itself as a proposal, so that it is in the log once only.
+        wire::call_outcome_msg outcome;
+        outcome.organisation = call.key.organisation;
+        outcome.service = call.key.service;
+        outcome.key = call.key.key;
+        outcome.request = call.request;
+        wire::propose_msg proposal;
+        proposal.proposal = call.request;
+        proposal.kind = wire::entry_kind::call_outcome;
+        proposal.data = encode_table<wire::call_outcome>(outcome);
+        receive_propose(options_.raft.self, proposal);
+    }
+}
+
+} // namespace hickorygap
--- /dev/null
+++ b/src/process/replicated_state/voter.hpp
@@ -0,0 +1,202 @@
+#ifndef HICKORYGAP_PROCESS_REPLICATED_STATE_VOTER_HPP
+#define HICKORYGAP_PROCESS_REPLICATED_STATE_VOTER_HPP
+
+#include "process/consensus/raft_node.hpp"
+#include "process/replicated_state/state_machine.hpp"
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <utility>
+#include <vector>
+
+namespace hickorygap
+{
+
+struct voter_options
+{
+    // raft.seed must differ between starts of a process, because it also
+    // draws the identifier of a new disk; use random_seed().
+    raft_options raft;
+    call_record_options calls;
+
+    // Entries applied between two snapshots.
+    std::uint64_t snapshot_interval = 4096;
+
+    // Larger proposals are refused; a frame holds at most 1 MiB.
+    std::size_t max_proposal_bytes = std::size_t{512} * 1024;
+
+    // Pause between attempts to write to a storage that failed.
+    duration storage_retry = std::chrono::milliseconds{200};
+};
+
+struct voter_status
+{
+    raft_role role = raft_role::follower;
+    instance_id leader = 0;
+    std::uint64_t term = 0;
+    std::uint64_t commit_index = 0;
+    std::uint64_t last_index = 0;
+    std::uint64_t snapshot_index = 0;
+    configuration_version version = 0;
+
+    // Whether this instance with its present disk is in the voter list.
+    bool votes = false;
+    voter_list voters;
+
+    // Error of the last write, or OK.
+    absl::Status storage;
+};
+
+// One voter: replicated log, its storage and the state that it builds up.
+// Belongs to the control thread, which passes messages and time, and calls
+// flush after each batch of them, then take_outgoing and take_applied.
+// Messages to the instance itself are returned like all others.
+class voter
+{
+public:
+    // Reads the storage. Errors: storage_damaged (must not run; the message
+    // says what to do), storage_failed.
+    static absl::StatusOr<std::unique_ptr<voter>> open(
+        voter_options options, std::unique_ptr<log_storage> storage,
+        std::shared_ptr<const ticket_validator> validator, time_point now);
+
+    void tick(time_point now, unix_millis unix_now);
+
+    // Handles consensus messages, propose and read_request; ignores others.
+    void receive(
+        instance_id from, const wire::payloadUnion& payload, time_point now,
+        unix_millis unix_now);
+
+    // Makes everything gathered durable with one sync and releases the
+    // messages that waited for it. Errors: storage_failed: not durable, the
+    // next call tries again; storage_damaged: the state received from the
+    // leader can't be used, the voter must stop.
+    absl::Status flush();
+
+    std::vector<outgoing_message> take_outgoing();
+
+    // Tickets applied since the last call, in order. After a restart it
+    // starts again with ticket 1.
+    std::vector<ticket_record> take_applied();
+
+    // All tickets applied; ticket n stands at index n - 1.
+    std::span<const ticket_record> tickets() const
+    {
+        return state_.tickets();
+    }
+    const state_machine& state() const
+    {
+        return state_;
+    }
+
+    bool is_leader() const
+    {
+        return raft_.is_leader();
+    }
+    instance_id leader() const
+    {
+        return raft_.leader();
+    }
+    bool holds_lease(time_point now) const
+    {
+        return raft_.holds_lease(now);
+    }
+    std::uint64_t term() const
+    {
+        return raft_.term();
+    }
+    voter_status status() const;
+
+    // Called before a new ticket is taken; an error refuses it with status
+    // unavailable and the error's message.
+    void set_acceptance_check(std::function<absl::Status()> check)
+    {
+        acceptance_check_ = std::move(check);
+    }
+
+    // Voters that the last ticket with a voter list demands, and the number
+    // of that ticket. While leader, this voter changes the group towards
+    // them, one at a time. Call it on every voter for every such ticket.
+    void set_wanted_voters(
+        configuration_version ticket, std::vector<instance_id> voters);
+
+    // Reports that all processes of the instance before this incarnation have
+    // ended. While leader, this voter records the outcome of their open calls
+    // as unknown.
+    void set_oldest_incarnation(
+        instance_id instance, incarnation_number incarnation);
+
+private:
+    struct pending_proposal
+    {
+        std::uint64_t term = 0;
+        instance_id from = 0;
+        std::uint64_t proposal = 0;
+    };
+
+    // A proposal or a read request that waits until a quorum confirmed that
+    // this leader is current.
+    struct waiting_answer
+    {
+        instance_id from = 0;
+        std::uint64_t read_request = 0;
+        std::optional<wire::propose_msg> proposal;
+    };
+
+    voter(
+        voter_options options, std::unique_ptr<log_storage> storage,
+        std::shared_ptr<const ticket_validator> validator, stored_state stored,
+        time_point now);
+
+    void receive_propose(instance_id from, const wire::propose_msg& message);
+    void receive_read(instance_id from, const wire::read_request_msg& message);
+    void append_proposal(instance_id from, const wire::propose_msg& message);
+    std::vector<std::uint8_t> stamp(const wire::propose_msg& message) const;
+    void
+    reply(instance_id to, std::uint64_t proposal, const apply_result& result);
+    void reply_not_leader(instance_id to, std::uint64_t proposal);
+    void finish_answer(const waiting_answer& waiting, bool confirmed);
+
+    absl::Status advance();
+    void apply(const wire::log_entry_msg& entry);
+    void maybe_compact();
+    void drive_voters();
+    std::optional<voter_list> next_voters() const;
+    void end_lost_calls();
+
+    voter_options options_;
+    std::unique_ptr<log_storage> storage_;
+    state_machine state_;
+    raft_node raft_;
+    time_point now_;
+    unix_millis unix_now_ = 0;
+
+    std::function<absl::Status()> acceptance_check_;
+    configuration_version wanted_ticket_ = 0;
+    std::vector<instance_id> wanted_voters_;
+    std::map<instance_id, incarnation_number> oldest_incarnations_;
+
+    // By log index, and the same by sender and proposal.
+    std::map<std::uint64_t, pending_proposal> pending_;
+    std::map<std::pair<instance_id, std::uint64_t>, std::uint64_t>
+        pending_indexes_;
+    std::map<std::uint64_t, waiting_answer> waiting_;
+
+    bool unsynced_ = false;
+    absl::Status storage_status_;
+    absl::Status state_status_;
+    time_point next_storage_attempt_;
+    std::uint64_t reported_tickets_ = 0;
+    std::vector<outgoing_message> outgoing_;
+};
+
+} // namespace hickorygap
+
+#endif
