Add the peer network, SWIM membership and the spread of versions

A first version on which the control node can be composed: authenticated frames between instances over non-blocking POCO sockets, SWIM membership with evidence ages in acknowledgements, and version_sync with a checksummed file.

--- /dev/null
+++ b/src/connection/framing/frame_codec.hpp
@@ -0,0 +1,103 @@
+#ifndef HICKORYGAP_CONNECTION_FRAMING_FRAME_CODEC_HPP
+#define HICKORYGAP_CONNECTION_FRAMING_FRAME_CODEC_HPP
+
+#include "common/ids.hpp"
+
+#include <absl/status/statusor.h>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace hickorygap
+{
+
+// Largest envelope in one frame, in bytes.
+inline constexpr std::size_t max_frame_payload = 1U << 20U;
+
+// Length field and truncated HMAC in front of each envelope, in bytes.
+inline constexpr std::size_t frame_header_size = 4 + 16;
+
+using connection_nonce = std::array<std::uint8_t, 16>;
+
+// First bytes that each side sends on a connection. They are not
+// authenticated; the frames that follow are, and cover both hellos.
+struct connection_hello
+{
+    instance_id sender = 0;
+    connection_nonce nonce{};
+};
+
+inline constexpr std::size_t hello_size = 4 + 4 + 16;
+
+// Random nonce from the operating system's generator.
+connection_nonce make_nonce();
+
+std::array<std::uint8_t, hello_size>
+encode_hello(const connection_hello& hello);
+
+// Errors: invalid_request when the bytes are no hello of this protocol.
+absl::StatusOr<connection_hello>
+decode_hello(std::span<const std::uint8_t, hello_size> data);
+
+// Authenticates the frames of one direction of one connection. The key is
+// derived from the fleet key, both ids and both nonces, and each MAC covers a
+// sequence number. A frame that was recorded on another connection, in the
+// other direction or earlier on the same connection therefore fails.
+class frame_authenticator
+{
+public:
+    using mac = std::array<std::uint8_t, 16>;
+    using session_key = std::array<std::uint8_t, 32>;
+
+    frame_authenticator(
+        std::string_view fleet_key, const connection_hello& sender,
+        const connection_hello& receiver);
+
+    // MAC of the next frame; advances the sequence number.
+    mac next(std::span<const std::uint8_t> payload);
+
+    // Number of frames so far.
+    std::uint64_t sequence() const
+    {
+        return sequence_;
+    }
+
+private:
+    session_key key_{};
+    std::uint64_t sequence_ = 0;
+    std::vector<std::uint8_t> scratch_;
+};
+
+// Appends the frame of an envelope to a buffer.
+void append_frame(
+    frame_authenticator& authenticator, std::span<const std::uint8_t> payload,
+    std::vector<std::uint8_t>& output);
+
+// Splits a byte stream into authenticated envelopes.
+class frame_reader
+{
+public:
+    explicit frame_reader(frame_authenticator authenticator);
+
+    // Takes bytes that arrived in any division.
+    void add(std::span<const std::uint8_t> data);
+
+    // The next envelope, or nothing until more bytes arrive. The span is valid
+    // until the next call of a member function. Errors: payload_too_large,
+    // unauthorized; the connection must be closed then.
+    absl::StatusOr<std::optional<std::span<const std::uint8_t>>> next();
+
+private:
+    frame_authenticator authenticator_;
+    std::vector<std::uint8_t> buffer_;
+    std::size_t consumed_ = 0;
+};
+
+} // namespace hickorygap
+
+#endif
