Add tickets, configuration builder, settings, operators' interface and commands

The control thread and the traffic threads need the configuration, and the lead composes against operator_client.

--- /dev/null
+++ b/src/common/address.cpp
@@ -0,0 +1,58 @@
+#include "common/address.hpp"
+
+#include "common/error.hpp"
+
+#include <absl/strings/numbers.h>
+#include <arpa/inet.h>
+#include <fmt/format.h>
+
+namespace hickorygap
+{
+
+bool is_ip_number(std::string_view text)
+{
+    const std::string terminated{text};
+    in6_addr buffer{};
+    return inet_pton(AF_INET, terminated.c_str(), &buffer) == 1 ||
+           inet_pton(AF_INET6, terminated.c_str(), &buffer) == 1;
+}
+
+absl::StatusOr<numeric_address> parse_address(std::string_view text)
+{
+    constexpr std::uint32_t highest_port = 65535;
+    const std::size_t colon = text.rfind(':');
+    std::string_view host = text.substr(0, colon);
+    const bool bracketed = host.size() > 2 && host.front() == '[';
+    if (bracketed && host.back() == ']')
+    {
+        host = host.substr(1, host.size() - 2);
+    }
+    const std::string_view port_text =
+        colon == std::string_view::npos ? "" : text.substr(colon + 1);
+    std::uint32_t port = 0;
+    // An IPv6 number needs its brackets; otherwise its last group would be
+    // taken for the port.
+    if (!is_ip_number(host) ||
+        (host.find(':') != std::string_view::npos) != bracketed ||
+        !absl::SimpleAtoi(
+            absl::string_view{port_text.data(), port_text.size()}, &port) ||
+        port == 0 || port > highest_port)
+    {
+        return make_error(
+            error_kind::invalid_request,
+            fmt::format(
+                "must be an IP number and a port from 1 to 65535, such as "
+                "127.0.0.1:9001 or [::1]:9001; it is \"{}\"",
+                text));
+    }
+    return numeric_address{std::string{host}, static_cast<std::uint16_t>(port)};
+}
+
+std::string format_address(std::string_view host, std::uint16_t port)
+{
+    return host.find(':') == std::string_view::npos
+               ? fmt::format("{}:{}", host, port)
+               : fmt::format("[{}]:{}", host, port);
+}
+
+} // namespace hickorygap
--- a/src/common/hashing.cpp
+++ b/src/common/hashing.cpp
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <charconv>
 
 namespace hickorygap
 {
@@ -70,4 +71,25 @@
     return fmt::format("{:02x}", fmt::join(data, ""));
 }
 
+std::optional<digest> parse_digest(std::string_view text)
+{
+    constexpr int hexadecimal = 16;
+    digest result{};
+    if (text.size() != result.size() * 2)
+    {
+        return std::nullopt;
+    }
+    for (std::size_t i = 0; i < result.size(); ++i)
+    {
+        const char* first = text.data() + 2 * i;
+        const auto [end, error] =
+            std::from_chars(first, first + 2, result.at(i), hexadecimal);
+        if (error != std::errc{} || end != first + 2)
+        {
+            return std::nullopt;
+        }
+    }
+    return result;
+}
+
 } // namespace hickorygap
--- a/src/common/hashing.hpp
+++ b/src/common/hashing.hpp
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -35,6 +36,9 @@
 // Lower-case hexadecimal form.
 std::string to_hex(std::span<const std::uint8_t> data);
 
+// Digest from its hexadecimal form of 64 digits; nothing for other text.
+std::optional<digest> parse_digest(std::string_view text);
+
 } // namespace hickorygap
 
 #endif
--- /dev/null
+++ b/src/connection/http/operator_json.hpp
@@ -0,0 +1,30 @@
+#ifndef HICKORYGAP_CONNECTION_HTTP_OPERATOR_JSON_HPP
+#define HICKORYGAP_CONNECTION_HTTP_OPERATOR_JSON_HPP
+
+#include "connection/http/operator_client.hpp"
+
+#include <span>
+#include <string>
+
+namespace hickorygap
+{
+
+// JSON bodies of the operators' interface. Identifiers of 64 bits are
+// hexadecimal strings, because JSON readers often keep only 53 bits.
+std::string to_json(const ticket_receipt& receipt);
+std::string to_json(std::span<const ticket_record> tickets);
+std::string to_json(const ticket_record& record);
+std::string to_json(const in_force_report& report);
+std::string to_json(const instance_status& status);
+std::string to_json(const decision_list& list);
+
+// Body of an error: {"error": {"kind", "message"}} with "next_free_number"
+// for conflicts and, when `filing`, the "outcome" of the ticket.
+std::string error_json(const absl::Status& status, bool filing);
+
+// HTTP status for an error of the operators' interface.
+int http_status_of(const absl::Status& status);
+
+} // namespace hickorygap
+
+#endif
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,6 @@
-int main()
+#include "process/commands/command_line.hpp"
+
+int main(int argc, char** argv)
 {
-    return 0;
+    return hickorygap::run_command_line(argc, argv);
 }
--- /dev/null
+++ b/src/process/commands/settings_command.hpp
@@ -0,0 +1,15 @@
+#ifndef HICKORYGAP_PROCESS_COMMANDS_SETTINGS_COMMAND_HPP
+#define HICKORYGAP_PROCESS_COMMANDS_SETTINGS_COMMAND_HPP
+
+#include "process/commands/command_line.hpp"
+
+namespace hickorygap
+{
+
+// check-settings F: checks a settings file and prints all effective values.
+exit_code
+check_settings(const command_options& options, command_streams streams);
+
+} // namespace hickorygap
+
+#endif
--- /dev/null
+++ b/src/process/commands/text_table.hpp
@@ -0,0 +1,29 @@
+#ifndef HICKORYGAP_PROCESS_COMMANDS_TEXT_TABLE_HPP
+#define HICKORYGAP_PROCESS_COMMANDS_TEXT_TABLE_HPP
+
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+namespace hickorygap
+{
+
+// Table for people with aligned columns. Columns whose cells are all numbers
+// are aligned to the right.
+class text_table
+{
+public:
+    explicit text_table(std::vector<std::string> header);
+
+    // Missing cells are empty.
+    void add(std::vector<std::string> row);
+
+    void print(std::ostream& out) const;
+
+private:
+    std::vector<std::vector<std::string>> rows_;
+};
+
+} // namespace hickorygap
+
+#endif
--- /dev/null
+++ b/src/version/configuration/ticket_chain.cpp
@@ -0,0 +1,56 @@
+#include "version/configuration/ticket_chain.hpp"
+
+#include "common/error.hpp"
+
+#include <absl/strings/cord.h>
+#include <absl/strings/numbers.h>
+#include <fmt/format.h>
+
+namespace hickorygap
+{
+
+namespace
+{
+
+constexpr absl::string_view next_free_payload_url =
+    "hickorygap/next_free_number";
+
+} // namespace
+
+digest ticket_chain(
+    const digest& previous, const ticket_document& document,
+    unix_millis accepted)
+{
+    const std::string link =
+        fmt::format("{} {} {}", document.number, accepted, document.text);
+    const std::vector<std::uint8_t> bytes{link.begin(), link.end()};
+    return chain_digest(previous, bytes);
+}
+
+absl::Status make_ticket_conflict(
+    configuration_version number, configuration_version next_free)
+{
+    absl::Status status = make_error(
+        error_kind::ticket_conflict,
+        fmt::format(
+            "another ticket was accepted as number {} first; read it with "
+            "hickorygap ticket show {}, then file yours as number {}",
+            number, number, next_free));
+    status.SetPayload(
+        next_free_payload_url, absl::Cord{std::to_string(next_free)});
+    return status;
+}
+
+std::optional<configuration_version>
+next_free_number_of(const absl::Status& status)
+{
+    const auto payload = status.GetPayload(next_free_payload_url);
+    configuration_version result = 0;
+    if (!payload || !absl::SimpleAtoi(std::string{*payload}, &result))
+    {
+        return std::nullopt;
+    }
+    return result;
+}
+
+} // namespace hickorygap
--- /dev/null
+++ b/src/version/configuration/ticket_chain.hpp
@@ -0,0 +1,40 @@
+#ifndef HICKORYGAP_VERSION_CONFIGURATION_TICKET_CHAIN_HPP
+#define HICKORYGAP_VERSION_CONFIGURATION_TICKET_CHAIN_HPP
+
+#include "version/configuration/ticket.hpp"
+
+#include <absl/status/status.h>
+
+#include <optional>
+
+namespace hickorygap
+{
+
+// An accepted ticket as operators read it back.
+struct ticket_record
+{
+    ticket_document document;
+    unix_millis accepted = 0;
+
+    // Link of the hash chain over all tickets up to this one.
+    digest chain{};
+};
+
+// Link of the chain after a ticket: SHA-256 over the previous link and
+// "<number> <accepted ms> <canonical text>". The chain starts with zeros.
+digest ticket_chain(
+    const digest& previous, const ticket_document& document,
+    unix_millis accepted);
+
+// Error of kind ticket_conflict: another ticket was accepted under the
+// number first. Carries the next free number.
+absl::Status make_ticket_conflict(
+    configuration_version number, configuration_version next_free);
+
+// The next free number that an error carries.
+std::optional<configuration_version>
+next_free_number_of(const absl::Status& status);
+
+} // namespace hickorygap
+
+#endif
--- /dev/null
+++ b/tests/version/configuration/configuration_builder_test.cpp
@@ -0,0 +1,258 @@
+#include "common/error.hpp"
+#include "version/configuration/configuration_builder.hpp"
+#include "version/configuration/ticket_chain.hpp"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+#include <rapidcheck/catch.h>
+
+#include <string>
+#include <tuple>
+#include <vector>
+
+using namespace hickorygap;
+
+namespace
+{
+
+std::string key_of(int number)
+{
+    return to_hex(sha256(fmt::format("key {}", number)));
+}
+
+ticket parsed(const std::string& text)
+{
+    const auto result = parse_ticket(text);
+    INFO(text);
+    INFO(std::string{result.status().message()});
+    REQUIRE(result.ok());
+    return *result;
+}
+
+// A service with two engines and an organisation.
+configuration_ptr base_configuration()
+{
+    const auto built = configuration_builder{}
+                           .apply(
+                               parsed(fmt::format(
+                                   R"({{"ticket": 1, "voters": [1, 2, 3],
+        "services": {{"s": {{"kind": "engine", "model": "m"}},
+            "p": {{"kind": "plain", "path": "/p"}}}},
+        "backend_servers": {{
+            "e1": {{"address": "127.0.0.1:1", "service": "s",
+                "failure_domain": "a"}},
+            "e2": {{"address": "127.0.0.1:2", "service": "s",
+                "failure_domain": "b"}}}},
+        "organisations": {{"o1": {{"api_key_digests": ["{}"]}}}}}})",
+                                   key_of(1))),
+                               1000)
+                           .build();
+    REQUIRE(built.ok());
+    return *built;
+}
+
+// Text that is equal for equal configurations.
+std::string describe(const configuration& value)
+{
+    std::string result = fmt::format(
+        "{} {} {};", value.version(), value.accepted(),
+        fmt::join(value.voters(), ","));
+    for (const auto& [id, entry] : value.services())
+    {
+        result += fmt::format("{}={},{};", id, entry.name, entry.load_bound);
+    }
+    for (const auto& [id, entry] : value.backend_servers())
+    {
+        result += fmt::format(
+            "{}={},{},{},{};", id, entry.name, entry.port, entry.service,
+            entry.slots);
+    }
+    for (const auto& [id, entry] : value.organisations())
+    {
+        result += fmt::format("{}={},{}", id, entry.name, entry.weight);
+        for (const digest& key : entry.api_key_digests)
+        {
+            result += to_hex(key);
+            const organisation* owner = value.find_organisation_by_key(key);
+            result += owner == nullptr ? "?" : owner->name;
+        }
+    }
+    for (const cell& entry : value.cells())
+    {
+        result += fmt::format(
+            "{}:{};", entry.id, fmt::join(entry.backend_servers, ","));
+    }
+    return result;
+}
+
+// A random ticket over few names, so that tickets often meet.
+std::string random_ticket(configuration_version number)
+{
+    const auto name = [](const char* prefix)
+    { return fmt::format("{}{}", prefix, *rc::gen::inRange(0, 4)); };
+    std::string text = fmt::format(R"({{"ticket": {})", number);
+    if (*rc::gen::arbitrary<bool>())
+    {
+        text += fmt::format(
+            R"(, "services": {{"{}": {}}})", name("s"),
+            *rc::gen::inRange(0, 3) == 0
+                ? "null"
+                : fmt::format(
+                      R"({{"kind": "plain", "path": "/", "load_bound": {}}})",
+                      *rc::gen::inRange(1, 4)));
+    }
+    if (*rc::gen::arbitrary<bool>())
+    {
+        text += fmt::format(
+            R"(, "backend_servers": {{"{}": {}}})", name("e"),
+            *rc::gen::inRange(0, 3) == 0
+                ? "null"
+                : fmt::format(
+                      R"({{"address": "127.0.0.1:{}", "service": "{}",
+                          "failure_domain": "d"}})",
+                      *rc::gen::inRange(1, 5), name("s")));
+    }
+    if (*rc::gen::arbitrary<bool>())
+    {
+        text += fmt::format(
+            R"(, "organisations": {{"{}": {}}})", name("o"),
+            *rc::gen::inRange(0, 3) == 0
+                ? "null"
+                : fmt::format(
+                      R"({{"api_key_digests": ["{}"], "weight": {}}})",
+                      key_of(*rc::gen::inRange(0, 4)),
+                      *rc::gen::inRange(1, 4)));
+    }
+    if (*rc::gen::inRange(0, 4) == 0)
+    {
+        text += fmt::format(R"(, "voters": [1, {}])", *rc::gen::inRange(2, 5));
+    }
+    return text + "}";
+}
+
+} // namespace
+
+// Guards against lookups that find another object or none.
+TEST_CASE("a built configuration answers its lookups")
+{
+    const configuration_ptr base = base_configuration();
+    CHECK(base->version() == 1);
+    CHECK(base->accepted() == 1000);
+    CHECK(base->find_service(hash_name("s"))->name == "s");
+    CHECK(base->find_service(hash_name("x")) == nullptr);
+    CHECK(base->find_service_by_model("m")->name == "s");
+    CHECK(base->find_service_by_model("p") == nullptr);
+    CHECK(base->find_backend_server(hash_name("e2"))->port == 2);
+    CHECK(base->find_organisation(hash_name("o1"))->name == "o1");
+    CHECK(
+        base->find_organisation_by_key(sha256(std::string_view{"key 1"}))
+            ->name == "o1");
+    CHECK(
+        base->find_organisation_by_key(sha256(std::string_view{"key 2"})) ==
+        nullptr);
+    REQUIRE_FALSE(base->cells().empty());
+    const cell& first = base->cells().front();
+    CHECK(base->find_cell(first.id) == &first);
+    CHECK(base->cells_for(hash_name("s"), 77).size() == 1);
+    CHECK(base->cells_for(hash_name("p"), 77).empty());
+}
+
+// Guards against an invalid document that is accepted in part.
+TEST_CASE("documents that are invalid as a whole are refused")
+{
+    const auto [text, expected] = GENERATE(table<std::string, std::string>(
+        {{R"("ticket": 1)", "higher number"},
+         {R"("ticket": 2, "services": {"s": null})", "e1 refers to"},
+         {R"("ticket": 2, "services": {"x": null})", "does not exist"},
+         {R"("ticket": 2, "backend_servers": {"e3": {
+             "address": "127.0.0.1:3", "service": "x",
+             "failure_domain": "a"}})",
+          "e3.service is x"},
+         {R"("ticket": 2, "backend_servers": {"e3": {
+             "address": "127.0.0.1:2", "service": "s",
+             "failure_domain": "a"}})",
+          "same address 127.0.0.1:2"},
+         {fmt::format(
+              R"("ticket": 2, "organisations": {{"o2": {{
+                  "api_key_digests": ["{}"]}}}})",
+              key_of(1)),
+          "same API key"},
+         {R"("ticket": 2, "voters": [1, 4, 5])", "at most one"},
+         {R"("ticket": 2, "voters": [1, 2, 4])", "at most one"}}));
+    CAPTURE(text);
+    const configuration_ptr base = base_configuration();
+    const std::string before = describe(*base);
+    const auto checked = ticket_check("{" + text + "}", base, 2000);
+    REQUIRE_FALSE(checked.ok());
+    CHECK(kind_of(checked.status()) == error_kind::ticket_invalid);
+    CHECK_THAT(
+        std::string{checked.status().message()}, Catch::Contains(expected));
+    CHECK(describe(*base) == before);
+}
+
+// Guards against rules that refuse what operators need to do.
+TEST_CASE("valid changes are accepted")
+{
+    const std::string text = GENERATE(
+        R"("services": {"s": null},
+           "backend_servers": {"e1": null, "e2": null})",
+        R"("backend_servers": {"e3": {"address": "127.0.0.1:2",
+            "service": "p", "failure_domain": "a"}})",
+        R"("backend_servers": {"e1": null, "e4": {"address": "127.0.0.1:1",
+            "service": "s", "failure_domain": "a"}})",
+        R"("voters": [1, 2])", R"("voters": [1, 2, 3, 4])",
+        R"("comment": "no change")");
+    CAPTURE(text);
+    const auto checked = ticket_check(
+        R"({"ticket": 2, )" + text + "}", base_configuration(), 2000);
+    INFO(std::string{checked.status().message()});
+    REQUIRE(checked.ok());
+    CHECK(checked->result->version() == 2);
+    CHECK(checked->result->accepted() == 2000);
+}
+
+// Guards against a restarted instance that computes another configuration
+// than one that has applied the same tickets as they came.
+TEST_CASE("applying tickets one by one equals a replay")
+{
+    rc::prop(
+        "both ways of applying accepted tickets agree",
+        []()
+        {
+            const auto attempts = *rc::gen::inRange(1, 30);
+            configuration_ptr current;
+            std::vector<std::pair<ticket, unix_millis>> accepted;
+            for (int i = 0; i < attempts; ++i)
+            {
+                const auto number = static_cast<configuration_version>(i) + 1;
+                const auto checked =
+                    ticket_check(random_ticket(number), current, number * 10);
+                if (checked.ok())
+                {
+                    current = checked->result;
+                    accepted.emplace_back(checked->change, number * 10);
+                }
+            }
+            RC_PRE(!accepted.empty());
+            configuration_builder replay;
+            for (const auto& [change, time] : accepted)
+            {
+                const auto stored = parse_ticket(change.document.text);
+                RC_ASSERT(stored.ok());
+                replay.apply(*stored, time);
+            }
+            const auto replayed = replay.build();
+            RC_ASSERT(replayed.ok());
+            RC_ASSERT(describe(**replayed) == describe(*current));
+        });
+}
+
+// Guards against a conflict that loses its number on the way to operators.
+TEST_CASE("a conflict carries the next free number")
+{
+    const absl::Status status = make_ticket_conflict(4, 9);
+    CHECK(kind_of(status) == error_kind::ticket_conflict);
+    CHECK(next_free_number_of(status) == 9U);
+    CHECK_FALSE(next_free_number_of(make_error(error_kind::no_quorum, "x"))
+                    .has_value());
+}
