Run an instance: control thread, HTTP servers, monitor and shutdown

First whole path as separate processes: make demo passes on a loaded machine with 6 instances, 2 engines and 1 booking service. One definition of the ticket chain replaces three that voters, version spread and operators each had.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -204,7 +204,14 @@
 ((runs == 1)) || fail "the booking ran $runs times"
 
 echo "== in force"
-operator in-force
+for _ in $(seq 60); do
+    if operator in-force --json | grep -q '"fleet_since"'; then
+        break
+    fi
+    sleep 0.25
+done
+operator in-force | tee "$data/in-force"
+grep -q 'not yet' "$data/in-force" && fail "ticket 1 is not in force everywhere"
 
 echo "== graceful shutdown"
 for index in "${!pids[@]}"; do
--- a/src/connection/http/call_relay.cpp
+++ b/src/connection/http/call_relay.cpp
@@ -24,6 +24,7 @@
     call.organisation = request.caller->id;
     call.service = request.target->id;
     call.key = request.idempotency_key;
+    call.request = request.id;
     call.request_digest = sha256(
         fmt::format("{}\n{}\n{}", request.method, request.path, request.body));
     return call;
--- a/src/connection/http/operator_client.hpp
+++ b/src/connection/http/operator_client.hpp
@@ -74,6 +74,10 @@
     // Moment from which every live instance had the version; absent while
     // one still lacks it.
     std::optional<unix_millis> fleet_since;
+
+    // Whether a quorum of voters confirmed that no later version has been
+    // accepted; otherwise the report may be out of date.
+    bool quorum_confirmed = false;
     std::vector<instance_in_force> instances;
     std::vector<backend_server_in_force> backend_servers;
 };
@@ -124,10 +128,10 @@
     file_ticket(std::string_view text) = 0;
 
     // All accepted tickets in order of their numbers.
-    virtual absl::StatusOr<std::vector<ticket_record>> tickets() = 0;
+    virtual absl::StatusOr<std::vector<accepted_ticket>> tickets() = 0;
 
     // One accepted ticket; nothing when none has the number.
-    virtual absl::StatusOr<std::optional<ticket_record>>
+    virtual absl::StatusOr<std::optional<accepted_ticket>>
     ticket(configuration_version number) = 0;
 
     virtual absl::StatusOr<in_force_report> in_force() = 0;
--- a/src/connection/http/operator_handler.cpp
+++ b/src/connection/http/operator_handler.cpp
@@ -332,7 +332,7 @@
 operator_handler::answer operator_handler::list_tickets()
 {
     const auto [status, body] = report_answer(
-        client_.tickets(), [](const std::vector<ticket_record>& tickets)
+        client_.tickets(), [](const std::vector<accepted_ticket>& tickets)
         { return to_json(std::span{tickets}); });
     return {status, body};
 }
@@ -356,7 +356,7 @@
                 tickets_path))};
     }
     const auto [status, body] = report_answer(
-        record, [](const std::optional<ticket_record>& found)
+        record, [](const std::optional<accepted_ticket>& found)
         { return to_json(*found); });
     return {status, body};
 }
--- a/src/connection/http/operator_json.cpp
+++ b/src/connection/http/operator_json.cpp
@@ -66,7 +66,7 @@
     object.set(key, format_utc(time));
 }
 
-Object::Ptr object_of(const ticket_record& record)
+Object::Ptr object_of(const accepted_ticket& record)
 {
     Object::Ptr object = make_object();
     object->set("ticket", record.document.number);
@@ -175,7 +175,7 @@
     return text_of(object);
 }
 
-std::string to_json(std::span<const ticket_record> tickets)
+std::string to_json(std::span<const accepted_ticket> tickets)
 {
     Object::Ptr object = make_object();
     object->set(
@@ -185,7 +185,7 @@
     return text_of(object);
 }
 
-std::string to_json(const ticket_record& record)
+std::string to_json(const accepted_ticket& record)
 {
     Object::Ptr object = object_of(record);
     try
--- a/src/connection/http/operator_json.hpp
+++ b/src/connection/http/operator_json.hpp
@@ -12,8 +12,8 @@
 // JSON bodies of the operators' interface. Identifiers of 64 bits are
 // hexadecimal strings, because JSON readers often keep only 53 bits.
 std::string to_json(const ticket_receipt& receipt);
-std::string to_json(std::span<const ticket_record> tickets);
-std::string to_json(const ticket_record& record);
+std::string to_json(std::span<const accepted_ticket> tickets);
+std::string to_json(const accepted_ticket& record);
 std::string to_json(const in_force_report& report);
 std::string to_json(const instance_status& status);
 std::string to_json(const decision_list& list);
--- a/src/process/commands/operator_commands.cpp
+++ b/src/process/commands/operator_commands.cpp
@@ -308,7 +308,7 @@
 }
 
 // Reads one accepted ticket with its document.
-absl::StatusOr<ticket_record>
+absl::StatusOr<accepted_ticket>
 fetch_ticket(operator_session& session, const std::string& number)
 {
     const auto answer = session.get("/operator/tickets/" + number);
@@ -317,7 +317,7 @@
         return answer.status();
     }
     const Object& json = *answer->json;
-    ticket_record record;
+    accepted_ticket record;
     if (answer->http_status != Poco::Net::HTTPResponse::HTTP_OK ||
         !json.has("document_text"))
     {
@@ -341,7 +341,8 @@
     return record;
 }
 
-absl::Status verify_record(const ticket_record& record, const digest& previous)
+absl::Status
+verify_record(const accepted_ticket& record, const digest& previous)
 {
     const auto parsed = parse_ticket(record.document.text);
     if (!parsed.ok() ||
--- a/src/process/control/control_node.cpp
+++ b/src/process/control/control_node.cpp
@@ -1,6 +1,7 @@
 #include "process/control/control_node.hpp"
 
 #include "common/logging.hpp"
+#include "common/status_text.hpp"
 #include "process/consensus/file_log_storage.hpp"
 #include "process/control/document_validator.hpp"
 
@@ -63,14 +64,13 @@
     return result;
 }
 
-version_document
-make_version_document(const ticket_record& record, const digest& previous)
+version_document make_version_document(const ticket_record& record)
 {
     version_document result;
     result.version = record.number;
     result.document = record.document;
     result.accepted = record.accepted;
-    result.chain = chain_digest(previous, record.document);
+    result.chain = record.chain;
     return result;
 }
 
@@ -231,13 +231,12 @@
         {
             continue;
         }
-        const absl::Status added =
-            versions_.add(make_version_document(record, versions_.chain()));
+        const absl::Status added = versions_.add(make_version_document(record));
         if (!added.ok())
         {
             log(log_level::error, subsystem::configuration,
                 "ticket_rejected number={} reason=\"{}\"", record.number,
-                added.message());
+                message_of(added));
         }
     }
 }
@@ -256,7 +255,7 @@
         if (!written.ok())
         {
             log(log_level::error, subsystem::storage,
-                "version_not_stored reason=\"{}\"", written.message());
+                "version_not_stored reason=\"{}\"", message_of(written));
             return absl::OkStatus();
         }
     }
@@ -270,7 +269,7 @@
             fmt::format(
                 "an accepted ticket can't be applied: {}; run the same "
                 "release on all instances",
-                applied.message()));
+                message_of(applied)));
     }
     on_new_configuration(now);
     return absl::OkStatus();
@@ -429,7 +428,7 @@
     if (voter_ != nullptr && !voter_->status().storage.ok())
     {
         result.push_back(
-            fmt::format("storage: {}", voter_->status().storage.message()));
+            fmt::format("storage: {}", message_of(voter_->status().storage)));
     }
     return result;
 }
--- a/src/process/control/control_thread.cpp
+++ b/src/process/control/control_thread.cpp
@@ -1,6 +1,7 @@
 #include "process/control/control_thread.hpp"
 
 #include "common/logging.hpp"
+#include "common/status_text.hpp"
 
 namespace hickorygap
 {
@@ -140,7 +141,7 @@
     if (!status.ok())
     {
         log(log_level::error, subsystem::process, "stopped reason=\"{}\"",
-            status.message());
+            message_of(status));
         failed_ = true;
         return;
     }
@@ -177,7 +178,8 @@
         if (!status.ok())
         {
             log(log_level::warning, subsystem::network,
-                "bad_address instance={} reason=\"{}\"", id, status.message());
+                "bad_address instance={} reason=\"{}\"", id,
+                message_of(status));
         }
     }
     for (const outgoing_message& message : node_->take_outgoing())
--- a/src/process/control/control_thread.hpp
+++ b/src/process/control/control_thread.hpp
@@ -77,7 +77,7 @@
     }
 
     // Only on the control thread.
-    const peer_network& network() const
+    peer_network& network()
     {
         return *network_;
     }
--- a/src/process/control/in_force_view.cpp
+++ b/src/process/control/in_force_view.cpp
@@ -1,5 +1,7 @@
 #include "process/control/in_force_view.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
 namespace hickorygap
--- /dev/null
+++ b/src/process/control/thread_operator_client.cpp
@@ -0,0 +1,227 @@
+#include "process/control/thread_operator_client.hpp"
+
+#include "process/control/in_force_view.hpp"
+
+#include <fmt/format.h>
+
+#include <span>
+
+namespace hickorygap
+{
+
+namespace
+{
+
+// Time for a ticket to be accepted. An election takes up to two seconds, and
+// an operator who hears nothing files the same ticket again.
+constexpr duration filing_timeout = std::chrono::seconds{8};
+
+// Time for a quorum to confirm a read.
+constexpr duration read_timeout = std::chrono::seconds{3};
+
+std::vector<std::uint8_t> encode_ticket(const ticket& change)
+{
+    wire::ticket_entry_msg entry;
+    entry.number = change.document.number;
+    entry.document.assign(
+        change.document.text.begin(), change.document.text.end());
+    entry.digest.assign(
+        change.document.content_digest.begin(),
+        change.document.content_digest.end());
+    return encode_table<wire::ticket_entry>(entry);
+}
+
+absl::StatusOr<ticket_receipt>
+make_receipt(const ticket& change, const proposal_result& result)
+{
+    ticket_receipt receipt;
+    switch (result.status)
+    {
+    case wire::proposal_status::accepted:
+    case wire::proposal_status::duplicate:
+        receipt.number = result.version;
+        receipt.accepted = result.accepted;
+        receipt.content_digest = change.document.content_digest;
+        receipt.duplicate = result.status == wire::proposal_status::duplicate;
+        return receipt;
+    case wire::proposal_status::conflict:
+        return make_ticket_conflict(change.document.number, result.version + 1);
+    case wire::proposal_status::invalid:
+        return make_error(error_kind::ticket_invalid, result.detail);
+    case wire::proposal_status::no_quorum:
+        break;
+    default:
+        return make_error(error_kind::no_quorum, result.detail);
+    }
+    if (result.is_final)
+    {
+        return make_error(
+            error_kind::no_quorum,
+            "no leader of the voters can be reached, so the ticket was not "
+            "accepted; file it again when a majority of the voters is up");
+    }
+    return make_error(
+        error_kind::outcome_unknown,
+        "no answer came from the voters in time; file the same ticket again, "
+        "it takes effect at most once");
+}
+
+std::string_view text_of(const version_document& document)
+{
+    return {
+        reinterpret_cast<const char*>(document.document.data()),
+        document.document.size()};
+}
+
+accepted_ticket make_accepted(const version_document& document)
+{
+    accepted_ticket result;
+    result.accepted = document.accepted;
+    result.chain = document.chain;
+    const auto parsed = parse_ticket(text_of(document));
+    if (parsed.ok())
+    {
+        result.document = parsed->document;
+    }
+    result.document.number = document.version;
+    result.document.text = text_of(document);
+    return result;
+}
+
+absl::Status stopped()
+{
+    return make_error(
+        error_kind::draining,
+        "this instance is shutting down; ask another one");
+}
+
+template <typename Result>
+absl::StatusOr<Result> or_stopped(std::optional<Result> answer)
+{
+    if (!answer)
+    {
+        return stopped();
+    }
+    return *std::move(answer);
+}
+
+} // namespace
+
+thread_operator_client::thread_operator_client(
+    control_thread& control, std::string name)
+    : control_(control)
+    , name_(std::move(name))
+{
+}
+
+absl::StatusOr<ticket_receipt>
+thread_operator_client::file_ticket(std::string_view text)
+{
+    const auto change = parse_ticket(text);
+    if (!change.ok())
+    {
+        return change.status();
+    }
+    const proposal_result result =
+        control_
+            .propose(
+                wire::entry_kind::ticket, encode_ticket(*change),
+                monotonic_now() + filing_timeout)
+            ->wait();
+    return make_receipt(*change, result);
+}
+
+absl::StatusOr<std::vector<accepted_ticket>> thread_operator_client::tickets()
+{
+    using documents = std::vector<version_document_ptr>;
+    const auto found = control_.ask<documents>(
+        [](control_node& node, const clock_reading&)
+        {
+            documents result;
+            for (configuration_version version = 1;
+                 version <= node.versions().version(); ++version)
+            {
+                result.push_back(node.versions().find(version));
+            }
+            return result;
+        });
+    if (!found)
+    {
+        return stopped();
+    }
+    std::vector<accepted_ticket> result;
+    result.reserve(found->size());
+    for (const version_document_ptr& document : *found)
+    {
+        result.push_back(make_accepted(*document));
+    }
+    return result;
+}
+
+absl::StatusOr<std::optional<accepted_ticket>>
+thread_operator_client::ticket(configuration_version number)
+{
+    const auto found = control_.ask<version_document_ptr>(
+        [number](control_node& node, const clock_reading&)
+        { return node.versions().find(number); });
+    if (!found)
+    {
+        return stopped();
+    }
+    if (*found == nullptr)
+    {
+        return std::optional<accepted_ticket>{};
+    }
+    return std::optional{make_accepted(**found)};
+}
+
+absl::StatusOr<in_force_report> thread_operator_client::in_force()
+{
+    const proposal_result read =
+        control_.read_version(monotonic_now() + read_timeout)->wait();
+    const auto report = control_.ask<in_force_report>(
+        [](control_node& node, const clock_reading& now)
+        { return make_in_force_report(node, now); });
+    if (!report)
+    {
+        return stopped();
+    }
+    in_force_report result = *report;
+    result.quorum_confirmed = read.status == wire::proposal_status::accepted;
+    if (result.quorum_confirmed && read.version > result.version)
+    {
+        // This instance lags: the fleet does not yet have the last version.
+        result.version = read.version;
+        result.fleet_since.reset();
+    }
+    return result;
+}
+
+absl::StatusOr<instance_status> thread_operator_client::status()
+{
+    auto answer = control_.ask<instance_status>(
+        [](control_node& node, const clock_reading& now)
+        { return make_instance_status(node, now); });
+    if (answer)
+    {
+        answer->name = name_;
+    }
+    return or_stopped(std::move(answer));
+}
+
+absl::StatusOr<decision_list>
+thread_operator_client::decisions(const decision_query& query)
+{
+    static_cast<void>(query);
+    return make_error(
+        error_kind::storage_failed,
+        "this instance has no store of decision records; ask an instance "
+        "with a data folder");
+}
+
+absl::StatusOr<burn_report> thread_operator_client::burn()
+{
+    return burn_report{};
+}
+
+} // namespace hickorygap
--- a/src/process/control/thread_operator_client.hpp
+++ b/src/process/control/thread_operator_client.hpp
@@ -14,8 +14,8 @@
     thread_operator_client(control_thread& control, std::string name);
 
     absl::StatusOr<ticket_receipt> file_ticket(std::string_view text) override;
-    absl::StatusOr<std::vector<ticket_record>> tickets() override;
-    absl::StatusOr<std::optional<ticket_record>>
+    absl::StatusOr<std::vector<accepted_ticket>> tickets() override;
+    absl::StatusOr<std::optional<accepted_ticket>>
     ticket(configuration_version number) override;
     absl::StatusOr<in_force_report> in_force() override;
     absl::StatusOr<instance_status> status() override;
--- /dev/null
+++ b/src/process/instance/running_instance.hpp
@@ -0,0 +1,76 @@
+#ifndef HICKORYGAP_PROCESS_INSTANCE_RUNNING_INSTANCE_HPP
+#define HICKORYGAP_PROCESS_INSTANCE_RUNNING_INSTANCE_HPP
+
+#include "connection/http/backend_monitor.hpp"
+#include "connection/http/caller_handler.hpp"
+#include "connection/http/http_server.hpp"
+#include "connection/http/operator_handler.hpp"
+#include "connection/http/request_relay.hpp"
+#include "process/control/control_thread.hpp"
+#include "process/control/thread_control_client.hpp"
+#include "process/control/thread_operator_client.hpp"
+#include "process/settings/settings.hpp"
+
+#include <memory>
+
+namespace hickorygap
+{
+
+// One instance of the fleet: control thread, callers' and operators' servers
+// and the monitor of backend servers, wired together from the settings.
+class running_instance
+{
+public:
+    // Reads the data folder and starts everything. Errors: settings_invalid,
+    // storage_damaged, storage_failed, unreachable (a port is in use).
+    static absl::StatusOr<std::unique_ptr<running_instance>>
+    start(const settings& effective);
+
+    ~running_instance();
+    running_instance(const running_instance&) = delete;
+    running_instance& operator=(const running_instance&) = delete;
+
+    // True when the control thread ended by itself.
+    bool failed() const
+    {
+        return control_->failed();
+    }
+
+    // Graceful shutdown: fails the readiness check, waits until the load
+    // balancer has noticed, ends the requests in flight and leaves the fleet.
+    // False when requests were still running at the drain limit.
+    bool shut_down();
+
+private:
+    explicit running_instance(const settings& effective);
+
+    absl::Status open();
+    absl::Status start_servers();
+    void follow_control(control_node& node, const clock_reading& now);
+    void update_monitored(const control_node& node);
+    void read_blocked_peers();
+    void on_monitor_result(const monitor_result& result);
+
+    settings settings_;
+    incarnation_number incarnation_;
+    shared_blame_tracker blame_;
+    relay_counters counters_;
+    std::unique_ptr<control_thread> control_;
+    std::unique_ptr<thread_control_client> control_client_;
+    std::unique_ptr<thread_operator_client> operator_client_;
+    std::unique_ptr<request_relay> relay_;
+    std::unique_ptr<caller_handler> caller_handler_;
+    std::unique_ptr<operator_handler> operator_handler_;
+    std::unique_ptr<http_server> caller_server_;
+    std::unique_ptr<http_server> operator_server_;
+    std::unique_ptr<backend_monitor> monitor_;
+
+    // Used by the control thread only.
+    time_point next_follow_;
+    std::vector<backend_server_id> monitored_;
+    configuration_version monitored_version_ = 0;
+};
+
+} // namespace hickorygap
+
+#endif
--- a/src/process/membership/version_document.hpp
+++ b/src/process/membership/version_document.hpp
@@ -19,7 +19,7 @@
     std::vector<std::uint8_t> document;
     unix_millis accepted = 0;
 
-    // chain_digest of the previous version's chain and the document; the
+    // ticket_chain after this document; the
     // chain of version 0 is all zeros.
     digest chain{};
 };
--- a/src/process/membership/version_sync.cpp
+++ b/src/process/membership/version_sync.cpp
@@ -2,6 +2,7 @@
 
 #include "common/error.hpp"
 #include "common/logging.hpp"
+#include "version/configuration/ticket_chain.hpp"
 
 #include <algorithm>
 
@@ -49,7 +50,9 @@
 bool version_sync::append_verified(version_document document)
 {
     if (document.version != version() + 1 ||
-        document.chain != chain_digest(chain(), document.document))
+        document.chain != ticket_chain(
+                              chain(), document.version, document.accepted,
+                              document.document))
     {
         return false;
     }
--- a/src/process/replicated_state/ticket_record.cpp
+++ b/src/process/replicated_state/ticket_record.cpp
@@ -1,6 +1,7 @@
 #include "process/replicated_state/ticket_record.hpp"
 
 #include "common/error.hpp"
+#include "version/configuration/ticket_chain.hpp"
 
 #include <fmt/format.h>
 
@@ -13,15 +14,6 @@
 namespace
 {
 
-void append_number(std::vector<std::uint8_t>& bytes, std::uint64_t number)
-{
-    constexpr unsigned bits_per_byte = 8;
-    for (unsigned shift = 0; shift < 64; shift += bits_per_byte)
-    {
-        bytes.push_back(static_cast<std::uint8_t>(number >> shift));
-    }
-}
-
 absl::Status chain_broken(configuration_version number, std::string_view what)
 {
     return make_error(
@@ -36,12 +28,8 @@
 
 digest ticket_chain(const digest& previous, const ticket_record& record)
 {
-    std::vector<std::uint8_t> bytes;
-    append_number(bytes, record.number);
-    append_number(bytes, record.accepted);
-    std::ranges::copy(record.canonical_digest, std::back_inserter(bytes));
-    std::ranges::copy(record.document, std::back_inserter(bytes));
-    return chain_digest(previous, bytes);
+    return ticket_chain(
+        previous, record.number, record.accepted, record.document);
 }
 
 absl::Status verify_chain(std::span<const ticket_record> history)
--- a/src/request/attempt/shared_blame_tracker.hpp
+++ b/src/request/attempt/shared_blame_tracker.hpp
@@ -27,8 +27,15 @@
         return std::forward<Function>(function)(tracker_);
     }
 
+    template <typename Function>
+    auto with(Function&& function) const
+    {
+        const std::lock_guard lock{mutex_};
+        return std::forward<Function>(function)(tracker_);
+    }
+
 private:
-    std::mutex mutex_;
+    mutable std::mutex mutex_;
     blame_tracker tracker_;
 };
 
--- a/src/version/configuration/ticket_chain.cpp
+++ b/src/version/configuration/ticket_chain.cpp
@@ -17,14 +17,24 @@
 
 } // namespace
 
+digest ticket_chain(
+    const digest& previous, configuration_version number, unix_millis accepted,
+    std::span<const std::uint8_t> text)
+{
+    const std::string prefix = fmt::format("{} {} ", number, accepted);
+    std::vector<std::uint8_t> bytes{prefix.begin(), prefix.end()};
+    bytes.insert(bytes.end(), text.begin(), text.end());
+    return chain_digest(previous, bytes);
+}
+
 digest ticket_chain(
     const digest& previous, const ticket_document& document,
     unix_millis accepted)
 {
-    const std::string link =
-        fmt::format("{} {} {}", document.number, accepted, document.text);
-    const std::vector<std::uint8_t> bytes{link.begin(), link.end()};
-    return chain_digest(previous, bytes);
+    const std::span text{
+        reinterpret_cast<const std::uint8_t*>(document.text.data()),
+        document.text.size()};
+    return ticket_chain(previous, document.number, accepted, text);
 }
 
 absl::Status make_ticket_conflict(
--- a/src/version/configuration/ticket_chain.hpp
+++ b/src/version/configuration/ticket_chain.hpp
@@ -6,12 +6,13 @@
 #include <absl/status/status.h>
 
 #include <optional>
+#include <span>
 
 namespace hickorygap
 {
 
 // An accepted ticket as operators read it back.
-struct ticket_record
+struct accepted_ticket
 {
     ticket_document document;
     unix_millis accepted = 0;
@@ -21,7 +22,11 @@
 };
 
 // Link of the chain after a ticket: SHA-256 over the previous link and
-// "<number> <accepted ms> <canonical text>". The chain starts with zeros.
+// "<number> <accepted ms> <text>". The chain starts with zeros. Voters, the
+// spread of versions and operators all check this one chain.
+digest ticket_chain(
+    const digest& previous, configuration_version number, unix_millis accepted,
+    std::span<const std::uint8_t> text);
 digest ticket_chain(
     const digest& previous, const ticket_document& document,
     unix_millis accepted);
--- a/tests/process/membership/membership_network.cpp
+++ b/tests/process/membership/membership_network.cpp
@@ -1,5 +1,7 @@
 #include "process/membership/membership_network.hpp"
 
+#include "version/configuration/ticket_chain.hpp"
+
 #include <fmt/format.h>
 
 namespace hickorygap::test
@@ -245,7 +247,9 @@
     document.document.assign(
         document_bytes, static_cast<std::uint8_t>(document.version));
     document.accepted = document.version;
-    document.chain = chain_digest(leader.versions->chain(), document.document);
+    document.chain = ticket_chain(
+        leader.versions->chain(), document.version, document.accepted,
+        document.document);
     if (!leader.versions->add(document).ok())
     {
         version_went_back_ = true;
