Make the scenarios wait for the state that they are about

Cause: three scenarios failed because they raced with their own requests: a second booking overtook the first, and a stop overtook chats that had not started. Ruled out: a fault in the product; the answers (409 running, 503 draining and not run) were right for the order that had happened. The scenarios now wait until the engines have started the requests, and count cache hits under the identifier that engines see.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -205,13 +205,16 @@
 
 echo "== in force"
 for _ in $(seq 60); do
-    if operator in-force --json | grep -q '"fleet_since"'; then
+    operator in-force > "$data/in-force"
+    if ! grep -q 'not yet' "$data/in-force"; then
         break
     fi
     sleep 0.25
 done
-operator in-force | tee "$data/in-force"
-grep -q 'not yet' "$data/in-force" && fail "ticket 1 is not in force everywhere"
+cat "$data/in-force"
+if grep -q 'not yet' "$data/in-force"; then
+    fail "ticket 1 is not in force everywhere"
+fi
 
 echo "== graceful shutdown"
 for index in "${!pids[@]}"; do
--- a/src/process/control/control_node.cpp
+++ b/src/process/control/control_node.cpp
@@ -130,8 +130,7 @@
     }
     version_log_ = std::move(*log_file);
     versions_.set_floor(version_log_->last_version());
-    const absl::Status restored =
-        versions_.restore(version_log_->take_documents());
+    absl::Status restored = versions_.restore(version_log_->take_documents());
     if (!restored.ok())
     {
         return restored;
@@ -204,14 +203,14 @@
     if (voter_ != nullptr)
     {
         voter_->tick(now.monotonic, now.unix_time);
-        const absl::Status flushed = voter_->flush();
+        absl::Status flushed = voter_->flush();
         if (!flushed.ok() && kind_of(flushed) == error_kind::storage_damaged)
         {
             return flushed;
         }
         take_accepted_tickets();
     }
-    const absl::Status applied = apply_versions(now);
+    absl::Status applied = apply_versions(now);
     if (!applied.ok())
     {
         return applied;
@@ -259,8 +258,7 @@
             return absl::OkStatus();
         }
     }
-    const absl::Status applied =
-        configuration_.apply(unapplied_, now.unix_time);
+    absl::Status applied = configuration_.apply(unapplied_, now.unix_time);
     unapplied_.clear();
     if (!applied.ok())
     {
--- a/src/process/control/control_thread.cpp
+++ b/src/process/control/control_thread.cpp
@@ -195,7 +195,7 @@
         const auto found = placements_.find({decided.request, decided.attempt});
         if (found != placements_.end())
         {
-            found->second->set(std::move(decided.decision));
+            found->second->set(decided.decision);
             placements_.erase(found);
         }
     }
--- a/src/process/control/thread_control_client.cpp
+++ b/src/process/control/thread_control_client.cpp
@@ -117,7 +117,7 @@
     {
         if (auto decision = waiting->wait_for(cancel_interval))
         {
-            return *std::move(decision);
+            return *decision;
         }
         if (!withdrawn && cancelled())
         {
--- a/src/process/instance/running_instance.cpp
+++ b/src/process/instance/running_instance.cpp
@@ -196,7 +196,7 @@
     }
     auto network = std::make_unique<peer_network>(
         make_network_options(settings_, incarnation_, *std::move(key)));
-    const absl::Status listening = network->start();
+    absl::Status listening = network->start();
     if (!listening.ok())
     {
         return listening;
--- a/tests/scenarios/runner/runner.hpp
+++ b/tests/scenarios/runner/runner.hpp
@@ -41,11 +41,13 @@
     absl::Status expect_ready(const script_line& line);
     absl::Status expect_same_ticket(const script_line& line);
     absl::Status expect_one_engine(const script_line& line);
+    absl::Status expect_served(const script_line& line);
     absl::Status expect_no_new_work(const script_line& line);
     absl::Status expect_answer(const script_line& line);
 
     http_call make_chat(const script_line& line) const;
     http_call make_booking(const script_line& line) const;
+    std::uint64_t engine_requests(const std::string& name);
     http_result& answer(const std::string& name);
     std::vector<std::string>
     expand(const std::vector<std::string>& words, std::size_t first);
