Test consensus, its storage and the voter under faults

Property tests on a small network that loses, duplicates and delays messages, with crashes that lose unsynced writes, lost disks, partitions, hung nodes, slow and full disks; table tests for damage of the stored log.

The tests found one fault: a new leader recorded a lost disk with the number of its last applied ticket before it had applied the committed ones, so an old ticket gave the vote back. It now waits until everything committed is applied.

--- a/src/process/replicated_state/voter.cpp
+++ b/src/process/replicated_state/voter.cpp
@@ -388,7 +388,9 @@
 
 void voter::drive_voters()
 {
-    if (!raft_.may_change_voters())
+    // The record of a lost disk needs the number of the last ticket.
+    if (!raft_.may_change_voters() ||
+        state_.applied_index() != raft_.commit_index())
     {
         return;
     }
--- /dev/null
+++ b/tests/process/consensus/file_log_storage_test.cpp
@@ -0,0 +1,358 @@
+#include "process/consensus/file_log_storage.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <string>
+
+using namespace hickorygap;
+namespace fs = std::filesystem;
+
+namespace
+{
+
+// Data folder that is removed at the end of the test.
+class temporary_folder
+{
+public:
+    temporary_folder()
+    {
+        std::string name = fs::temp_directory_path() / "hickorygap-XXXXXX";
+        path_ = ::mkdtemp(name.data());
+    }
+    temporary_folder(const temporary_folder&) = delete;
+    temporary_folder& operator=(const temporary_folder&) = delete;
+    ~temporary_folder()
+    {
+        fs::remove_all(path_);
+    }
+
+    std::string path() const
+    {
+        return path_;
+    }
+
+    // The only file whose name starts with the prefix.
+    fs::path file(const std::string& prefix) const
+    {
+        for (const auto& item : fs::directory_iterator{path_})
+        {
+            if (item.path().filename().string().starts_with(prefix))
+            {
+                return item.path();
+            }
+        }
+        return {};
+    }
+
+private:
+    fs::path path_;
+};
+
+// Files can't grow over the limit while this object lives, as on a full disk.
+class file_size_limit
+{
+public:
+    explicit file_size_limit(rlim_t bytes)
+    {
+        std::signal(SIGXFSZ, SIG_IGN);
+        ::getrlimit(RLIMIT_FSIZE, &before_);
+        rlimit limit = before_;
+        limit.rlim_cur = bytes;
+        ::setrlimit(RLIMIT_FSIZE, &limit);
+    }
+    file_size_limit(const file_size_limit&) = delete;
+    file_size_limit& operator=(const file_size_limit&) = delete;
+    ~file_size_limit()
+    {
+        ::setrlimit(RLIMIT_FSIZE, &before_);
+    }
+
+private:
+    rlimit before_{};
+};
+
+wire::log_entry_msg make_entry(std::uint64_t index, std::uint64_t term = 1)
+{
+    wire::log_entry_msg entry;
+    entry.index = index;
+    entry.term = term;
+    entry.kind = wire::entry_kind::ticket;
+    entry.data.assign(100, static_cast<std::uint8_t>(index));
+    return entry;
+}
+
+storage_write make_write(std::uint64_t index, std::uint64_t term = 1)
+{
+    storage_write change;
+    change.hard = hard_state{term, 1, 77, std::nullopt};
+    change.entries.push_back(make_entry(index, term));
+    return change;
+}
+
+snapshot_ptr make_snapshot(std::uint64_t index)
+{
+    auto snapshot = std::make_shared<log_snapshot>();
+    snapshot->index = index;
+    snapshot->term = 1;
+    snapshot->configuration.voters = {{1, 77}, {2, 88}};
+    snapshot->data.assign(300, 9);
+    return snapshot;
+}
+
+// Stores five entries, one sync each; with a snapshot after the third.
+void fill(const std::string& folder, bool with_snapshot)
+{
+    file_log_storage storage{folder};
+    REQUIRE(storage.load().ok());
+    for (std::uint64_t index = 1; index <= 5; ++index)
+    {
+        storage.write(make_write(index));
+        REQUIRE(storage.sync().ok());
+        if (with_snapshot && index == 3)
+        {
+            storage_write change;
+            change.snapshot = make_snapshot(3);
+            storage.write(std::move(change));
+            REQUIRE(storage.sync().ok());
+        }
+    }
+}
+
+void change_byte(const fs::path& file, std::uint64_t offset)
+{
+    std::fstream stream{file, std::ios::binary | std::ios::in | std::ios::out};
+    stream.seekg(static_cast<std::streamoff>(offset));
+    const int byte = stream.get();
+    stream.seekp(static_cast<std::streamoff>(offset));
+    stream.put(static_cast<char>(byte ^ 1));
+}
+
+std::size_t count_entries(const std::string& folder)
+{
+    file_log_storage storage{folder};
+    const auto state = storage.load();
+    REQUIRE(state.ok());
+    return state->entries.size();
+}
+
+} // namespace
+
+// Guards against synced state that is not read back as it was written.
+TEST_CASE("the stored state survives a restart")
+{
+    const bool with_snapshot = GENERATE(false, true);
+    const temporary_folder folder;
+    fill(folder.path(), with_snapshot);
+    file_log_storage storage{folder.path()};
+    const auto state = storage.load();
+    REQUIRE(state.ok());
+    CHECK_FALSE(state->empty);
+    CHECK(state->hard.disk == 77);
+    REQUIRE(state->entries.size() == (with_snapshot ? 2 : 5));
+    CHECK(state->entries.back().data == make_entry(5).data);
+    REQUIRE((state->snapshot != nullptr) == with_snapshot);
+    if (with_snapshot)
+    {
+        CHECK(state->snapshot->data == make_snapshot(3)->data);
+        CHECK(state->snapshot->configuration.has_voter(2, 88));
+        CHECK(state->entries.front().index == 4);
+    }
+}
+
+// Guards against old segments and snapshots that fill the disk.
+TEST_CASE("files that are not needed any more are removed")
+{
+    const temporary_folder folder;
+    fill(folder.path(), true);
+    const auto files = std::distance(
+        fs::directory_iterator{folder.path()}, fs::directory_iterator{});
+    CHECK(files == 3);
+}
+
+// Guards against a conflicting tail that comes back after a restart.
+TEST_CASE("entries replace those of the same index and later ones")
+{
+    const temporary_folder folder;
+    fill(folder.path(), false);
+    {
+        file_log_storage storage{folder.path()};
+        REQUIRE(storage.load().ok());
+        storage.write(make_write(4, 2));
+        storage.write(make_write(3, 3));
+        REQUIRE(storage.sync().ok());
+    }
+    file_log_storage storage{folder.path()};
+    const auto state = storage.load();
+    REQUIRE(state.ok());
+    REQUIRE(state->entries.size() == 3);
+    CHECK(state->entries.back().term == 3);
+    CHECK(state->hard.term == 3);
+}
+
+// Guards against a voter that does not start after a crash in the middle of a
+// write, and against one that takes half a record for a record.
+TEST_CASE("a torn tail is cut at any byte")
+{
+    const temporary_folder whole;
+    fill(whole.path(), false);
+    const fs::path name = whole.file("log-").filename();
+    const std::uint64_t size = fs::file_size(whole.file("log-"));
+    std::uint64_t before = 0;
+    {
+        const temporary_folder four;
+        file_log_storage storage{four.path()};
+        REQUIRE(storage.load().ok());
+        for (std::uint64_t index = 1; index <= 4; ++index)
+        {
+            storage.write(make_write(index));
+            REQUIRE(storage.sync().ok());
+        }
+        before = fs::file_size(four.file("log-"));
+    }
+    REQUIRE(before < size);
+    for (std::uint64_t length = before; length < size; ++length)
+    {
+        const temporary_folder torn;
+        fs::copy_file(whole.file("log-"), fs::path{torn.path()} / name);
+        fs::resize_file(fs::path{torn.path()} / name, length);
+        REQUIRE(count_entries(torn.path()) == 4);
+        REQUIRE(fs::file_size(fs::path{torn.path()} / name) == before);
+    }
+    // Blocks that were allocated but not written read as zeros.
+    const temporary_folder zeros;
+    fs::copy_file(whole.file("log-"), fs::path{zeros.path()} / name);
+    fs::resize_file(fs::path{zeros.path()} / name, before);
+    fs::resize_file(fs::path{zeros.path()} / name, size);
+    CHECK(count_entries(zeros.path()) == 4);
+}
+
+// Guards against a voter that serves on after it lost synced state.
+TEST_CASE("damage stops the voter with a message that says what to do")
+{
+    using damage = std::function<void(const temporary_folder&)>;
+    const auto [name, with_snapshot, harm] =
+        GENERATE(table<std::string, bool, damage>(
+            {{"byte in the first record", false,
+              [](const temporary_folder& folder)
+              { change_byte(folder.file("log-"), 30); }},
+             {"length of a record in the middle", false,
+              [](const temporary_folder& folder)
+              {
+                  const auto log = folder.file("log-");
+                  change_byte(log, fs::file_size(log) * 6 / 10);
+              }},
+             {"last record, although it was synced", false,
+              [](const temporary_folder& folder)
+              {
+                  const auto log = folder.file("log-");
+                  change_byte(log, fs::file_size(log) - 1);
+              }},
+             {"synced records cut off", false,
+              [](const temporary_folder& folder)
+              {
+                  const auto log = folder.file("log-");
+                  fs::resize_file(log, fs::file_size(log) / 2);
+              }},
+             {"middle damaged and no mark of the last sync", false,
+              [](const temporary_folder& folder)
+              {
+                  const auto log = folder.file("log-");
+                  change_byte(log, fs::file_size(log) / 2);
+                  fs::remove(folder.file("synced"));
+              }},
+             {"empty log", false,
+              [](const temporary_folder& folder)
+              { fs::resize_file(folder.file("log-"), 0); }},
+             {"missing log", false,
+              [](const temporary_folder& folder)
+              { fs::remove(folder.file("log-")); }},
+             {"missing snapshot", true,
+              [](const temporary_folder& folder)
+              { fs::remove(folder.file("snapshot-")); }},
+             {"byte in the snapshot", true, [](const temporary_folder& folder) {
+                  change_byte(folder.file("snapshot-"), 200);
+              }}}));
+    INFO(name);
+    const temporary_folder folder;
+    fill(folder.path(), with_snapshot);
+    harm(folder);
+    file_log_storage storage{folder.path()};
+    const auto state = storage.load();
+    REQUIRE_FALSE(state.ok());
+    CHECK(kind_of(state.status()) == error_kind::storage_damaged);
+    CHECK(
+        state.status().message().find("Move the data folder away") !=
+        std::string::npos);
+}
+
+// Guards against damage that no table row names: whatever byte of the synced
+// log changes, the voter either stops or has every entry.
+TEST_CASE("no changed byte goes unnoticed")
+{
+    const temporary_folder folder;
+    fill(folder.path(), false);
+    const fs::path log = folder.file("log-");
+    for (std::uint64_t offset = 0; offset < fs::file_size(log); ++offset)
+    {
+        change_byte(log, offset);
+        {
+            file_log_storage storage{folder.path()};
+            REQUIRE_FALSE(storage.load().ok());
+        }
+        change_byte(log, offset);
+    }
+    CHECK(count_entries(folder.path()) == 5);
+}
+
+// Guards against a voter that stays broken after its disk was full, and
+// against half-written records that it leaves behind.
+TEST_CASE("a full disk fails the sync and a later one makes up for it")
+{
+    const bool with_snapshot = GENERATE(false, true);
+    const rlim_t room = GENERATE(0, 50, 150);
+    const temporary_folder folder;
+    fill(folder.path(), false);
+    {
+        file_log_storage storage{folder.path()};
+        REQUIRE(storage.load().ok());
+        storage_write change = make_write(6);
+        if (with_snapshot)
+        {
+            change.snapshot = make_snapshot(5);
+        }
+        {
+            const file_size_limit limit{
+                with_snapshot ? room
+                              : fs::file_size(folder.file("log-")) + room};
+            storage.write(change);
+            const absl::Status status = storage.sync();
+            REQUIRE_FALSE(status.ok());
+            CHECK(kind_of(status) == error_kind::storage_failed);
+            CHECK_FALSE(storage.sync().ok());
+        }
+        storage.write(make_write(7));
+        REQUIRE(storage.sync().ok());
+        storage.write(make_write(8));
+        REQUIRE(storage.sync().ok());
+    }
+    CHECK(count_entries(folder.path()) == (with_snapshot ? 3 : 8));
+}
+
+// Guards against temporary files of an interrupted segment start that are
+// taken for state.
+TEST_CASE("left-over temporary files are ignored and removed")
+{
+    const temporary_folder folder;
+    fill(folder.path(), false);
+    std::ofstream{folder.path() + "/log-9.tmp"} << "half";
+    std::ofstream{folder.path() + "/snapshot-9.tmp"} << "half";
+    CHECK(count_entries(folder.path()) == 5);
+    CHECK(folder.file("log-9").empty());
+}
--- /dev/null
+++ b/tests/process/replicated_state/voter_cluster.hpp
@@ -0,0 +1,155 @@
+#ifndef HICKORYGAP_TESTS_PROCESS_REPLICATED_STATE_VOTER_CLUSTER_HPP
+#define HICKORYGAP_TESTS_PROCESS_REPLICATED_STATE_VOTER_CLUSTER_HPP
+
+#include "process/replicated_state/proposal_client.hpp"
+#include "process/replicated_state/voter.hpp"
+#include "support/faulty_network.hpp"
+#include "support/memory_log_storage.hpp"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace hickorygap::test
+{
+
+// Accepts documents that do not start with "!"; spaces do not count in the
+// digest.
+class text_validator final : public ticket_validator
+{
+public:
+    absl::StatusOr<digest> validate(
+        std::span<const std::uint8_t> document,
+        std::span<const ticket_record> accepted) const override;
+};
+
+std::vector<std::uint8_t>
+ticket_data(configuration_version number, std::string_view document);
+
+wire::call_intent_msg make_intent(
+    std::string_view key, instance_id entry, request_id request,
+    std::uint8_t body = 1);
+
+// Voters and two entry instances with clients on a faulty network. Compares
+// every answer with the earlier ones and keeps the first violation.
+class voter_cluster
+{
+public:
+    voter_cluster(instance_id voters, std::uint64_t seed);
+
+    void step();
+    void run(int steps);
+
+    // Carries out one random fault or request.
+    void act(std::uint8_t kind, std::uint8_t node);
+
+    void heal();
+    void crash(instance_id id);
+    void restart(instance_id id);
+
+    // Replaces the voter's disk by an empty one and restarts it.
+    void lose_disk(instance_id id);
+
+    // Whether every instance votes with its present disk and has the whole
+    // log.
+    bool is_whole();
+
+    // Files a ticket and runs until it is accepted or 30 s have passed.
+    bool file_ticket(std::string_view document);
+
+    voter* find(instance_id id)
+    {
+        return members_.at(id).node.get();
+    }
+    voter* leader();
+
+    // Hands the message to the voter at once, as if from `observer`.
+    void deliver(instance_id to, const wire::payloadUnion& payload);
+
+    // Answers to the observer, also those of voters that are cut off.
+    static constexpr instance_id observer = 99;
+    std::vector<wire::propose_reply_msg> take_observed()
+    {
+        return std::exchange(observed_, {});
+    }
+    faulty_network& network()
+    {
+        return network_;
+    }
+    const std::map<configuration_version, ticket_record>& accepted() const
+    {
+        return accepted_;
+    }
+    std::size_t permissions() const
+    {
+        return permissions_.size();
+    }
+    std::size_t reads() const
+    {
+        return reads_;
+    }
+
+    // Every accepted ticket stands unchanged on every voter.
+    void check_histories();
+    const std::string& violation() const
+    {
+        return violation_;
+    }
+
+private:
+    struct member
+    {
+        std::shared_ptr<memory_disk> disk;
+        std::unique_ptr<voter> node;
+        int hung_steps = 0;
+        int slow_disk_steps = 0;
+    };
+
+    struct request
+    {
+        wire::entry_kind kind = wire::entry_kind::noop;
+        configuration_version number = 0;
+        std::string text;
+        request_id call = 0;
+    };
+
+    struct entry
+    {
+        std::unique_ptr<proposal_client> client;
+        std::map<std::uint64_t, request> requests;
+    };
+
+    configuration_version next_number();
+    void start_ticket(
+        instance_id id, configuration_version number, std::string document);
+    void start_intent(instance_id id, const std::string& key);
+    void start_outcome(instance_id id, const std::string& key, request_id call);
+    void start_read(instance_id id);
+    void finish(instance_id id, const proposal_result& result);
+    void finish_ticket(const request& asked, const proposal_result& result);
+    void finish_intent(
+        instance_id id, const request& asked, const proposal_result& result);
+    void fail(std::string what);
+    unix_millis clock(instance_id id) const;
+
+    random_engine random_;
+    faulty_network network_;
+    time_point now_{std::chrono::seconds{1000}};
+    std::vector<instance_id> ids_;
+    std::map<instance_id, member> members_;
+    std::map<instance_id, entry> entries_;
+    std::map<configuration_version, ticket_record> accepted_;
+    std::map<configuration_version, digest> chains_;
+    std::map<std::string, std::set<std::pair<instance_id, request_id>>>
+        permissions_;
+    std::size_t reads_ = 0;
+    std::vector<wire::propose_reply_msg> observed_;
+    std::string violation_;
+};
+
+} // namespace hickorygap::test
+
+#endif
--- a/tests/process/replicated_state/voter_test.cpp
+++ b/tests/process/replicated_state/voter_test.cpp
@@ -1,77 +1,229 @@
-#include "process/replicated_state/proposal_client.hpp"
-#include "process/replicated_state/voter.hpp"
-#include "support/memory_log_storage.hpp"
+#include "voter_cluster.hpp"
 
 #include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <tuple>
 
 using namespace hickorygap;
+using test::voter_cluster;
 
 namespace
 {
 
-// Accepts every document; its digest is that of the bytes.
-class accepting_validator final : public ticket_validator
+constexpr int steps_per_second = 50;
+
+// Upper bound for the length of the sequences that RapidCheck makes.
+constexpr int sequence_size = 400;
+
+// Most faults follow each other within 200 ms, the others within two seconds.
+int pause_after(std::uint8_t value)
 {
-public:
-    absl::StatusOr<digest> validate(
-        std::span<const std::uint8_t> document,
-        std::span<const ticket_record> accepted) const override
+    return value % 4 == 0 ? value % (2 * steps_per_second) : value % 10;
+}
+
+// Kind of fault or request, node, and number of steps to run afterwards.
+using action = std::tuple<std::uint8_t, std::uint8_t, std::uint8_t>;
+
+bool run_until_whole(voter_cluster& group)
+{
+    for (int i = 0; i < 30 * steps_per_second && !group.is_whole(); ++i)
     {
-        static_cast<void>(accepted);
-        return sha256(document);
+        group.step();
     }
-};
+    return group.is_whole();
+}
 
-std::vector<std::uint8_t>
-ticket_data(std::uint64_t number, std::uint8_t content)
+// Only a ticket filed after the group noticed the loss re-admits the voter.
+bool run_until_noticed(voter_cluster& group, instance_id lost)
 {
-    wire::ticket_entry_msg entry;
-    entry.number = number;
-    entry.document = {content};
-    return encode_table<wire::ticket_entry>(entry);
+    for (int i = 0; i < 30 * steps_per_second; ++i)
+    {
+        group.step();
+        const voter* leader = group.leader();
+        if (leader != nullptr &&
+            leader->status().voters.find_lost(lost) != nullptr)
+        {
+            return true;
+        }
+    }
+    return false;
 }
 
 } // namespace
 
-// Guards against a voter that can't serve a group of one: it must elect
-// itself, commit on its own disk and answer.
-TEST_CASE("a single voter accepts a ticket and answers")
+// Guards against lost or changed tickets, one number answered with two
+// contents, stale reads, two permissions for one non-repeatable call, and a
+// group that does not recover, under crashes, lost disks (one at a time, each
+// repaired by a ticket before the next), partitions, hung nodes, loss,
+// duplication and delay.
+TEST_CASE("tickets and calls keep their guarantees under faults")
 {
-    voter_options options;
-    options.raft.self = 1;
-    options.raft.initial_voters = {1};
-    const auto disk = std::make_shared<test::memory_disk>();
-    time_point now{std::chrono::seconds{100}};
-    auto opened = voter::open(
-        options, std::make_unique<test::memory_log_storage>(disk),
-        std::make_shared<accepting_validator>(), now);
-    REQUIRE(opened.ok());
-    voter& subject = **opened;
-    proposal_client client{{{1}}};
-    client.propose(
-        wire::entry_kind::ticket, ticket_data(1, 42), now,
-        now + std::chrono::seconds{10});
-    std::vector<proposal_result> results;
-    for (int step = 0; step < 400 && results.empty(); ++step)
-    {
-        now = now + std::chrono::milliseconds{20};
-        subject.tick(now, 1000);
-        client.tick(now);
-        for (const outgoing_message& message : client.take_outgoing())
+    rc::prop(
+        "no guarantee is violated, and the group works after all faults end",
+        [](std::uint64_t seed, bool five)
         {
-            subject.receive(7, message.payload, now, 1000);
-        }
-        REQUIRE(subject.flush().ok());
-        for (const outgoing_message& message : subject.take_outgoing())
-        {
-            client.receive(1, message.payload, now);
-        }
-        results = client.take_results();
+            const auto actions = *rc::gen::resize(
+                sequence_size, rc::gen::arbitrary<std::vector<action>>());
+            voter_cluster group{five ? 5U : 3U, seed};
+            group.run(5 * steps_per_second);
+            for (const auto& [kind, node, steps] : actions)
+            {
+                group.act(kind, node);
+                group.run(pause_after(steps));
+            }
+            group.heal();
+            group.run(15 * steps_per_second);
+            RC_ASSERT(group.violation() == "");
+            RC_ASSERT(group.file_ticket("last ticket"));
+            RC_ASSERT(run_until_whole(group));
+            group.run(steps_per_second);
+            group.check_histories();
+            RC_ASSERT(group.violation() == "");
+        });
+}
+
+// Guards against a ticket that is lost because a second voter loses its disk
+// right after the first was repaired.
+TEST_CASE("tickets survive the loss of one disk after another")
+{
+    const std::uint64_t seed = GENERATE(range(1, 11));
+    voter_cluster group{3, seed};
+    for (const instance_id lost : {1U, 2U, 3U, 1U})
+    {
+        REQUIRE(group.file_ticket("before the loss"));
+        REQUIRE(run_until_whole(group));
+        group.lose_disk(lost);
+        REQUIRE(run_until_noticed(group, lost));
+        REQUIRE(group.file_ticket("re-admits the voter"));
+        REQUIRE(run_until_whole(group));
+    }
+    group.run(steps_per_second);
+    group.check_histories();
+    CHECK(group.violation().empty());
+    CHECK(group.accepted().size() == 8);
+}
+
+// Guards against a voter with a new disk that elects a leader which lacks
+// committed tickets.
+TEST_CASE("a voter without its disk does not vote before a ticket lists it")
+{
+    voter_cluster group{3, 1};
+    REQUIRE(run_until_whole(group));
+    // Voter 3 misses the ticket, voter 2 loses it, and voter 1 stops.
+    group.network().cut(3);
+    REQUIRE(group.file_ticket("committed by voters 1 and 2"));
+    group.crash(1);
+    group.lose_disk(2);
+    group.network().heal(3);
+    group.run(30 * steps_per_second);
+    CHECK(group.leader() == nullptr);
+    CHECK_FALSE(group.find(2)->status().votes);
+    // Voter 1 comes back; voter 2 learns, but gets its vote only by ticket.
+    group.restart(1);
+    group.run(30 * steps_per_second);
+    CHECK(group.find(2)->tickets().size() == 1);
+    CHECK_FALSE(group.find(2)->status().votes);
+    REQUIRE(group.file_ticket("re-admits voter 2"));
+    CHECK(run_until_whole(group));
+    group.run(steps_per_second);
+    group.check_histories();
+    CHECK(group.violation().empty());
+}
+
+// Guards against a repeated ticket that an isolated leader answers from its
+// own state, and against a new log entry for each repetition.
+TEST_CASE("a repeated ticket gets the same answer after a quorum confirmed")
+{
+    voter_cluster group{3, 2};
+    REQUIRE(group.file_ticket("ticket 1"));
+    const std::uint64_t last_index = group.leader()->status().last_index;
+    const instance_id leader = group.leader()->leader();
+    wire::propose_msg again;
+    again.kind = wire::entry_kind::ticket;
+    again.data = test::ticket_data(1, "ticket  1");
+    group.deliver(leader, make_payload(again));
+    group.run(steps_per_second / 2);
+    const auto replies = group.take_observed();
+    REQUIRE(replies.size() == 1);
+    CHECK(replies[0].status == wire::proposal_status::accepted);
+    CHECK(replies[0].accepted_unix_ms == group.accepted().at(1).accepted);
+    CHECK(replies[0].recorded == group.accepted().at(1).document);
+    CHECK(group.leader()->status().last_index == last_index);
+
+    group.network().cut(leader);
+    group.deliver(leader, make_payload(again));
+    group.run(5 * steps_per_second);
+    for (const wire::propose_reply_msg& reply : group.take_observed())
+    {
+        CHECK(reply.status == wire::proposal_status::not_leader);
+    }
+}
+
+// Guards against a ticket accepted by a leader that most members can't hear,
+// and against a check that also refuses repeated tickets.
+TEST_CASE("the acceptance check refuses new tickets only")
+{
+    voter_cluster group{3, 3};
+    REQUIRE(group.file_ticket("ticket 1"));
+    const instance_id leader = group.leader()->leader();
+    group.leader()->set_acceptance_check(
+        []
+        { return make_error(error_kind::no_quorum, "restore the network"); });
+    const auto [number, expected] =
+        GENERATE(table<configuration_version, wire::proposal_status>(
+            {{1, wire::proposal_status::accepted},
+             {2, wire::proposal_status::unavailable}}));
+    wire::propose_msg proposal;
+    proposal.kind = wire::entry_kind::ticket;
+    proposal.data = test::ticket_data(number, "ticket 1");
+    group.deliver(leader, make_payload(proposal));
+    group.run(steps_per_second);
+    const auto replies = group.take_observed();
+    REQUIRE(replies.size() == 1);
+    CHECK(replies[0].status == expected);
+}
+
+// Guards against calls that stay "running" for ever after their entry
+// instance restarted.
+TEST_CASE("open calls of a process that ended get an unknown outcome")
+{
+    voter_cluster group{3, 4};
+    REQUIRE(run_until_whole(group));
+    const instance_id leader = group.leader()->leader();
+    wire::propose_msg proposal;
+    proposal.kind = wire::entry_kind::call_intent;
+    proposal.data =
+        encode_table<wire::call_intent>(test::make_intent("key", 11, 1));
+    group.deliver(leader, make_payload(proposal));
+    group.run(steps_per_second);
+    for (instance_id id = 1; id <= 3; ++id)
+    {
+        group.find(id)->set_oldest_incarnation(11, 2);
+    }
+    group.run(steps_per_second);
+    proposal.proposal = 1;
+    proposal.data =
+        encode_table<wire::call_intent>(test::make_intent("key", 12, 2));
+    group.deliver(leader, make_payload(proposal));
+    group.run(steps_per_second);
+    const auto replies = group.take_observed();
+    REQUIRE(replies.size() == 2);
+    CHECK(replies[0].status == wire::proposal_status::accepted);
+    CHECK(replies[1].status == wire::proposal_status::outcome_unknown);
+}
+
+// Guards against a group that can't replace a voter by another instance.
+TEST_CASE("tickets replace one voter by another")
+{
+    voter_cluster group{4, 5};
+    REQUIRE(run_until_whole(group));
+    for (instance_id id = 1; id <= 4; ++id)
+    {
+        group.find(id)->set_wanted_voters(100, {1, 3, 4});
     }
-    REQUIRE(results.size() == 1);
-    CHECK(results[0].status == wire::proposal_status::accepted);
-    CHECK(results[0].version == 1);
-    CHECK(subject.take_applied().size() == 1);
-    CHECK(subject.holds_lease(now));
-    CHECK(verify_chain(subject.tickets()).ok());
+    group.run(10 * steps_per_second);
+    REQUIRE(group.leader() != nullptr);
+    CHECK(group.leader()->status().voters.voters.size() == 3);
+    CHECK(group.leader()->status().voters.find_voter(2) == nullptr);
 }
