--- a/tests/process/consensus/raft_node_test.cpp
+++ b/tests/process/consensus/raft_node_test.cpp
@@ -45,8 +45,202 @@
     group.run(steps_per_second);
 }
 
+constexpr time_point start_time{std::chrono::seconds{1000}};
+constexpr disk_id disk_of_first = 10;
+
+// Voter 1 of 1, 2 and 3 (with disks 10, 20 and 30), with entries of the given
+// terms after the voter list of term 1.
+raft_node make_node(const std::vector<std::uint64_t>& terms)
+{
+    voter_list list;
+    list.voters = {{1, disk_of_first}, {2, 20}, {3, 30}};
+    stored_state state;
+    state.empty = false;
+    state.hard = {terms.empty() ? 1 : terms.back(), 0, disk_of_first, {}};
+    wire::log_entry_msg entry;
+    entry.index = 1;
+    entry.term = 1;
+    entry.kind = wire::entry_kind::voters;
+    entry.data = encode_table<wire::voters_entry>(to_wire(list));
+    state.entries.push_back(entry);
+    for (const std::uint64_t term : terms)
+    {
+        wire::log_entry_msg next;
+        next.index = state.entries.size() + 1;
+        next.term = term;
+        state.entries.push_back(next);
+    }
+    raft_options options;
+    options.self = 1;
+    return raft_node{options, std::move(state), start_time};
+}
+
+void sync(raft_node& node, time_point now)
+{
+    static_cast<void>(node.take_writes());
+    node.on_synced(now);
+}
+
+// Lets voter 2 elect the node; returns the time.
+time_point elect_alone(raft_node& node)
+{
+    const time_point now = start_time + std::chrono::seconds{3};
+    node.tick(now);
+    for (const bool pre_vote : {true, false})
+    {
+        wire::vote_reply_msg vote;
+        vote.term = node.term() + (pre_vote ? 1 : 0);
+        vote.granted = true;
+        vote.pre_vote = pre_vote;
+        vote.disk = 20;
+        node.receive(2, make_payload(vote), now);
+        sync(node, now);
+    }
+    REQUIRE(node.is_leader());
+    return now;
+}
+
+void acknowledge(raft_node& node, std::uint64_t match, time_point now)
+{
+    wire::append_reply_msg reply;
+    reply.term = node.term();
+    reply.success = true;
+    reply.match_index = match;
+    reply.disk = 20;
+    node.receive(2, make_payload(reply), now);
+}
+
 } // namespace
 
+// Guards against an entry of an earlier term that counts as committed because
+// a quorum has it: a leader without it could still be elected.
+TEST_CASE("entries of earlier terms commit only with one of the present")
+{
+    raft_node node = make_node({2, 2});
+    const time_point now = elect_alone(node);
+    acknowledge(node, 3, now);
+    CHECK(node.commit_index() == 0);
+    acknowledge(node, 4, now);
+    CHECK(node.commit_index() == 4);
+}
+
+// Guards against a leader that counts its own entry before it is durable.
+TEST_CASE("the leader's own entry counts once it is synced")
+{
+    raft_node node = make_node({});
+    const time_point now = elect_alone(node);
+    sync(node, now);
+    acknowledge(node, 2, now);
+    REQUIRE(node.commit_index() == 2);
+    REQUIRE(node.propose(wire::entry_kind::ticket, {1}, now).ok());
+    acknowledge(node, 3, now);
+    CHECK(node.commit_index() == 2);
+    sync(node, now);
+    CHECK(node.commit_index() == 3);
+}
+
+// Guards against a late append that cuts entries acknowledged after it.
+TEST_CASE("an append that arrives late removes nothing")
+{
+    raft_node node = make_node({2, 2, 2});
+    wire::append_request_msg late;
+    late.term = 2;
+    late.previous_index = 1;
+    late.previous_term = 1;
+    wire::log_entry_msg entry;
+    entry.index = 2;
+    entry.term = 2;
+    late.entries.push_back(std::make_unique<wire::log_entry_msg>(entry));
+    node.receive(2, make_payload(late), start_time);
+    CHECK(node.last_index() == 4);
+}
+
+// Guards against a promise that leaves before it is durable: after a crash the
+// voter would vote again or miss an entry that it acknowledged.
+TEST_CASE("votes and acknowledgements wait for the sync")
+{
+    const bool is_vote = GENERATE(true, false);
+    raft_node node = make_node({});
+    const time_point now = start_time + std::chrono::milliseconds{1100};
+    if (is_vote)
+    {
+        wire::vote_request_msg request;
+        request.term = 2;
+        request.last_index = 5;
+        request.last_term = 1;
+        request.receiver_disk = disk_of_first;
+        node.receive(2, make_payload(request), now);
+    }
+    else
+    {
+        wire::append_request_msg request;
+        request.term = 1;
+        request.previous_index = 1;
+        request.previous_term = 1;
+        request.entries.push_back(std::make_unique<wire::log_entry_msg>());
+        request.entries.back()->term = 1;
+        node.receive(2, make_payload(request), now);
+    }
+    CHECK(node.take_outgoing().empty());
+    sync(node, now);
+    const auto sent = node.take_outgoing();
+    REQUIRE(sent.size() == 1);
+    const auto* vote = message_in<wire::vote_reply_msg>(sent[0].payload);
+    const auto* reply = message_in<wire::append_reply_msg>(sent[0].payload);
+    CHECK((is_vote ? vote->granted : reply->success));
+}
+
+// Guards against votes by, and acknowledgements of, a disk that the voter list
+// does not contain.
+TEST_CASE("only the disks in the voter list count")
+{
+    raft_node node = make_node({});
+    const time_point now = elect_alone(node);
+    sync(node, now);
+    wire::append_reply_msg reply;
+    reply.term = node.term();
+    reply.success = true;
+    reply.match_index = 2;
+    reply.read_sequence = 1;
+    reply.disk = 21;
+    static_cast<void>(node.take_outgoing());
+    node.receive(2, make_payload(reply), now);
+    CHECK(node.commit_index() == 0);
+    CHECK_FALSE(node.holds_lease(now));
+    reply.disk = 20;
+    node.receive(2, make_payload(reply), now);
+    CHECK(node.commit_index() == 2);
+    CHECK(node.holds_lease(now));
+
+    raft_node other = make_node({});
+    wire::vote_request_msg request;
+    request.term = 2;
+    request.last_index = 5;
+    request.last_term = 1;
+    request.receiver_disk = disk_of_first + 1;
+    other.receive(2, make_payload(request), now);
+    sync(other, now);
+    const auto sent = other.take_outgoing();
+    REQUIRE(sent.size() == 1);
+    CHECK_FALSE(message_in<wire::vote_reply_msg>(sent[0].payload)->granted);
+}
+
+// Guards against an isolated leader that answers reads from its own state.
+TEST_CASE("a read waits until a quorum confirmed the leader")
+{
+    raft_cluster group{3, 6};
+    elect(group);
+    const std::uint64_t before = group.confirmed_reads();
+    const instance_id leader = group.leader()->leader();
+    group.network().cut(leader);
+    group.act(11, 0);
+    group.run(steps_per_second / 2);
+    CHECK(group.confirmed_reads() == before);
+    group.network().heal(leader);
+    group.run(steps_per_second / 2);
+    CHECK(group.confirmed_reads() == before + 1);
+}
+
 // Guards against two leaders in a term, logs that match at one entry but not
 // before it, committed entries that change or vanish, stale reads, and a
 // lease beside a newer leader, under crashes that lose unsynced writes,
