Keep a key free when its request gave up before the intent arrived

A request whose intent got no answer declares the call as not run. When that declaration reached the log before a delayed copy of the intent, the intent took the key and nobody ran the call, so that retries were told running until the entry process ended. The declaration now leaves a record that refuses the late intent. Found by reading the caller's code; the new test fails without.

--- a/src/process/replicated_state/call_records.cpp
+++ b/src/process/replicated_state/call_records.cpp
@@ -61,7 +61,7 @@
     const record& known = found->second;
     if (known.released)
     {
-        if (!is_same_request(known.intent, intent))
+        if (known.intent.request != intent.request)
         {
             return std::nullopt;
         }
@@ -196,6 +196,20 @@
 {
     expire(now);
     const auto found = records_.find(key_of(outcome));
+    if (found == records_.end() && outcome.not_run && outcome.request != 0)
+    {
+        // The intent may be on its way still; it must not take the key when
+        // it arrives, because its request has given up.
+        record released;
+        released.intent.organisation = outcome.organisation;
+        released.intent.service = outcome.service;
+        released.intent.key = outcome.key;
+        released.intent.request = outcome.request;
+        released.intent.created_unix_ms = now;
+        released.released = true;
+        insert(key_of(outcome), std::move(released));
+        return make_result(wire::proposal_status::accepted);
+    }
     if (found == records_.end())
     {
         return make_result(
--- a/tests/process/replicated_state/state_machine_test.cpp
+++ b/tests/process/replicated_state/state_machine_test.cpp
@@ -250,6 +250,20 @@
     CHECK(log.not_run(1).status == status::conflict);
 }
 
+// Guards against a key that stays taken because the intent arrives after its
+// request gave up.
+TEST_CASE("an intent that arrives after its request gave up takes no key")
+{
+    applier log;
+    CHECK(log.not_run(1).status == status::accepted);
+    CHECK(
+        log.intent(test::make_intent("key", 11, 1)).status == status::expired);
+    CHECK(
+        log.intent(test::make_intent("key", 12, 2)).status == status::accepted);
+    CHECK(log.not_run(1).status == status::invalid);
+    CHECK(log.outcome(2, "done").status == status::accepted);
+}
+
 // Guards against keys that are kept for ever, and against records dropped
 // before their window has passed in the log's own time.
 TEST_CASE("a call is remembered for the window by the times in the log")
