--- /dev/null
+++ b/src/request/placement/random_of_two_policy.cpp
@@ -0,0 +1,113 @@
+#include "request/placement/random_of_two_policy.hpp"
+
+#include <algorithm>
+
+namespace hickorygap
+{
+
+namespace
+{
+
+constexpr duration retry_after_no_server{std::chrono::seconds{2}};
+
+} // namespace
+
+random_of_two_policy::random_of_two_policy(
+    const cell_description& description, std::uint64_t seed)
+    : cell_(description.id)
+    , random_(seed)
+{
+    for (const engine_description& server : description.servers)
+    {
+        if (!server.leaving)
+        {
+            engines_.push_back({server.id, true, 0, 0});
+        }
+    }
+}
+
+placement_result
+random_of_two_policy::place(const placement_query& query, time_point)
+{
+    std::vector<engine_state*> candidates;
+    for (engine_state& engine : engines_)
+    {
+        if (engine.up && std::find(
+                             query.excluded.begin(), query.excluded.end(),
+                             engine.id) == query.excluded.end())
+        {
+            candidates.push_back(&engine);
+        }
+    }
+    if (candidates.empty())
+    {
+        return placement_refusal{
+            query.request, query.attempt,
+            wire::refusal_reason::no_backend_server, retry_after_no_server};
+    }
+    engine_state* first = candidates[random_below(random_, candidates.size())];
+    engine_state* second = candidates[random_below(random_, candidates.size())];
+    engine_state* chosen =
+        second->reported + second->placed < first->reported + first->placed
+            ? second
+            : first;
+    ++chosen->placed;
+    placement_grant grant;
+    grant.request = query.request;
+    grant.attempt = query.attempt;
+    grant.granting_cell = cell_;
+    grant.backend_server = chosen->id;
+    return grant;
+}
+
+void random_of_two_policy::withdraw(request_id, std::uint8_t, time_point)
+{
+}
+
+void random_of_two_policy::release(const attempt_report&, time_point)
+{
+}
+
+void random_of_two_policy::on_load_report(
+    backend_server_id server, const load_report& report, time_point)
+{
+    if (engine_state* engine = find(server))
+    {
+        engine->reported = report.running + report.waiting;
+        engine->placed = 0;
+    }
+}
+
+void random_of_two_policy::on_cache_event(
+    backend_server_id, const cache_event&, time_point)
+{
+}
+
+void random_of_two_policy::on_backend_health(
+    backend_server_id server, bool up, time_point)
+{
+    if (engine_state* engine = find(server))
+    {
+        engine->up = up;
+    }
+}
+
+void random_of_two_policy::tick(time_point)
+{
+}
+
+std::vector<placement_decision> random_of_two_policy::take_decided()
+{
+    return {};
+}
+
+random_of_two_policy::engine_state*
+random_of_two_policy::find(backend_server_id server)
+{
+    const auto found = std::find_if(
+        engines_.begin(), engines_.end(),
+        [&](const engine_state& engine) { return engine.id == server; });
+    return found == engines_.end() ? nullptr : &*found;
+}
+
+} // namespace hickorygap
--- /dev/null
+++ b/src/request/placement/random_of_two_policy.hpp
@@ -0,0 +1,59 @@
+#ifndef HICKORYGAP_REQUEST_PLACEMENT_RANDOM_OF_TWO_POLICY_HPP
+#define HICKORYGAP_REQUEST_PLACEMENT_RANDOM_OF_TWO_POLICY_HPP
+
+#include "common/random.hpp"
+#include "request/placement/cell_owner.hpp"
+#include "request/placement/placement_policy.hpp"
+
+#include <unordered_map>
+#include <vector>
+
+namespace hickorygap
+{
+
+// Baseline: draws two engines at random and takes the one with the lower
+// reported load. Each router decides by itself; reports lag. Nothing is
+// queued or refused while an engine is up.
+class random_of_two_policy : public placement_policy
+{
+public:
+    random_of_two_policy(
+        const cell_description& description, std::uint64_t seed);
+
+    placement_result
+    place(const placement_query& query, time_point now) override;
+    void
+    withdraw(request_id request, std::uint8_t attempt, time_point now) override;
+    void release(const attempt_report& report, time_point now) override;
+    void on_load_report(
+        backend_server_id server, const load_report& report,
+        time_point now) override;
+    void on_cache_event(
+        backend_server_id server, const cache_event& event,
+        time_point now) override;
+    void on_backend_health(
+        backend_server_id server, bool up, time_point now) override;
+    void tick(time_point now) override;
+    std::vector<placement_decision> take_decided() override;
+
+private:
+    struct engine_state
+    {
+        backend_server_id id = 0;
+        bool up = true;
+        std::uint32_t reported = 0;
+
+        // Placed by this router since the last report.
+        std::uint32_t placed = 0;
+    };
+
+    engine_state* find(backend_server_id server);
+
+    cell_id cell_;
+    std::vector<engine_state> engines_;
+    random_engine random_;
+};
+
+} // namespace hickorygap
+
+#endif
