--- a/bench/placement/placement_bench.cpp
+++ b/bench/placement/placement_bench.cpp
@@ -46,6 +46,11 @@
 // The first seconds fill the caches and are left out of the figures.
 constexpr duration warm_up{seconds{20}};
 
+// Requests that arrive within the last seconds might not end.
+constexpr duration cool_down{seconds{30}};
+constexpr double counted_seconds =
+    std::chrono::duration<double>(run_length - warm_up - cool_down).count();
+
 placement_topology make_topology_of(
     std::size_t services, std::size_t engines_each, std::uint32_t slots)
 {
@@ -178,7 +183,7 @@
 bool is_counted(const trace_request& request)
 {
     return request.arrival.since_start >= warm_up &&
-           request.arrival.since_start < run_length - seconds{30};
+           request.arrival.since_start < run_length - cool_down;
 }
 
 rank_figures
@@ -244,45 +249,84 @@
     return whole > 0 ? fmt::format("{:.1f}", 100 * part / whole) : "-";
 }
 
-void print_row(
-    const std::string& scenario, const std::string& policy,
-    const std::string& figure, const std::string& value)
+// Columns of the table; a dash stands for what a scenario does not measure.
+struct table_row
+{
+    std::string scenario;
+    std::string policy;
+    std::string reuse = "-";
+    std::string relative_reuse = "-";
+    std::string skew = "-";
+    std::string over_bound = "-";
+    std::string urgent = "-";
+    std::string normal = "-";
+    std::string background = "-";
+    std::string refused_after = "-";
+    std::string small_first_byte = "-";
+    std::string traffic = "-";
+    std::string bytes_each = "-";
+    std::string cpu = "-";
+};
+
+void print(const table_row& row)
 {
     fmt::print(
-        "{:<22} {:<14} {:<44} {:>12}\n", scenario, policy, figure, value);
+        "{:<16} {:<13} {:>6} {:>6} {:>12} {:>9} {:>14} {:>14} {:>14} {:>11} "
+        "{:>16} {:>12} {:>6} {:>5}\n",
+        row.scenario, row.policy, row.reuse, row.relative_reuse, row.skew,
+        row.over_bound, row.urgent, row.normal, row.background,
+        row.refused_after, row.small_first_byte, row.traffic, row.bytes_each,
+        row.cpu);
 }
 
-void print_ranks(
-    const std::string& scenario, const std::string& policy,
-    const run_options& options, const run_result& result)
+void print_legend()
+{
+    fmt::print(
+        "reuse: context tokens found in the engine's cache, %; rel: as % of "
+        "all_knowing\n"
+        "max/mean: load of the most loaded engine over the mean (mean)\n"
+        "over: placements beyond the bound, % (by how many requests at most)\n"
+        "urgent, normal, background: first byte in target, % of those not "
+        "refused : per s (offered per s)\n"
+        "refused: time from arrival to refusal, median/p99, ms\n"
+        "small org: p99 first byte without>with the surge, ms (ratio)\n"
+        "KB/s: control traffic sent per instance, mean/most; B: per decision; "
+        "us: CPU of all instances per decision\n\n");
+    table_row header{"scenario", "policy"};
+    header.reuse = "reuse";
+    header.relative_reuse = "rel";
+    header.skew = "max/mean";
+    header.over_bound = "over";
+    header.urgent = "urgent";
+    header.normal = "normal";
+    header.background = "background";
+    header.refused_after = "refused";
+    header.small_first_byte = "small org";
+    header.traffic = "KB/s";
+    header.bytes_each = "B";
+    header.cpu = "us";
+    print(header);
+}
+
+std::string describe_rank(
+    const run_options& options, const run_result& result, rank counted)
 {
-    for (const auto& [counted, name] :
-         {std::pair{rank::urgent, "urgent"}, std::pair{rank::normal, "normal"},
-          std::pair{rank::background, "background"}})
+    const rank_figures figures = figures_of(options, result, counted);
+    if (figures.offered == 0)
     {
-        const rank_figures figures = figures_of(options, result, counted);
-        if (figures.offered == 0)
-        {
-            continue;
-        }
-        const auto offered = static_cast<double>(figures.offered);
-        const auto taken =
-            static_cast<double>(figures.offered - figures.refused);
-        print_row(
-            scenario, policy, fmt::format("{}: offered per s", name),
-            fmt::format("{:.1f}", offered / 70.0));
-        print_row(
-            scenario, policy, fmt::format("{}: in target, % of offered", name),
-            percent(static_cast<double>(figures.in_target), offered));
-        print_row(
-            scenario, policy,
-            fmt::format("{}: in target, % of not refused", name),
-            percent(static_cast<double>(figures.in_target), taken));
-        print_row(
-            scenario, policy, fmt::format("{}: served in target per s", name),
-            fmt::format(
-                "{:.1f}", static_cast<double>(figures.in_target) / 70.0));
+        return "-";
     }
+    return fmt::format(
+        "{}:{:.1f} ({:.0f})",
+        percent(
+            static_cast<double>(figures.in_target),
+            static_cast<double>(figures.offered - figures.refused)),
+        static_cast<double>(figures.in_target) / counted_seconds,
+        static_cast<double>(figures.offered) / counted_seconds);
+}
+
+std::string describe_refusals(const run_result& result)
+{
     std::vector<duration> refused_after;
     for (const request_result& outcome : result.requests)
     {
@@ -291,20 +335,33 @@
             refused_after.push_back(outcome.refused_after);
         }
     }
-    if (!refused_after.empty())
+    if (refused_after.empty())
     {
-        print_row(
-            scenario, policy, "refused after, median / p99, ms",
-            fmt::format(
-                "{:.0f} / {:.0f}", percentile_ms(refused_after, 0.5),
-                percentile_ms(refused_after, 0.99)));
+        return "-";
     }
+    return fmt::format(
+        "{:.0f}/{:.0f}", percentile_ms(refused_after, 0.5),
+        percentile_ms(refused_after, 0.99));
 }
 
-void print_traffic(
+table_row make_row(
     const std::string& scenario, const std::string& policy,
-    const run_result& result)
+    const run_options& options, const run_result& result)
 {
+    table_row row{scenario, policy};
+    row.reuse = percent(reuse_of(options, result), 1.0);
+    row.skew =
+        fmt::format("{:.2f} ({:.1f})", result.mean_skew, result.mean_load);
+    row.over_bound = fmt::format(
+        "{} ({})",
+        percent(
+            static_cast<double>(result.over_bound),
+            static_cast<double>(result.placements)),
+        result.most_over_bound);
+    row.urgent = describe_rank(options, result, rank::urgent);
+    row.normal = describe_rank(options, result, rank::normal);
+    row.background = describe_rank(options, result, rank::background);
+    row.refused_after = describe_refusals(result);
     double total = 0;
     double most = 0;
     for (const std::uint64_t bytes : result.bytes_sent)
@@ -312,24 +369,14 @@
         total += static_cast<double>(bytes);
         most = std::max(most, static_cast<double>(bytes));
     }
-    if (total > 0)
-    {
-        const auto instances = static_cast<double>(result.bytes_sent.size());
-        print_row(
-            scenario, policy, "control KB/s per instance, mean / most",
-            fmt::format(
-                "{:.2f} / {:.2f}", total / instances / result.seconds / 1000,
-                most / result.seconds / 1000));
-        print_row(
-            scenario, policy, "control bytes per placement",
-            fmt::format(
-                "{:.0f}", total / static_cast<double>(result.decisions)));
-    }
-    print_row(
-        scenario, policy, "CPU per decision, all instances, us",
-        fmt::format(
-            "{:.1f}",
-            result.cpu_seconds * 1e6 / static_cast<double>(result.decisions)));
+    const auto instances = static_cast<double>(result.bytes_sent.size());
+    const auto decisions = static_cast<double>(result.decisions);
+    row.traffic = fmt::format(
+        "{:.1f}/{:.1f}", total / instances / result.seconds / 1000,
+        most / result.seconds / 1000);
+    row.bytes_each = fmt::format("{:.0f}", total / decisions);
+    row.cpu = fmt::format("{:.1f}", result.cpu_seconds * 1e6 / decisions);
+    return row;
 }
 
 run_options site_options(std::vector<trace_source> sources, std::uint64_t seed)
@@ -343,40 +390,31 @@
     return options;
 }
 
-void run_reuse(
-    const std::string& name, double load, bool churn, std::uint64_t seed)
+void run_scenario(const std::string& name, const run_options& options)
 {
-    run_options options = site_options(mixed_load(load), seed);
-    options.churn = churn;
-    std::vector<std::pair<std::string, run_result>> results;
+    std::vector<table_row> rows;
+    std::vector<double> reuse;
     for (const named_policy& policy : all_policies())
     {
-        results.emplace_back(policy.name, run_trace(options, policy.factory));
+        const run_result result = run_trace(options, policy.factory);
+        rows.push_back(make_row(name, policy.name, options, result));
+        reuse.push_back(reuse_of(options, result));
     }
-    const double best = reuse_of(options, results.back().second);
-    for (const auto& [policy, result] : results)
+    for (std::size_t index = 0; index < rows.size(); ++index)
     {
-        const double reuse = reuse_of(options, result);
-        print_row(
-            name, policy, "context tokens reused, %", percent(reuse, 1.0));
-        print_row(
-            name, policy, "reuse, % of all_knowing", percent(reuse, best));
-        print_row(
-            name, policy, "load: max over mean (mean)",
-            fmt::format("{:.2f} ({:.2f})", result.mean_skew, result.mean_load));
-        print_row(
-            name, policy, "placements over the bound, % (most)",
-            fmt::format(
-                "{} ({})",
-                percent(
-                    static_cast<double>(result.over_bound),
-                    static_cast<double>(result.placements)),
-                result.most_over_bound));
-        print_ranks(name, policy, options, result);
-        print_traffic(name, policy, result);
+        rows[index].relative_reuse = percent(reuse[index], reuse.back());
+        print(rows[index]);
     }
 }
 
+void run_load(
+    const std::string& name, double load, bool churn, std::uint64_t seed)
+{
+    run_options options = site_options(mixed_load(load), seed);
+    options.churn = churn;
+    run_scenario(name, options);
+}
+
 // Urgent, normal and background work at half the capacity, and a flood of one
 // rank that brings the total to three times the capacity.
 void run_flood(const std::string& name, rank flooding, std::uint64_t seed)
@@ -384,24 +422,29 @@
     std::vector<trace_source> sources = mixed_load(0.5);
     const auto flood = small_organisations(flooding, site_capacity * 2.5, 10);
     sources.insert(sources.end(), flood.begin(), flood.end());
-    const run_options options = site_options(sources, seed);
-    for (const named_policy& policy : all_policies())
+    run_scenario(name, site_options(sources, seed));
+}
+
+double small_first_byte_ms(const run_options& options, const run_result& result)
+{
+    std::vector<duration> first_byte;
+    for (std::size_t index = 0; index < result.requests.size(); ++index)
     {
-        const run_result result = run_trace(options, policy.factory);
-        print_ranks(name, policy.name, options, result);
-        print_row(
-            name, policy.name, "slots used by urgent, %",
-            percent(result.urgent_slot_share, 1.0));
-        print_row(
-            name, policy.name, "reuse, %",
-            percent(reuse_of(options, result), 1.0));
-        print_traffic(name, policy.name, result);
+        const request_result& outcome = result.requests[index];
+        if (is_counted(options.trace[index]) &&
+            options.trace[index].organisation != large_organisation)
+        {
+            // Requests that were not served count with the whole target.
+            const bool served = outcome.outcome == request_result::kind::served;
+            first_byte.push_back(served ? outcome.first_byte : targets[1]);
+        }
     }
+    return percentile_ms(first_byte, 0.99);
 }
 
 // Ten small organisations at half the capacity; the surge is one more that
 // sends 20 times its share of the capacity.
-void run_fairness(std::uint64_t seed)
+void run_surge(std::uint64_t seed)
 {
     const auto small =
         small_organisations(rank::normal, site_capacity * 0.5, 10);
@@ -409,62 +452,19 @@
     surge.push_back(
         {large_organisation, rank::normal, 20 * site_capacity / 11, duration{0},
          run_length});
+    const run_options calm_options = site_options(small, seed);
+    const run_options surge_options = site_options(surge, seed);
     for (const named_policy& policy : all_policies())
     {
-        std::array<double, 2> waits{};
-        std::array<double, 2> first_bytes{};
-        std::array<double, 2> served{};
-        double large_served = 0;
-        const std::array<run_options, 2> options{
-            site_options(small, seed), site_options(surge, seed)};
-        for (std::size_t with_surge = 0; with_surge < 2; ++with_surge)
-        {
-            const run_result result =
-                run_trace(options[with_surge], policy.factory);
-            std::vector<duration> wait;
-            std::vector<duration> first_byte;
-            double offered = 0;
-            for (std::size_t index = 0; index < result.requests.size(); ++index)
-            {
-                const trace_request& request = options[with_surge].trace[index];
-                const request_result& outcome = result.requests[index];
-                if (!is_counted(request))
-                {
-                    continue;
-                }
-                const bool timely =
-                    outcome.outcome == request_result::kind::served &&
-                    outcome.first_byte <= targets[1];
-                if (request.organisation == large_organisation)
-                {
-                    large_served += timely ? 1 : 0;
-                    continue;
-                }
-                offered += 1;
-                served[with_surge] += timely ? 1 : 0;
-                wait.push_back(outcome.wait);
-                first_byte.push_back(outcome.first_byte);
-            }
-            served[with_surge] = 100 * served[with_surge] / offered;
-            waits[with_surge] = percentile_ms(wait, 0.99);
-            first_bytes[with_surge] = percentile_ms(first_byte, 0.99);
-        }
-        const std::string name = "surge of one";
-        print_row(
-            name, policy.name, "small: p99 wait for a slot, ms, without / with",
-            fmt::format("{:.0f} / {:.0f}", waits[0], waits[1]));
-        print_row(
-            name, policy.name, "small: p99 first byte, ms, without / with",
-            fmt::format("{:.0f} / {:.0f}", first_bytes[0], first_bytes[1]));
-        print_row(
-            name, policy.name, "small: p99 first byte, with over without",
-            fmt::format("{:.2f}", first_bytes[1] / first_bytes[0]));
-        print_row(
-            name, policy.name, "small: in target, %, without / with",
-            fmt::format("{:.1f} / {:.1f}", served[0], served[1]));
-        print_row(
-            name, policy.name, "large: served in target per s",
-            fmt::format("{:.1f}", large_served / 70.0));
+        const double without = small_first_byte_ms(
+            calm_options, run_trace(calm_options, policy.factory));
+        const run_result result = run_trace(surge_options, policy.factory);
+        const double with = small_first_byte_ms(surge_options, result);
+        table_row row =
+            make_row("surge of one", policy.name, surge_options, result);
+        row.small_first_byte = fmt::format(
+            "{:.0f}>{:.0f} ({:.2f})", without, with, with / without);
+        print(row);
     }
 }
 
@@ -489,12 +489,15 @@
     options.trace = make_trace(sources, seed);
     const run_result result =
         run_trace(options, all_policies().front().factory);
-    print_traffic(
-        fmt::format("{} inst. {} eng.", instances, engines), "cell_owner",
+    table_row row = make_row(
+        fmt::format("{}i {}e", instances, engines), "cell_owner", options,
         result);
+    // The run is too short for these after the warm-up.
+    row.urgent = row.normal = row.background = row.reuse = "-";
+    print(row);
 }
 
-void run_directory_memory()
+void print_directory_memory()
 {
     for (const std::size_t chats : {16384U, 65536U, 131072U})
     {
@@ -505,28 +508,26 @@
                 rendezvous_score(number, 1),
                 static_cast<engine_index>(number % 16), time_point{});
         }
-        print_row(
-            "directory", "cell_owner",
-            fmt::format("bytes per chat, {} chats", chats),
-            fmt::format(
-                "{:.1f}", static_cast<double>(directory.memory()) /
-                              static_cast<double>(directory.size())));
+        fmt::print(
+            "directory of {} chats: {:.1f} bytes per chat\n", chats,
+            static_cast<double>(directory.memory()) /
+                static_cast<double>(directory.size()));
     }
 }
 
 void run_all(std::uint64_t seed)
 {
-    print_row("scenario", "policy", "figure", "value");
-    run_reuse("calm, 60% load", 0.6, false, seed);
-    run_reuse("churn, 60% load", 0.6, true, seed);
-    run_reuse("churn, 95% load", 0.95, true, seed);
-    run_flood("background flood", rank::background, seed);
-    run_flood("urgent flood", rank::urgent, seed);
-    run_fairness(seed);
+    print_legend();
+    run_load("calm 60%", 0.6, false, seed);
+    run_load("churn 60%", 0.6, true, seed);
+    run_load("churn 95%", 0.95, true, seed);
+    run_flood("flood background", rank::background, seed);
+    run_flood("flood urgent", rank::urgent, seed);
+    run_surge(seed);
     run_scale(24, 50, 200, seed);
     run_scale(48, 100, 400, seed);
     run_scale(95, 200, 800, seed);
-    run_directory_memory();
+    print_directory_memory();
 }
 
 } // namespace
