Prefer requests with cached context across organisations, announce chats

Entry routers name the chats that they served lately to a new owner, which otherwise starts with an empty directory.

--- a/src/request/placement/entry_router.cpp
+++ b/src/request/placement/entry_router.cpp
@@ -58,6 +58,13 @@
 // Cells that are asked for one query: the chat's cell and one for spillover.
 constexpr std::size_t cells_per_query = 2;
 
+// Chats that this instance remembers: those of the last 10 minutes at the
+// target's 8 requests/s per instance. Takes 150 KB.
+constexpr std::size_t recent_chats = 4096;
+
+// Chats named in one answer to a new owner, 16 bytes each.
+constexpr std::size_t announced_chats = 512;
+
 request_key key_of(const placement_query& query)
 {
     return {query.request, query.attempt};
@@ -82,7 +89,8 @@
 entry_router::entry_router(instance_id self, owner_map& owners)
     : self_(self)
     , owners_(owners)
-    , topology_(std::make_shared<placement_topology>())
+    , topology_(std::make_shared<placement_topology>()),
+      recent_chats_(recent_chats)
 {
 }
 
@@ -578,9 +586,49 @@
                 describe_held(key, held)));
         }
     }
+    add_recent_chats(query.cell, message);
     send(from, std::move(message));
 }
 
+void entry_router::remember_chat(
+    chat_id chat, backend_server_id server, time_point now)
+{
+    auto position = std::find(
+        numbered_servers_.begin(), numbered_servers_.end(), server);
+    if (position == numbered_servers_.end())
+    {
+        position = numbered_servers_.insert(position, server);
+    }
+    const auto number = position - numbered_servers_.begin();
+    if (chat != 0 && number < no_engine)
+    {
+        recent_chats_.put(chat, static_cast<engine_index>(number), now);
+    }
+}
+
+void entry_router::add_recent_chats(
+    cell_id cell_number, wire::grants_held_msg& message) const
+{
+    const cell* asked = topology_->find_cell(cell_number);
+    if (asked == nullptr)
+    {
+        return;
+    }
+    const std::set<backend_server_id> servers{
+        asked->backend_servers.begin(), asked->backend_servers.end()};
+    recent_chats_.visit_latest(
+        [&](chat_id chat, engine_index number)
+        {
+            const backend_server_id server = numbered_servers_[number];
+            if (servers.contains(server))
+            {
+                message.chats.push_back(chat);
+                message.backend_servers.push_back(server);
+            }
+            return message.chats.size() < announced_chats;
+        });
+}
+
 wire::held_grant_msg entry_router::describe_held(
     const request_key& key, const held_grant& held) const
 {
@@ -718,6 +766,7 @@
                         ? now
                         : now + renewal_age;
     held_.emplace(key, held);
+    remember_chat(query.chat, held.server, now);
     ++held_per_server_[held.server];
     ++held_per_cell_[held.cell];
     pending_.erase(position);
--- a/src/request/placement/entry_router.hpp
+++ b/src/request/placement/entry_router.hpp
@@ -4,6 +4,7 @@
 #include "common/ids.hpp"
 #include "common/time.hpp"
 #include "messages/codec.hpp"
+#include "request/placement/chat_directory.hpp"
 #include "request/placement/owner_map.hpp"
 #include "request/placement/placement_query.hpp"
 #include "request/placement/placement_topology.hpp"
@@ -140,6 +141,9 @@
     void give_up(
         pending_map::iterator position, wire::refusal_reason reason,
         duration retry_after);
+    void remember_chat(
+        chat_id chat, backend_server_id server, time_point now);
+    void add_recent_chats(cell_id cell, wire::grants_held_msg& message) const;
     void withdraw_from_others(
         const pending_query& pending, const request_key& key,
         const asked_owner& kept);
@@ -170,6 +174,12 @@
     std::map<cell_id, std::uint32_t> held_per_cell_;
     std::set<backend_server_id> down_;
 
+    // Servers of the chats that this instance served lately, for owners that
+    // take over a cell without a handover. The numbers stand for the servers
+    // in the list.
+    chat_directory recent_chats_;
+    std::vector<backend_server_id> numbered_servers_;
+
     // When a cell last refused work of a rank as overloaded.
     std::map<std::pair<cell_id, rank>, time_point> overloaded_;
     std::vector<outgoing_message> outgoing_;
--- a/src/request/placement/placement_service.cpp
+++ b/src/request/placement/placement_service.cpp
@@ -409,6 +409,7 @@
     {
         owned.owner.adopt(from, *grant, now);
     }
+    adopt_chats(owned.owner, held.chats, held.backend_servers, now);
     if (held.complete)
     {
         owned.unanswered.erase(from);
@@ -436,14 +437,17 @@
     {
         owner.adopt(0, *grant, now);
     }
-    const std::size_t chats =
-        std::min(handover.chats.size(), handover.backend_servers.size());
-    // The latest chat comes first and must be adopted last.
-    for (std::size_t position_from_end = chats; position_from_end-- > 0;)
+    adopt_chats(owner, handover.chats, handover.backend_servers, now);
+}
+
+// The latest chat comes first and must be adopted last.
+void placement_service::adopt_chats(
+    cell_owner& owner, std::span<const chat_id> chats,
+    std::span<const backend_server_id> servers, time_point now)
+{
+    for (std::size_t left = std::min(chats.size(), servers.size()); left-- > 0;)
     {
-        owner.adopt_chat(
-            handover.chats[position_from_end],
-            handover.backend_servers[position_from_end], now);
+        owner.adopt_chat(chats[left], servers[left], now);
     }
 }
 
--- a/src/request/placement/placement_service.hpp
+++ b/src/request/placement/placement_service.hpp
@@ -124,6 +124,9 @@
     void on_handover(
         instance_id from, const wire::cell_handover_msg& handover,
         time_point now);
+    static void adopt_chats(
+        cell_owner& owner, std::span<const chat_id> chats,
+        std::span<const backend_server_id> servers, time_point now);
     void answer(instance_id entry, cell_id cell, const placement_grant& grant);
     void
     answer(instance_id entry, cell_id cell, const placement_refusal& refusal);
--- a/src/request/scheduling/rank_queue.cpp
+++ b/src/request/scheduling/rank_queue.cpp
@@ -18,6 +18,10 @@
 // with context on the free backend server.
 constexpr std::uint32_t bypass_limit = 32;
 
+// Requests of mean cost by which an organisation may be served before another
+// one whose turn it is, for a request with context on a free backend server.
+constexpr double locality_requests = 2.0;
+
 // Organisations that are tried per rank when the free slots do not fit.
 constexpr std::size_t lookahead_organisations = 64;
 
@@ -40,10 +44,12 @@
     return static_cast<std::size_t>(request_rank);
 }
 
-// More than half of the time until the first byte is due has passed.
-bool is_pressing(const queued_request& item, time_point now)
+// Whether the request must not be passed over any more: it was often enough,
+// or more than half of the time until its first byte is due has passed.
+bool must_be_next(const queued_request& item, time_point now)
 {
-    return now - item.queued_at > item.first_byte_due - now;
+    return item.bypassed >= bypass_limit ||
+           now - item.queued_at > item.first_byte_due - now;
 }
 
 } // namespace
@@ -223,35 +229,56 @@
     return std::nullopt;
 }
 
+// Serves the organisation with the earliest tag, or another one whose tag is
+// little later and that has a request with context on a free backend server.
 std::optional<queued_request> rank_queue::take_from_rank(
     std::size_t rank_number, fit_function fit, time_point now)
 {
     rank_state& state = ranks_[rank_number];
     std::size_t tried = 0;
+    std::optional<item_list::iterator> chosen;
+    double latest_tag = 0.0;
     for (const auto& [tag, organisation] : state.active)
     {
-        if (++tried > lookahead_organisations)
+        if (++tried > lookahead_organisations || (chosen && tag > latest_tag))
         {
             break;
         }
-        organisation_queue& queue = state.organisations[organisation];
-        bool found = false;
-        const auto position = choose_item(queue, fit, now, found);
-        if (found)
+        const auto candidate =
+            choose_item(state.organisations[organisation], fit, now);
+        if (!candidate)
         {
-            queued_request item = extract(state, position, true);
-            forget_idle(state);
-            return item;
+            continue;
+        }
+        if (!chosen)
+        {
+            chosen = candidate->position;
+            latest_tag = tag + locality_requests * state.mean_cost;
+            if (candidate->is_preferred || must_be_next(**chosen, now))
+            {
+                break;
+            }
+        }
+        else if (candidate->is_preferred)
+        {
+            ++(*chosen)->bypassed;
+            chosen = candidate->position;
+            break;
         }
     }
-    return std::nullopt;
+    if (!chosen)
+    {
+        return std::nullopt;
+    }
+    queued_request item = extract(state, *chosen, true);
+    forget_idle(state);
+    return item;
 }
 
-rank_queue::item_list::iterator rank_queue::choose_item(
-    organisation_queue& organisation, fit_function fit, time_point now,
-    bool& found)
+std::optional<rank_queue::candidate_item> rank_queue::choose_item(
+    organisation_queue& organisation, fit_function fit, time_point now)
 {
-    auto first_possible = organisation.items.end();
+    std::optional<candidate_item> first_possible;
     std::size_t examined = 0;
     for (auto item = organisation.items.begin();
          item != organisation.items.end() && examined < lookahead_items;
@@ -262,25 +289,23 @@
         {
             continue;
         }
-        if (first_possible == organisation.items.end())
+        if (result == slot_fit::preferred)
         {
-            first_possible = item;
-            if (item->bypassed >= bypass_limit || is_pressing(*item, now))
+            if (first_possible)
             {
-                break;
+                ++first_possible->position->bypassed;
             }
+            return candidate_item{item, true};
         }
-        if (result == slot_fit::preferred)
+        if (!first_possible)
         {
-            if (item != first_possible)
+            first_possible = candidate_item{item, false};
+            if (must_be_next(*item, now))
             {
-                ++first_possible->bypassed;
+                break;
             }
-            found = true;
-            return item;
         }
     }
-    found = first_possible != organisation.items.end();
     return first_possible;
 }
 
--- a/src/request/scheduling/rank_queue.hpp
+++ b/src/request/scheduling/rank_queue.hpp
@@ -136,6 +136,12 @@
 private:
     using item_list = std::list<queued_request>;
 
+    struct candidate_item
+    {
+        item_list::iterator position;
+        bool is_preferred = false;
+    };
+
     struct organisation_queue
     {
         item_list items;
@@ -173,9 +179,8 @@
     void update_floor_credits(std::size_t served_rank);
     std::optional<queued_request>
     take_from_rank(std::size_t rank_number, fit_function fit, time_point now);
-    item_list::iterator choose_item(
-        organisation_queue& organisation, fit_function fit, time_point now,
-        bool& found);
+    std::optional<candidate_item> choose_item(
+        organisation_queue& organisation, fit_function fit, time_point now);
     queued_request
     extract(rank_state& state, item_list::iterator position, bool served);
     void set_start_tag(
