Connect to the backend server before a call's intent is committed

Overload and lost backend servers used up idempotency keys, because the intent was committed first. The order is now placement, connection, intent, send. Committing first was kept out because each refusal would also cost two log entries during overload.

--- a/src/connection/http/call_relay.cpp
+++ b/src/connection/http/call_relay.cpp
@@ -3,8 +3,6 @@
 #include "common/hashing.hpp"
 #include "common/logging.hpp"
 #include "connection/http/answer_classes.hpp"
-#include "connection/http/backend_exchange.hpp"
-#include "connection/http/blame_guard.hpp"
 
 #include <fmt/format.h>
 
@@ -143,24 +141,51 @@
     const placement_query& query, const placement_grant& grant)
 {
     attempt granted{context_.control(), query, grant, request_.arrival};
+    const configuration_ptr in_force =
+        context_.control().current_configuration();
+    const backend_server* server =
+        in_force->find_backend_server(grant.backend_server);
+    blame_guard blame{
+        context_.blame(), grant.backend_server, request_.fingerprint,
+        query.isolated};
+    // The call goes on when its caller leaves, so that its outcome is known.
+    backend_exchange exchange{nullptr};
+    if (server == nullptr || !blame.admitted() ||
+        !exchange.connect(
+            server->host, server->port, context_.options().connect_timeout))
+    {
+        granted.end(wire::attempt_outcome::failed_before_start);
+        context_.refuse(
+            caller_, {error_kind::no_backend_server,
+                      "this request was not run because its backend server "
+                      "can't be reached; send it again with the same "
+                      "Idempotency-Key",
+                      true, retry_after_refusal});
+        return;
+    }
+    run_connected({granted, blame, *server, exchange});
+}
+
+void call_relay::run_connected(const running_call& running)
+{
     const idempotent_call call = identity_of(request_);
     const absl::StatusOr<call_permission> permission =
         context_.control().begin_call(call, request_.deadline);
     if (!permission.ok())
     {
-        granted.end(wire::attempt_outcome::never_used);
+        running.granted.end(wire::attempt_outcome::never_used);
         refuse_call(permission.status());
         return;
     }
     if (!permission->run)
     {
-        granted.end(wire::attempt_outcome::never_used);
+        running.granted.end(wire::attempt_outcome::never_used);
         const recorded_response& recorded = permission->recorded;
         caller_.respond(
             recorded.http_status, recorded.content_type, recorded.body);
         return;
     }
-    run_permitted(query, granted, call);
+    run_permitted(running, call);
 }
 
 void call_relay::refuse_call(const absl::Status& status)
@@ -175,18 +200,10 @@
 }
 
 void call_relay::run_permitted(
-    const placement_query& query, attempt& granted, const idempotent_call& call)
+    const running_call& running, const idempotent_call& call)
 {
     outcome_guard outcome{context_.control(), call};
-    const configuration_ptr in_force =
-        context_.control().current_configuration();
-    const backend_server* server =
-        in_force->find_backend_server(granted.backend_server());
-    std::optional<recorded_response> response = not_run_response();
-    if (server != nullptr)
-    {
-        response = send_once(query, granted, *server);
-    }
+    const std::optional<recorded_response> response = send_once(running);
     if (!response)
     {
         outcome.end(nullptr);
@@ -204,50 +221,41 @@
         response->http_status, response->content_type, response->body);
 }
 
-std::optional<recorded_response> call_relay::send_once(
-    const placement_query& query, attempt& granted,
-    const backend_server& server)
+std::optional<recorded_response>
+call_relay::send_once(const running_call& running)
 {
-    const relay_options& options = context_.options();
-    blame_guard blame{
-        context_.blame(), server.id, request_.fingerprint, query.isolated};
-    // The call goes on when its caller leaves, so that its outcome is known.
-    backend_exchange exchange{nullptr};
-    if (!blame.admitted() ||
-        !exchange.connect(server.host, server.port, options.connect_timeout))
-    {
-        granted.end(wire::attempt_outcome::failed_before_start);
-        return not_run_response();
-    }
-    exchange.set_deadline(monotonic_now() + options.answer_timeout);
-    granted.mark_sent();
+    backend_exchange& exchange = running.exchange;
+    exchange.set_deadline(monotonic_now() + context_.options().answer_timeout);
+    running.granted.mark_sent();
     backend_call call;
     call.method = request_.method;
     call.path = request_.path;
     call.content_type = request_.content_type;
     call.body = request_.body;
-    call.attempt = granted.name();
+    call.attempt = running.granted.name();
     call.request_rank = request_.request_rank;
-    const bool answered = exchange.send(call);
-    if (answered && exchange.answer().attempt != granted.name())
+    if (!exchange.send(call))
+    {
+        note_failure(running);
+        return std::nullopt;
+    }
+    if (exchange.answer().attempt != running.granted.name())
     {
         ++context_.counters().late_answers_dropped;
         return std::nullopt;
     }
+    return read_response(running);
+}
+
+std::optional<recorded_response>
+call_relay::read_response(const running_call& running)
+{
     recorded_response response;
-    const auto read =
-        answered
-            ? exchange.read_body(response.body, options.call_response_limit)
-            : backend_exchange::read_result::failed;
+    const auto read = running.exchange.read_body(
+        response.body, context_.options().call_response_limit);
     if (read == backend_exchange::read_result::failed)
     {
-        if (exchange.why_failed() != watched_socket::failure::timed_out &&
-            context_.is_dead(server))
-        {
-            ++context_.counters().backend_servers_lost;
-            blame.backend_server_died();
-            granted.end(wire::attempt_outcome::backend_server_lost);
-        }
+        note_failure(running);
         return std::nullopt;
     }
     if (read == backend_exchange::read_result::too_large)
@@ -259,19 +267,30 @@
              false,
              {}});
     }
-    response.http_status = exchange.answer().status;
-    response.content_type = exchange.answer().content_type;
+    response.http_status = running.exchange.answer().status;
+    response.content_type = running.exchange.answer().content_type;
     if (is_refused_before_start(response.http_status, response.body))
     {
-        granted.end(wire::attempt_outcome::failed_before_start);
+        running.granted.end(wire::attempt_outcome::failed_before_start);
         return not_run_response();
     }
-    granted.mark_first_byte(monotonic_now());
-    granted.add_cost(request_.expected_cost);
-    granted.end(wire::attempt_outcome::completed);
-    blame.completed();
+    running.granted.mark_first_byte(monotonic_now());
+    running.granted.add_cost(request_.expected_cost);
+    running.granted.end(wire::attempt_outcome::completed);
+    running.blame.completed();
     context_.on_success(request_.target->id);
     return response;
 }
 
+void call_relay::note_failure(const running_call& running)
+{
+    if (running.exchange.why_failed() != watched_socket::failure::timed_out &&
+        context_.is_dead(running.server))
+    {
+        ++context_.counters().backend_servers_lost;
+        running.blame.backend_server_died();
+        running.granted.end(wire::attempt_outcome::backend_server_lost);
+    }
+}
+
 } // namespace hickorygap
--- a/src/connection/http/call_relay.hpp
+++ b/src/connection/http/call_relay.hpp
@@ -1,6 +1,8 @@
 #ifndef HICKORYGAP_CONNECTION_HTTP_CALL_RELAY_HPP
 #define HICKORYGAP_CONNECTION_HTTP_CALL_RELAY_HPP
 
+#include "connection/http/backend_exchange.hpp"
+#include "connection/http/blame_guard.hpp"
 #include "connection/http/relay_context.hpp"
 #include "request/attempt/attempt.hpp"
 
@@ -9,9 +11,9 @@
 namespace hickorygap
 {
 
-// Relays one non-repeatable call. A backend server is chosen first, so that
-// overload uses up no key; then the intent is committed, the call is sent
-// once and its outcome is committed.
+// Relays one non-repeatable call. A backend server is chosen and connected to
+// first, so that neither overload nor a lost server uses up a key; then the
+// intent is committed, the call is sent once and its outcome is committed.
 class call_relay
 {
 public:
@@ -22,14 +24,23 @@
     void run();
 
 private:
+    // A granted call with a connection to its backend server.
+    struct running_call
+    {
+        attempt& granted;
+        blame_guard& blame;
+        const backend_server& server;
+        backend_exchange& exchange;
+    };
+
     void
     run_granted(const placement_query& query, const placement_grant& grant);
-    void run_permitted(
-        const placement_query& query, attempt& granted,
-        const idempotent_call& call);
-    std::optional<recorded_response> send_once(
-        const placement_query& query, attempt& granted,
-        const backend_server& server);
+    void run_connected(const running_call& running);
+    void
+    run_permitted(const running_call& running, const idempotent_call& call);
+    std::optional<recorded_response> send_once(const running_call& running);
+    std::optional<recorded_response> read_response(const running_call& running);
+    void note_failure(const running_call& running);
     void refuse_call(const absl::Status& status);
 
     relay_context& context_;
--- a/src/connection/http/http_caller_channel.cpp
+++ b/src/connection/http/http_caller_channel.cpp
@@ -40,7 +40,16 @@
 {
     response_.setContentType("text/event-stream");
     response_.set("Cache-Control", "no-cache");
-    response_.setChunkedTransferEncoding(true);
+    if (response_.getVersion() == Poco::Net::HTTPMessage::HTTP_1_0)
+    {
+        // Version 1.0 knows no chunks; the end of the connection ends the
+        // stream.
+        response_.setKeepAlive(false);
+    }
+    else
+    {
+        response_.setChunkedTransferEncoding(true);
+    }
     stream_ = &response_.send();
     stream_->flush();
 }
--- a/src/connection/http/http_server.cpp
+++ b/src/connection/http/http_server.cpp
@@ -19,6 +19,7 @@
 #include <fmt/format.h>
 
 #include <condition_variable>
+#include <csignal>
 #include <deque>
 #include <map>
 #include <mutex>
@@ -34,7 +35,7 @@
 
 using Poco::Net::HTTPResponse;
 
-// Longest time after which deadlines of idle connections are looked at.
+// Longest time until a request to stop is noticed.
 constexpr duration poll_interval = std::chrono::milliseconds{50};
 
 // Bytes of a request body left unread by the handler that are read and
@@ -46,6 +47,12 @@
 // could lose the response.
 constexpr duration linger_time = std::chrono::seconds{2};
 
+// How often the deadlines of idle connections are looked at.
+constexpr duration expiry_interval = std::chrono::milliseconds{250};
+
+// Told to callers when all traffic threads are busy.
+constexpr duration retry_when_full = std::chrono::seconds{1};
+
 constexpr int listen_backlog = 512;
 
 struct connection
@@ -66,11 +73,17 @@
 {
     const HTTPResponse::HTTPStatus status = http_status_of(reason.kind);
     const std::string body = error_body(reason);
+    std::string retry;
+    if (reason.retry_after > duration::zero())
+    {
+        retry = fmt::format(
+            "Retry-After: {}\r\n", retry_after_seconds(reason.retry_after));
+    }
     return fmt::format(
-        "HTTP/1.1 {} {}\r\nContent-Type: application/json\r\n"
+        "HTTP/1.1 {} {}\r\nContent-Type: application/json\r\n{}"
         "Content-Length: {}\r\nConnection: close\r\n\r\n{}",
         static_cast<int>(status), HTTPResponse::getReasonForStatus(status),
-        body.size(), body);
+        retry, body.size(), body);
 }
 
 void send_raw(connection_socket& socket, const std::string& text)
@@ -141,6 +154,7 @@
 
     absl::Status start()
     {
+        std::signal(SIGPIPE, SIG_IGN);
         try
         {
             const Poco::Net::SocketAddress address{
@@ -322,7 +336,22 @@
             return;
         }
         unwatch(socket);
-        enqueue(readable);
+        if (queue_.size() < options_.queue_limit)
+        {
+            enqueue(readable);
+        }
+        else if (!readable->socket->secure())
+        {
+            // With TLS an answer could need a handshake first, which this
+            // thread must not wait for; the connection just closes.
+            refuse_and_linger(
+                *readable,
+                {error_kind::overloaded,
+                 "this instance serves as many requests as it can; retry "
+                 "after the stated time or through another instance",
+                 true, retry_when_full});
+            watch(readable);
+        }
     }
 
     void enqueue(const connection_ptr& readable)
@@ -334,6 +363,11 @@
 
     void close_expired(time_point now)
     {
+        if (now - last_expiry_ < expiry_interval)
+        {
+            return;
+        }
+        last_expiry_ = now;
         for (auto entry = watched_.begin(); entry != watched_.end();)
         {
             connection& watched = *entry->second;
@@ -421,7 +455,12 @@
         bool more = false;
         if (state == connection_socket::fill_result::too_large)
         {
-            refuse_header(*served);
+            refuse_and_linger(
+                *served, {error_kind::payload_too_large,
+                          "the header block is over the limit; send fewer or "
+                          "shorter fields",
+                          true,
+                          {}});
         }
         else if (state == connection_socket::fill_result::header_complete)
         {
@@ -437,7 +476,7 @@
                 linger(*served);
             }
         }
-        else if (!was_pending)
+        else if (!was_pending && served->socket->has_pending())
         {
             served->since = monotonic_now();
         }
@@ -466,16 +505,9 @@
         ended.since = monotonic_now();
     }
 
-    static void refuse_header(connection& refused)
+    static void refuse_and_linger(connection& refused, const refusal& reason)
     {
-        send_raw(
-            *refused.socket,
-            raw_refusal(
-                {error_kind::payload_too_large,
-                 "the header block is over the limit; send fewer or shorter "
-                 "fields",
-                 true,
-                 {}}));
+        send_raw(*refused.socket, raw_refusal(reason));
         linger(refused);
     }
 
@@ -545,7 +577,11 @@
             return false;
         }
         response.setVersion(request.getVersion());
-        response.setKeepAlive(request.getKeepAlive() && is_accepting());
+        // A caller that waits for "100 Continue" sends its body or the next
+        // request after a refusal; only reading the body tells which.
+        response.setKeepAlive(
+            request.getKeepAlive() && is_accepting() &&
+            !request.getExpectContinue());
         handler_.handle(request, response);
         return finish_exchange(request, response);
     }
@@ -584,6 +620,7 @@
     std::condition_variable work_ended_;
     std::map<Poco::Net::Socket, connection_ptr> watched_;
     std::deque<connection_ptr> queue_;
+    time_point last_expiry_;
 
     // Connections queued for a traffic thread or served by one.
     std::size_t in_flight_ = 0;
--- a/src/connection/http/http_server.hpp
+++ b/src/connection/http/http_server.hpp
@@ -35,6 +35,10 @@
     // Requests served at once; further connections wait for a thread.
     std::size_t threads = 64;
 
+    // Connections with a request that wait for a thread; further ones are
+    // refused at once.
+    std::size_t queue_limit = 256;
+
     // Limit for a header block, in bytes.
     std::size_t header_limit = 16384;
 
@@ -61,7 +65,8 @@
     http_server& operator=(const http_server&) = delete;
 
     // Binds and starts to serve; error_kind::unreachable when the address
-    // can't be bound.
+    // can't be bound. Makes the process ignore SIGPIPE, because a peer that
+    // leaves while it is written to must not end the process.
     absl::Status start();
 
     // The bound port.
--- a/src/connection/http/repeatable_relay.cpp
+++ b/src/connection/http/repeatable_relay.cpp
@@ -80,8 +80,10 @@
     {
         give_up(
             {error_kind::no_backend_server,
-             "the backend servers that ran the request failed; retry after "
-             "the stated time",
+             maybe_run_ ? "the backend servers that ran the request failed; "
+                          "retry after the stated time"
+                        : "the backend servers took no more work; retry after "
+                          "the stated time",
              false, retry_after_failure});
         return false;
     }
--- a/src/connection/http/request_body.cpp
+++ b/src/connection/http/request_body.cpp
@@ -13,6 +13,10 @@
 namespace
 {
 
+// Bodies up to this size are read and dropped after a refusal, so that the
+// connection stays usable; the server drops at most 1 MiB.
+constexpr std::size_t droppable_body = std::size_t{1} << 20U;
+
 refusal too_large(std::size_t limit)
 {
     return {
@@ -45,6 +49,8 @@
                    : std::size_t{0};
     if (announced > limit)
     {
+        response.setKeepAlive(
+            response.getKeepAlive() && announced <= droppable_body);
         return too_large(limit);
     }
     if (auto* socket = connection_socket::of(request))
@@ -54,6 +60,7 @@
     if (request.getExpectContinue())
     {
         response.sendContinue();
+        response.setKeepAlive(request.getKeepAlive());
     }
     std::istream& stream = request.stream();
     std::array<char, chunk> buffer{};
