Test the relay, the HTTP server, the callers' limits and the blame tracker

The tests found three faults, corrected here: a chunked body that is over its limit was read again after its end, which took the next request; a negative Content-Length was taken for an endless body; the listener shared its port with other processes (SO_REUSEPORT), so that an address in use went unnoticed.

--- a/src/connection/http/http_server.cpp
+++ b/src/connection/http/http_server.cpp
@@ -102,9 +102,13 @@
 // left or the peer doesn't send it.
 bool drop_unread_body(std::istream& body)
 {
-    body.clear();
-    body.ignore(static_cast<std::streamsize>(unread_body_limit));
-    return body.eof();
+    // Poco's chunked streams can't be read again after their end.
+    if (!body.eof())
+    {
+        body.clear();
+        body.ignore(static_cast<std::streamsize>(unread_body_limit));
+    }
+    return body.eof() && !body.bad();
 }
 
 // Whether the end of the body is known, so that the next request can be
@@ -112,7 +116,10 @@
 bool has_known_end(const Poco::Net::HTTPServerRequest& request)
 {
     const bool chunked = request.getChunkedTransferEncoding();
-    if (chunked && request.hasContentLength())
+    const std::string length = request.get("Content-Length", "");
+    if (request.has("Content-Length") &&
+        (chunked || length.empty() ||
+         length.find_first_not_of("0123456789") != std::string::npos))
     {
         return false;
     }
@@ -167,7 +174,8 @@
             {
                 listener_ = make_tls_listener();
             }
-            listener_.bind(address, true);
+            // Without the third argument Poco shares the port with others.
+            listener_.bind(address, true, false);
             listener_.listen(listen_backlog);
             listener_.setBlocking(false);
             port_ = listener_.address().port();
--- /dev/null
+++ b/tests/connection/http/http_server_test.cpp
@@ -0,0 +1,256 @@
+#include "connection/http/relay_fixture.hpp"
+#include "connection/http/request_body.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <atomic>
+
+using namespace hickorygap;
+using namespace hickorygap::testing;
+
+namespace
+{
+
+// Answers with the path; waits at /wait until it is released.
+class path_handler : public http_handler
+{
+public:
+    void handle(
+        Poco::Net::HTTPServerRequest& request,
+        Poco::Net::HTTPServerResponse& response) override
+    {
+        if (request.getURI() == "/wait")
+        {
+            ++waiting;
+            eventually([this] { return released.load(); });
+        }
+        const std::string path = request.getURI();
+        response.sendBuffer(path.data(), path.size());
+    }
+
+    std::atomic<int> waiting{0};
+    std::atomic<bool> released{false};
+};
+
+struct server_fixture
+{
+    explicit server_fixture(const http_server_options& options = {})
+        : server(options, handler)
+    {
+        REQUIRE(server.start().ok());
+    }
+
+    ~server_fixture()
+    {
+        handler.released = true;
+    }
+
+    path_handler handler;
+    http_server server;
+};
+
+std::string many_fields()
+{
+    std::string text;
+    for (int i = 0; i < 200; ++i)
+    {
+        text += "X-Field: x\r\n";
+    }
+    return text;
+}
+
+std::string get(const std::string& path)
+{
+    return "GET " + path + " HTTP/1.1\r\nHost: test\r\n\r\n";
+}
+
+} // namespace
+
+// Guards against pipelined requests that are lost or answered out of order.
+TEST_CASE("pipelined requests are answered in order")
+{
+    server_fixture fixture;
+    raw_client client{fixture.server.port()};
+
+    client.send(
+        get("/1") + get("/2") +
+        make_request("POST", "/3", "", "an unread body") + get("/4") +
+        get("/5").substr(0, 10));
+    for (const char* path : {"/1", "/2", "/3", "/4"})
+    {
+        CHECK(client.read_response().body == path);
+    }
+    client.send(get("/5").substr(10));
+    CHECK(client.read_response().body == "/5");
+}
+
+// Guards against idle connections that occupy threads.
+TEST_CASE("many idle connections share few threads")
+{
+    http_server_options options;
+    options.threads = 2;
+    server_fixture fixture{options};
+    std::vector<std::unique_ptr<raw_client>> clients;
+    for (int i = 0; i < 200; ++i)
+    {
+        clients.push_back(std::make_unique<raw_client>(fixture.server.port()));
+    }
+
+    for (int round = 0; round < 2; ++round)
+    {
+        for (const auto& client : clients)
+        {
+            client->send(get("/idle"));
+        }
+        for (const auto& client : clients)
+        {
+            REQUIRE(client->read_response().body == "/idle");
+        }
+    }
+}
+
+// Guards against a slow sender that holds a thread or its connection for ever.
+TEST_CASE("a slow header block holds no thread and is ended")
+{
+    http_server_options options;
+    options.threads = 1;
+    options.header_timeout = std::chrono::milliseconds{300};
+    server_fixture fixture{options};
+    raw_client slow{fixture.server.port()};
+    slow.send("GET /slow HT");
+    raw_client other{fixture.server.port()};
+
+    other.send(get("/other"));
+
+    CHECK(other.read_response().body == "/other");
+    const raw_response refused = slow.read_response();
+    CHECK(refused.status == 408);
+    CHECK(refused.body.find("\"not_run\":true") != std::string::npos);
+    CHECK(slow.at_end());
+}
+
+// Guards against header blocks that fill the memory or confuse the framing.
+TEST_CASE("a bad header block is refused and ends the connection")
+{
+    const auto [text, status] = GENERATE(table<std::string, int>(
+        {{"GET / HTTP/1.1\r\nX-Long: " + std::string(20000, 'x'), 413},
+         {"GET / HTTP/1.1\r\nX-Long: " + std::string(17000, 'x') + "\r\n\r\n",
+          413},
+         {"nonsense\r\n\r\n", 400},
+         {"GET / HTTP/1.1\r\n" + many_fields() + "\r\n", 400},
+         {"POST / HTTP/1.1\r\nContent-Length: ten\r\n\r\n", 400},
+         {"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400},
+         {"POST / HTTP/1.1\r\nHost: test\r\n\r\n", 400},
+         {"POST / HTTP/1.1\r\nContent-Length: 3\r\n"
+          "Transfer-Encoding: chunked\r\n\r\n",
+          400}}));
+    server_fixture fixture;
+    raw_client client{fixture.server.port()};
+
+    client.send(text);
+    const raw_response refused = client.read_response();
+
+    CAPTURE(text.substr(0, 60));
+    CHECK(refused.status == status);
+    CHECK(refused.body.find("\"not_run\":true") != std::string::npos);
+    CHECK(client.at_end());
+}
+
+// Guards against idle connections that are kept for ever.
+TEST_CASE("an idle connection is closed after its time")
+{
+    http_server_options options;
+    options.idle_timeout = std::chrono::milliseconds{20};
+    server_fixture fixture{options};
+    raw_client client{fixture.server.port()};
+    CHECK(client.at_end());
+}
+
+// Guards against requests that wait behind a full instance without an answer.
+TEST_CASE("a request that finds the instance full is refused at once")
+{
+    http_server_options options;
+    options.threads = 1;
+    options.queue_limit = 1;
+    server_fixture fixture{options};
+    raw_client served{fixture.server.port()};
+    served.send(get("/wait"));
+    REQUIRE(eventually([&] { return fixture.handler.waiting == 1; }));
+    std::vector<std::unique_ptr<raw_client>> clients;
+    for (int i = 0; i < 3; ++i)
+    {
+        clients.push_back(std::make_unique<raw_client>(fixture.server.port()));
+        clients.back()->send(get("/other"));
+    }
+    // Which of them waits depends on the order in which they are seen.
+    const auto answered = [&]
+    {
+        return std::count_if(
+            clients.begin(), clients.end(),
+            [](const auto& client) { return client->has_input(); });
+    };
+    REQUIRE(eventually([&] { return answered() == 2; }));
+    fixture.handler.released = true;
+
+    CHECK(served.read_response().body == "/wait");
+    std::vector<int> statuses;
+    for (const auto& client : clients)
+    {
+        const raw_response response = client->read_response();
+        statuses.push_back(response.status);
+        const bool refused = response.status == 503;
+        CHECK(response.headers.contains("retry-after") == refused);
+        CHECK(
+            (response.body.find("\"not_run\":true") != std::string::npos) ==
+            refused);
+    }
+    std::sort(statuses.begin(), statuses.end());
+    CHECK(statuses == std::vector{200, 503, 503});
+}
+
+// Guards against a shutdown that cuts a running stream or takes new work.
+TEST_CASE("draining lets a running stream end")
+{
+    relay_fixture fixture;
+    std::atomic<bool> released{false};
+    fixture.add_scripted(
+        "eng-1", "report-7b",
+        [&](scripted_backend::exchange& got)
+        {
+            got.start_stream();
+            got.send_event("data: 1\n\n");
+            eventually([&] { return released.load(); });
+            got.send_event("data: 2\n\n");
+            got.send_event("data: [DONE]\n\n");
+            got.send("0\r\n\r\n");
+        });
+    fixture.start();
+    raw_client idle{fixture.server.port()};
+    raw_client client{fixture.server.port()};
+    client.send(chat_request_text(streamed_body));
+    REQUIRE(client.read_until("data: 1"));
+
+    fixture.server.stop_accepting();
+    CHECK(idle.at_end());
+    CHECK_FALSE(fixture.server.drain(std::chrono::milliseconds{1}));
+    CHECK_THROWS(raw_client{fixture.server.port()});
+    released = true;
+
+    CHECK(fixture.server.drain(std::chrono::minutes{1}));
+    const raw_response response = client.read_response();
+    CHECK(response.complete);
+    CHECK(response.body == "data: 1\n\ndata: 2\n\ndata: [DONE]\n\n");
+    CHECK(client.at_end());
+}
+
+// Guards against an instance that starts without its port.
+TEST_CASE("an address in use is reported")
+{
+    server_fixture fixture;
+    http_server_options options;
+    options.port = fixture.server.port();
+    http_server second{options, fixture.handler};
+    const absl::Status status = second.start();
+    CHECK(kind_of(status) == error_kind::unreachable);
+}
--- a/tests/connection/http/raw_client.cpp
+++ b/tests/connection/http/raw_client.cpp
@@ -133,6 +133,11 @@
     return true;
 }
 
+bool raw_client::has_input()
+{
+    return socket_.poll(Poco::Timespan{}, Poco::Net::Socket::SELECT_READ);
+}
+
 bool raw_client::at_end()
 {
     while (read_more())
--- a/tests/connection/http/raw_client.hpp
+++ b/tests/connection/http/raw_client.hpp
@@ -40,6 +40,9 @@
         return received_;
     }
 
+    // Whether something has arrived that was not read yet.
+    bool has_input();
+
     // True when the server has closed the connection.
     bool at_end();
 
--- a/tests/connection/http/relay_fixture.hpp
+++ b/tests/connection/http/relay_fixture.hpp
@@ -5,6 +5,7 @@
 #include "connection/http/raw_client.hpp"
 #include "support/engine_handler.hpp"
 #include "support/fake_control_client.hpp"
+#include "support/scripted_backend.hpp"
 #include "support/service_handler.hpp"
 #include "support/test_configuration.hpp"
 
@@ -71,6 +72,12 @@
     void start()
     {
         control.set_configuration(make_test_configuration(servers));
+        std::vector<backend_server_id> order;
+        for (const test_server& each : servers)
+        {
+            order.push_back(hash_name(each.name));
+        }
+        control.prefer(order);
         const absl::Status status = server.start();
         if (!status.ok())
         {
@@ -78,6 +85,32 @@
         }
     }
 
+    scripted_backend& add_scripted(
+        const std::string& name, const std::string& service,
+        scripted_backend::script run)
+    {
+        scripted.push_back(std::make_unique<scripted_backend>(std::move(run)));
+        servers.push_back({name, service, scripted.back()->port()});
+        return *scripted.back();
+    }
+
+    // Whether each grant was given back once, and none twice.
+    bool all_finished()
+    {
+        return eventually(
+            [this] { return control.reports().size() == control.granted(); });
+    }
+
+    std::vector<wire::attempt_outcome> outcomes()
+    {
+        std::vector<wire::attempt_outcome> result;
+        for (const attempt_report& report : control.reports())
+        {
+            result.push_back(report.outcome);
+        }
+        return result;
+    }
+
     // Sends one request on a new connection and reads the response.
     raw_response ask(const std::string& text)
     {
@@ -93,6 +126,7 @@
     caller_handler handler;
     std::vector<std::unique_ptr<engine_model>> engines;
     std::vector<std::unique_ptr<Poco::Net::HTTPServer>> stand_ins;
+    std::vector<std::unique_ptr<scripted_backend>> scripted;
     std::vector<test_server> servers;
     http_server server;
 };
--- /dev/null
+++ b/tests/connection/http/repeatable_relay_test.cpp
@@ -0,0 +1,324 @@
+#include "connection/http/relay_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+
+using namespace hickorygap;
+using namespace hickorygap::testing;
+using outcome = wire::attempt_outcome;
+using exchange = scripted_backend::exchange;
+
+namespace
+{
+
+const std::string long_body =
+    R"({"model":"report-7b","stream":true,"max_tokens":1000000})";
+
+std::string calculator_request(std::string_view headers = {})
+{
+    return make_request(
+        "POST", "/services/calculator/spokes",
+        "Authorization: Bearer key-diarroi\r\n" + std::string{headers},
+        "{\"holes\":32}");
+}
+
+bool says(const raw_response& response, const std::string& text)
+{
+    return response.body.find(text) != std::string::npos;
+}
+
+std::string whole_stream(std::uint32_t tokens)
+{
+    std::string text;
+    for (std::uint32_t i = 0; i < tokens; ++i)
+    {
+        text += engine_event(streamed_body, i);
+    }
+    return text + "data: [DONE]\n\n";
+}
+
+relay_options without_retries()
+{
+    relay_options options;
+    options.retries.capacity = 0;
+    options.retries.minimum_per_second = 0;
+    options.retries.share_of_successes = 0;
+    return options;
+}
+
+} // namespace
+
+// Guards against an answer of another request or of an earlier attempt that
+// reaches a caller.
+TEST_CASE("a crossed or late answer is dropped")
+{
+    const std::string wrong =
+        GENERATE(as<std::string>{}, "00000000000000aa-1", "", "earlier");
+    relay_fixture fixture;
+    fixture.add_scripted(
+        "calc-1", "calculator",
+        [&](exchange& got)
+        {
+            std::string attempt = wrong;
+            if (wrong == "earlier")
+            {
+                attempt = got.attempt();
+                attempt.back() = '0';
+            }
+            got.answer(200, "{\"of\":\"another caller\"}", attempt);
+        });
+    fixture.add_scripted(
+        "calc-2", "calculator",
+        [](exchange& got)
+        { got.answer(200, "{\"of\":\"this caller\"}", got.attempt()); });
+    fixture.start();
+
+    const raw_response response = fixture.ask(calculator_request());
+
+    CHECK(response.status == 200);
+    CHECK(response.body == "{\"of\":\"this caller\"}");
+    CHECK(fixture.counters.late_answers_dropped == 1);
+    CHECK(fixture.counters.retries == 1);
+    REQUIRE(fixture.all_finished());
+    CHECK(
+        fixture.outcomes() ==
+        std::vector{outcome::failed_after_start, outcome::completed});
+}
+
+// Guards against lost or doubled events when a stream breaks while its engine
+// lives on.
+TEST_CASE("a broken stream goes on without loss or repetition")
+{
+    const bool resumes = GENERATE(true, false);
+    relay_fixture fixture;
+    engine_options options;
+    options.break_after = 3;
+    options.resumes = resumes;
+    fixture.add_engine("eng-1", options);
+    fixture.start();
+
+    const raw_response response = fixture.ask(chat_request_text(streamed_body));
+
+    CHECK(response.complete);
+    CHECK(response.body == whole_stream(8));
+    CHECK(fixture.counters.resumed == (resumes ? 1 : 0));
+    CHECK(fixture.counters.restarted == (resumes ? 0 : 1));
+    CHECK(fixture.all_finished());
+}
+
+// Guards against lost or doubled events when the engine dies, and against
+// taking retries from the budget for streams that have begun.
+TEST_CASE("a stream goes on at another engine when its engine dies")
+{
+    const bool resumes = GENERATE(true, false);
+    relay_fixture fixture{{}, without_retries()};
+    std::atomic<bool> received{false};
+    fixture.add_scripted(
+        "eng-1", "report-7b",
+        [&](exchange& got)
+        {
+            got.start_stream();
+            got.send_event(engine_event(got.body(), 0));
+            got.send_event(engine_event(got.body(), 1));
+            // A reset drops what the router has not read yet.
+            eventually([&] { return received.load(); });
+            got.die();
+        });
+    engine_options options;
+    options.resumes = resumes;
+    fixture.add_engine("eng-2", options);
+    fixture.start();
+
+    raw_client client{fixture.server.port()};
+    client.send(chat_request_text(streamed_body));
+    REQUIRE(client.read_until("t1-"));
+    received = true;
+    const raw_response response = client.read_response();
+
+    CHECK(response.body == whole_stream(8));
+    CHECK(fixture.counters.backend_servers_lost == 1);
+    CHECK(fixture.counters.retries == 0);
+    REQUIRE(fixture.all_finished());
+    CHECK(
+        fixture.outcomes() ==
+        std::vector{outcome::backend_server_lost, outcome::completed});
+    const auto queries = fixture.control.queries();
+    CHECK_FALSE(queries[0].isolated);
+    CHECK(queries[1].isolated);
+    CHECK(queries[1].excluded == std::vector{hash_name("eng-1")});
+}
+
+// Guards against a stream that is put together from two different answers.
+TEST_CASE("a restarted stream that differs ends with a typed error")
+{
+    relay_fixture fixture;
+    std::atomic<bool> received{false};
+    fixture.add_scripted(
+        "eng-1", "report-7b",
+        [&](exchange& got)
+        {
+            got.start_stream();
+            got.send_event("data: something else\n\n");
+            eventually([&] { return received.load(); });
+            got.die();
+        });
+    engine_options options;
+    options.resumes = false;
+    fixture.add_engine("eng-2", options);
+    fixture.start();
+
+    raw_client client{fixture.server.port()};
+    client.send(chat_request_text(streamed_body));
+    REQUIRE(client.read_until("something else"));
+    received = true;
+    const raw_response response = client.read_response();
+
+    CHECK(response.status == 200);
+    CHECK(says(response, "event: error"));
+    CHECK(says(response, "its repetition differs"));
+    CHECK_FALSE(says(response, engine_event(streamed_body, 1)));
+    CHECK(says(response, "\"not_run\":false"));
+    CHECK_FALSE(says(response, "[DONE]"));
+    CHECK(fixture.all_finished());
+}
+
+// Guards against a place in the queue that is kept for a caller who has left.
+TEST_CASE("a caller that leaves while queued is withdrawn")
+{
+    relay_fixture fixture;
+    engine_model& engine = fixture.add_engine("eng-1");
+    fixture.start();
+    fixture.control.hold_queries(true);
+
+    raw_client client{fixture.server.port()};
+    client.send(chat_request_text(streamed_body));
+    REQUIRE(eventually([&] { return fixture.control.queries().size() == 1; }));
+    client.close();
+
+    REQUIRE(eventually([&] { return fixture.control.withdrawn() == 1; }));
+    REQUIRE(eventually([&] { return fixture.counters.cancelled == 1; }));
+    CHECK(engine.counts().requests == 0);
+    CHECK(fixture.control.reports().empty());
+}
+
+// Guards against an engine that goes on working for a caller who has left.
+TEST_CASE("a caller that leaves while streaming cancels the engine's work")
+{
+    relay_fixture fixture;
+    engine_model& engine = fixture.add_engine("eng-1");
+    fixture.start();
+
+    raw_client client{fixture.server.port()};
+    client.send(chat_request_text(long_body));
+    REQUIRE(client.read_until("t3-"));
+    client.close();
+
+    REQUIRE(eventually([&] { return engine.counts().cancelled == 1; }));
+    REQUIRE(fixture.all_finished());
+    CHECK(fixture.outcomes() == std::vector{outcome::cancelled});
+    CHECK(fixture.counters.cancelled == 1);
+}
+
+// Guards against "not run" for a request that may have run, and against a
+// missing time to come back.
+TEST_CASE("a refusal says truthfully whether the request ran")
+{
+    struct row
+    {
+        int status;
+        std::string body;
+        bool not_run;
+    };
+    const auto [status, body, not_run] = GENERATE(
+        row{429, "{}", true}, row{503, R"({"not_run":true})", true},
+        row{503, R"({"error":{"not_run":true}})", true},
+        row{503, R"({"not_run":false})", false}, row{503, "busy", false},
+        row{502, R"({"not_run":true})", false});
+    relay_fixture fixture;
+    const auto& backend = fixture.add_scripted(
+        "calc-1", "calculator",
+        [status = status, body = body](exchange& got)
+        { got.answer(status, body, got.attempt()); });
+    fixture.start();
+
+    const raw_response response = fixture.ask(calculator_request());
+
+    CHECK(response.status == 503);
+    CHECK(says(response, not_run ? "\"not_run\":true" : "\"not_run\":false"));
+    CHECK(response.headers.contains("retry-after"));
+    CHECK(says(response, "retry_after_s"));
+    CHECK(backend.requests() == 1);
+    CHECK(fixture.all_finished());
+}
+
+// Guards against giving up while another backend server can serve.
+TEST_CASE("a refused connection is tried elsewhere")
+{
+    relay_fixture fixture;
+    fixture.add_scripted("calc-1", "calculator", [](exchange&) {});
+    fixture.scripted.clear();
+    fixture.add_scripted(
+        "calc-2", "calculator",
+        [](exchange& got) { got.answer(200, "{}", got.attempt()); });
+    fixture.start();
+
+    CHECK(fixture.ask(calculator_request()).status == 200);
+    REQUIRE(fixture.all_finished());
+    CHECK(
+        fixture.outcomes() ==
+        std::vector{outcome::failed_before_start, outcome::completed});
+}
+
+// Guards against retries that multiply the load of a failing service.
+TEST_CASE("retries end with the budget and with the deadline")
+{
+    const bool late = GENERATE(true, false);
+    relay_fixture fixture{{}, late ? relay_options{} : without_retries()};
+    const auto fail = [](exchange&)
+    { std::this_thread::sleep_for(std::chrono::milliseconds{5}); };
+    const auto& first = fixture.add_scripted("calc-1", "calculator", fail);
+    const auto& second = fixture.add_scripted("calc-2", "calculator", fail);
+    fixture.start();
+
+    // The target of rank background is 1 ms in the tests' configuration.
+    const raw_response response =
+        fixture.ask(calculator_request(late ? "X-Rank: background\r\n" : ""));
+
+    CHECK(response.status == (late ? 504 : 503));
+    CHECK(says(response, late ? "deadline_exceeded" : "no_backend_server"));
+    CHECK(says(response, "\"not_run\":false"));
+    CHECK(first.requests() + second.requests() == 1);
+    CHECK(fixture.all_finished());
+}
+
+// Guards against a request that crashes one backend server after the other.
+TEST_CASE("a request that crashes two backend servers meets no third")
+{
+    relay_fixture fixture;
+    const auto crash = [](exchange& got) { got.die(); };
+    for (const char* name : {"calc-1", "calc-2", "calc-3"})
+    {
+        fixture.add_scripted(name, "calculator", crash);
+    }
+    fixture.start();
+
+    const raw_response first = fixture.ask(calculator_request());
+    const raw_response again = fixture.ask(calculator_request());
+
+    CHECK(first.status == 422);
+    CHECK(says(first, "\"kind\":\"quarantined\""));
+    CHECK(says(first, "\"not_run\":false"));
+    CHECK(again.status == 422);
+    CHECK(says(again, "\"not_run\":true"));
+    CHECK(again.headers.contains("retry-after"));
+    CHECK(fixture.scripted[2]->requests() == 0);
+    CHECK(fixture.control.queries().size() == 2);
+    CHECK(fixture.control.queries()[1].isolated);
+    CHECK(fixture.all_finished());
+    const auto reports = fixture.blame.with(
+        [](blame_tracker& tracker) { return tracker.take_suspect_reports(); });
+    REQUIRE(reports.size() == 2);
+    CHECK_FALSE(reports[0].confirmed);
+    CHECK(reports[1].confirmed);
+}
--- /dev/null
+++ b/tests/request/attempt/blame_tracker_test.cpp
@@ -0,0 +1,169 @@
+#include "request/attempt/blame_tracker.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <map>
+
+using namespace hickorygap;
+
+namespace
+{
+
+constexpr unix_millis minute = 60'000;
+constexpr request_fingerprint poison = 666;
+
+} // namespace
+
+// Guards against a poison request that goes unnoticed or takes innocent
+// requests with it.
+TEST_CASE("isolation tells the poison request from its neighbours")
+{
+    blame_tracker tracker;
+    for (const request_fingerprint each : {poison, request_fingerprint{1}})
+    {
+        CHECK(tracker.on_sent(9, each, false, 0));
+    }
+    tracker.on_backend_server_died(9, 1, false, 10);
+    // The neighbour notices the same crash.
+    tracker.on_backend_server_died(9, poison, false, 20);
+
+    CHECK(tracker.must_isolate(1, 30));
+    CHECK(tracker.must_isolate(poison, 30));
+    CHECK_FALSE(tracker.is_quarantined(1, 30));
+    CHECK_FALSE(tracker.on_sent(8, 1, false, 30));
+    CHECK(tracker.on_sent(8, 1, true, 30));
+    tracker.on_ended(8, 1, true, true);
+    CHECK_FALSE(tracker.must_isolate(1, 40));
+
+    CHECK(tracker.on_sent(8, poison, true, 50));
+    CHECK_FALSE(tracker.on_sent(7, poison, true, 50));
+    tracker.on_backend_server_died(8, poison, true, 60);
+    CHECK(tracker.is_quarantined(poison, 60));
+    CHECK(tracker.is_quarantined(poison, 10 * minute));
+    CHECK_FALSE(tracker.is_quarantined(poison, 10 * minute + 60));
+    CHECK(tracker.must_isolate(poison, 10 * minute + 60));
+    REQUIRE(tracker.quarantines(60).size() == 1);
+    const auto reports = tracker.take_suspect_reports();
+    REQUIRE(reports.size() == 3);
+    CHECK(reports[2].confirmed);
+    CHECK(tracker.take_suspect_reports().empty());
+}
+
+// Guards against suspicion of a request that ended before the crash, and
+// against suspicion that never ends.
+TEST_CASE("only what was in flight is suspected, and not for ever")
+{
+    blame_tracker tracker;
+    CHECK(tracker.on_sent(9, 1, false, 0));
+    tracker.on_ended(9, 1, false, true);
+    CHECK(tracker.on_sent(9, 2, false, 0));
+    tracker.on_backend_server_died(9, 2, false, 10);
+    CHECK_FALSE(tracker.must_isolate(1, 20));
+    CHECK(tracker.must_isolate(2, 20));
+    CHECK_FALSE(tracker.must_isolate(2, 10 * minute + 10));
+}
+
+// Guards against one crash that counts twice because two instances saw it, and
+// against two crashes that count once.
+TEST_CASE("notices of other instances are merged")
+{
+    struct row
+    {
+        backend_server_id other;
+        unix_millis crashed;
+        bool quarantined;
+    };
+    const auto [other, crashed, quarantined] =
+        GENERATE(row{9, 500, false}, row{9, 5000, true}, row{8, 500, true});
+    blame_tracker tracker;
+    REQUIRE(tracker.on_sent(9, poison, false, 0));
+    tracker.on_backend_server_died(9, poison, false, 10);
+    const suspect_notice notice{poison, other, crashed, false};
+    tracker.merge(notice, 6000);
+    tracker.merge(notice, 6000);
+    CHECK(tracker.is_quarantined(poison, 6000) == quarantined);
+    CHECK(tracker.take_suspect_reports().size() == 1);
+}
+
+// Guards against a quarantine that holds on one instance only or is renewed by
+// being told again.
+TEST_CASE("quarantines spread and end together")
+{
+    blame_tracker tracker;
+    tracker.merge(quarantine{poison, 5000}, 0);
+    tracker.merge(quarantine{poison, 4000}, 10);
+    CHECK(tracker.is_quarantined(poison, 4999));
+    CHECK_FALSE(tracker.is_quarantined(poison, 5000));
+    tracker.merge(quarantine{7, 100}, 200);
+    CHECK(tracker.size() == 1);
+}
+
+// Guards against memory that grows with the number of crashing requests, and
+// against a quarantine that is pushed out by mere suspects.
+TEST_CASE("the memory is bounded and keeps quarantines")
+{
+    blame_options options;
+    options.capacity = 10;
+    blame_tracker tracker{options};
+    tracker.merge(quarantine{poison, 1'000'000}, 0);
+    for (request_fingerprint each = 1; each <= 100; ++each)
+    {
+        tracker.merge(suspect_notice{each, each, each, false}, each);
+    }
+    CHECK(tracker.size() <= 10);
+    CHECK(tracker.is_quarantined(poison, 200));
+    CHECK(tracker.must_isolate(100, 200));
+}
+
+// Guards against a third crash by one request, whichever instances its caller
+// uses, as long as the instances exchange what they saw.
+TEST_CASE("no request crashes a third backend server")
+{
+    rc::prop(
+        "any order of requests over three instances",
+        [](const std::vector<std::pair<std::uint8_t, std::uint8_t>>& steps)
+        {
+            std::vector<blame_tracker> instances(3);
+            std::map<request_fingerprint, int> crashes;
+            unix_millis now = 0;
+            backend_server_id server = 100;
+            for (const auto& [choice, raw] : steps)
+            {
+                now += 3000;
+                blame_tracker& entry = instances[choice % 3U];
+                const request_fingerprint fingerprint = raw % 4U + 1;
+                // Even fingerprints crash their backend server.
+                const bool crashes_server = fingerprint % 2 == 0;
+                const bool isolated = entry.must_isolate(fingerprint, now);
+                if (entry.is_quarantined(fingerprint, now) ||
+                    !entry.on_sent(++server, fingerprint, isolated, now))
+                {
+                    RC_ASSERT(crashes_server);
+                    continue;
+                }
+                if (crashes_server)
+                {
+                    ++crashes[fingerprint];
+                    entry.on_backend_server_died(
+                        server, fingerprint, isolated, now);
+                }
+                entry.on_ended(server, fingerprint, isolated, !crashes_server);
+                for (const suspect_notice& notice :
+                     entry.take_suspect_reports())
+                {
+                    for (blame_tracker& other : instances)
+                    {
+                        if (&other != &entry)
+                        {
+                            other.merge(notice, now);
+                        }
+                    }
+                }
+            }
+            for (const auto& [fingerprint, count] : crashes)
+            {
+                RC_ASSERT(count <= 2);
+            }
+        });
+}
--- a/tests/support/engine_handler.cpp
+++ b/tests/support/engine_handler.cpp
@@ -1,13 +1,10 @@
 #include "support/engine_handler.hpp"
 
-#include "common/hashing.hpp"
-
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Parser.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/NumberParser.h>
 #include <Poco/URI.h>
-#include <fmt/format.h>
 #include <poll.h>
 
 #include <cstdlib>
@@ -82,20 +79,6 @@
     bool held_;
 };
 
-// Tokens depend on the body alone, as with a fixed sampling seed, so that a
-// repetition on another engine is equal.
-std::string token_of(const std::string& body, std::uint32_t index)
-{
-    return fmt::format("t{}-{:04x} ", index, hash_name(body) & 0xffffU);
-}
-
-std::string event_of(const std::string& token)
-{
-    return fmt::format(
-        "data: {{\"choices\":[{{\"delta\":{{\"content\":\"{}\"}}}}]}}\n\n",
-        token);
-}
-
 class completion
 {
 public:
@@ -179,7 +162,7 @@
             {
                 return;
             }
-            out << event_of(token_of(body_, i)) << std::flush;
+            out << engine_event(body_, i) << std::flush;
         }
         out << "data: [DONE]\n\n" << std::flush;
     }
@@ -193,7 +176,7 @@
             {
                 return;
             }
-            text += token_of(body_, i);
+            text += engine_token(body_, i);
         }
         Object message;
         message.set("content", text);
--- a/tests/support/engine_model.cpp
+++ b/tests/support/engine_model.cpp
@@ -1,5 +1,9 @@
 #include "support/engine_model.hpp"
 
+#include "common/hashing.hpp"
+
+#include <fmt/format.h>
+
 #include <algorithm>
 
 namespace hickorygap::testing
@@ -15,6 +19,18 @@
 
 } // namespace
 
+std::string engine_token(const std::string& body, std::uint32_t index)
+{
+    return fmt::format("t{}-{:04x} ", index, hash_name(body) & 0xffffU);
+}
+
+std::string engine_event(const std::string& body, std::uint32_t index)
+{
+    return fmt::format(
+        "data: {{\"choices\":[{{\"delta\":{{\"content\":\"{}\"}}}}]}}\n\n",
+        engine_token(body, index));
+}
+
 engine_model::engine_model(engine_options options)
     : options_(std::move(options))
 {
--- a/tests/support/engine_model.hpp
+++ b/tests/support/engine_model.hpp
@@ -55,6 +55,12 @@
     std::uint32_t break_after = 0;
 };
 
+// The n-th event of the answer to a body, counted from 0. Answers depend on
+// the body alone, as with a fixed sampling seed, so that a repetition on
+// another engine is equal.
+std::string engine_token(const std::string& body, std::uint32_t index);
+std::string engine_event(const std::string& body, std::uint32_t index);
+
 // State of a stand-in engine: slots, batch, cache, events and orders. All
 // functions may be called from any thread.
 class engine_model
--- a/tests/support/fake_control_client.hpp
+++ b/tests/support/fake_control_client.hpp
@@ -15,8 +15,8 @@
 namespace hickorygap::testing
 {
 
-// Places on the first backend server of the service that is not excluded, and
-// keeps calls in memory. Records what it is told.
+// Places on the first backend server of the service, in the preferred order,
+// that is not excluded, and keeps calls in memory. Records what it is told.
 class fake_control_client : public control_client
 {
 public:
@@ -26,6 +26,12 @@
         configuration_ = std::move(in_force);
     }
 
+    void prefer(std::vector<backend_server_id> order)
+    {
+        const std::lock_guard lock{mutex_};
+        order_ = std::move(order);
+    }
+
     void set_readiness(readiness state)
     {
         const std::lock_guard lock{mutex_};
@@ -115,9 +121,10 @@
         {
             return *refusal_;
         }
-        for (const auto& [id, server] : configuration_->backend_servers())
+        for (const backend_server_id id : order_)
         {
-            if (server.service == query.service &&
+            if (configuration_->find_backend_server(id)->service ==
+                    query.service &&
                 std::find(query.excluded.begin(), query.excluded.end(), id) ==
                     query.excluded.end())
             {
@@ -206,6 +213,7 @@
     bool hold_ = false;
     std::optional<placement_refusal> refusal_;
     std::optional<error_kind> call_error_;
+    std::vector<backend_server_id> order_;
     std::vector<attempt_report> reports_;
     std::vector<placement_query> queries_;
     std::size_t granted_ = 0;
--- a/tests/support/interim_configuration.cpp
+++ b/tests/support/interim_configuration.cpp
@@ -87,6 +87,8 @@
     calculator.name = "calculator";
     calculator.kind = service_kind::plain;
     calculator.path = "/calculator";
+    calculator.ranks[static_cast<std::size_t>(rank::background)].target =
+        std::chrono::milliseconds{1};
     builder.add(calculator);
     service booking = calculator;
     booking.name = "booking";
--- a/tests/support/test_configuration.hpp
+++ b/tests/support/test_configuration.hpp
@@ -17,9 +17,10 @@
     std::uint16_t port = 0;
 };
 
-// Services: engine "report-7b", repeatable "calculator", non-repeatable
-// "booking". Organisations: "diarroi" (key "key-diarroi", highest rank
-// urgent) and "tenant" (key "key-tenant", highest rank normal).
+// Services: engine "report-7b", repeatable "calculator" (target of rank
+// background: 1 ms), non-repeatable "booking". Organisations: "diarroi" (key
+// "key-diarroi", highest rank urgent) and "tenant" (key "key-tenant", highest
+// rank normal).
 configuration_ptr make_test_configuration(std::vector<test_server> servers);
 
 } // namespace hickorygap::testing
