--- a/src/connection/http/backend_exchange.cpp
+++ b/src/connection/http/backend_exchange.cpp
@@ -21,11 +21,12 @@
 constexpr std::array<const char*, rank_count> rank_names{
     "urgent", "normal", "background"};
 
-Poco::Net::HTTPRequest make_request(const backend_call& call)
+Poco::Net::HTTPRequest
+make_request(const backend_call& call, const std::string& authority)
 {
     Poco::Net::HTTPRequest request{
         call.method, call.path, Poco::Net::HTTPMessage::HTTP_1_1};
-    request.setHost("backend");
+    request.set("Host", authority);
     request.setKeepAlive(false);
     if (!call.body.empty() || call.method == "POST" || call.method == "PUT")
     {
@@ -86,6 +87,7 @@
 bool backend_exchange::connect(
     const std::string& host, std::uint16_t port, duration timeout)
 {
+    authority_ = fmt::format("{}:{}", host, port);
     try
     {
         socket_->connect(
@@ -117,7 +119,7 @@
 {
     session_ = std::make_unique<Poco::Net::HTTPClientSession>(
         Poco::Net::StreamSocket{socket_.duplicate()});
-    Poco::Net::HTTPRequest request = make_request(call);
+    Poco::Net::HTTPRequest request = make_request(call, authority_);
     std::ostream& out = session_->sendRequest(request);
     out.write(call.body.data(), static_cast<std::streamsize>(call.body.size()));
     out.flush();
--- a/src/connection/http/backend_exchange.hpp
+++ b/src/connection/http/backend_exchange.hpp
@@ -95,6 +95,8 @@
 private:
     bool exchange_heads(const backend_call& call);
 
+    // "host:port" for the Host header.
+    std::string authority_;
     Poco::AutoPtr<watched_socket> socket_;
     std::unique_ptr<Poco::Net::HTTPClientSession> session_;
     std::istream* stream_ = nullptr;
--- a/src/connection/http/http_server.cpp
+++ b/src/connection/http/http_server.cpp
@@ -63,6 +63,9 @@
     // connection became idle.
     time_point since;
 
+    // When it began to wait for a traffic thread.
+    time_point queued;
+
     // The last response was sent; only waits for the peer to close.
     bool lingering = false;
 };
@@ -348,23 +351,46 @@
         {
             enqueue(readable);
         }
-        else if (!readable->socket->secure())
+        else
         {
-            // With TLS an answer could need a handshake first, which this
+            refuse_waiting(readable);
+        }
+    }
+
+    void refuse_waiting(const connection_ptr& refused)
+    {
+        if (refused->socket->secure())
+        {
+            // An answer could need a TLS handshake first, which the polling
             // thread must not wait for; the connection just closes.
-            refuse_and_linger(
-                *readable,
-                {error_kind::overloaded,
-                 "this instance serves as many requests as it can; retry "
-                 "after the stated time or through another instance",
-                 true, retry_when_full});
-            watch(readable);
+            return;
+        }
+        refuse_and_linger(
+            *refused, {error_kind::overloaded,
+                       "this instance serves as many requests as it can; "
+                       "retry after the stated time or through another "
+                       "instance",
+                       true, retry_when_full});
+        watch(refused);
+    }
+
+    void refuse_overdue(time_point now)
+    {
+        while (!queue_.empty() &&
+               now - queue_.front()->queued >= options_.queue_timeout)
+        {
+            const connection_ptr overdue = queue_.front();
+            queue_.pop_front();
+            --in_flight_;
+            refuse_waiting(overdue);
+            work_ended_.notify_all();
         }
     }
 
     void enqueue(const connection_ptr& readable)
     {
         ++in_flight_;
+        readable->queued = monotonic_now();
         queue_.push_back(readable);
         work_arrived_.notify_one();
     }
@@ -376,6 +402,7 @@
             return;
         }
         last_expiry_ = now;
+        refuse_overdue(now);
         for (auto entry = watched_.begin(); entry != watched_.end();)
         {
             connection& watched = *entry->second;
--- a/src/connection/http/http_server.hpp
+++ b/src/connection/http/http_server.hpp
@@ -39,6 +39,9 @@
     // refused at once.
     std::size_t queue_limit = 256;
 
+    // Longest wait for a thread; a request that waits longer is refused.
+    duration queue_timeout{std::chrono::seconds{1}};
+
     // Limit for a header block, in bytes.
     std::size_t header_limit = 16384;
 
--- a/tests/connection/http/http_server_test.cpp
+++ b/tests/connection/http/http_server_test.cpp
@@ -209,6 +209,25 @@
     CHECK(statuses == std::vector{200, 503, 503});
 }
 
+// Guards against requests that wait behind long streams until their callers
+// give up.
+TEST_CASE("a request that waits too long for a thread is refused")
+{
+    http_server_options options;
+    options.threads = 1;
+    options.queue_timeout = std::chrono::milliseconds{1};
+    server_fixture fixture{options};
+    raw_client served{fixture.server.port()};
+    served.send(get("/wait"));
+    REQUIRE(eventually([&] { return fixture.handler.waiting == 1; }));
+    raw_client waiting{fixture.server.port()};
+    waiting.send(get("/other"));
+
+    CHECK(waiting.read_response().status == 503);
+    fixture.handler.released = true;
+    CHECK(served.read_response().body == "/wait");
+}
+
 // Guards against a shutdown that cuts a running stream or takes new work.
 TEST_CASE("draining lets a running stream end")
 {
--- a/tests/connection/http/raw_client.cpp
+++ b/tests/connection/http/raw_client.cpp
@@ -18,7 +18,13 @@
 } // namespace
 
 raw_client::raw_client(std::uint16_t port)
-    : socket_(Poco::Net::SocketAddress{"127.0.0.1", port})
+    : raw_client(
+          Poco::Net::StreamSocket{Poco::Net::SocketAddress{"127.0.0.1", port}})
+{
+}
+
+raw_client::raw_client(const Poco::Net::StreamSocket& socket)
+    : socket_(socket)
 {
     socket_.setReceiveTimeout(Poco::Timespan{receive_timeout_seconds, 0});
 }
--- a/tests/connection/http/raw_client.hpp
+++ b/tests/connection/http/raw_client.hpp
@@ -26,6 +26,9 @@
 public:
     explicit raw_client(std::uint16_t port);
 
+    // Uses a connected socket, such as one with TLS.
+    explicit raw_client(const Poco::Net::StreamSocket& socket);
+
     void send(std::string_view text);
 
     // Reads one response; with chunked bodies put together.
