--- a/tests/connection/http/raw_client.cpp
+++ b/tests/connection/http/raw_client.cpp
@@ -18,7 +18,13 @@
 } // namespace
 
 raw_client::raw_client(std::uint16_t port)
-    : socket_(Poco::Net::SocketAddress{"127.0.0.1", port})
+    : raw_client(
+          Poco::Net::StreamSocket{Poco::Net::SocketAddress{"127.0.0.1", port}})
+{
+}
+
+raw_client::raw_client(const Poco::Net::StreamSocket& socket)
+    : socket_(socket)
 {
     socket_.setReceiveTimeout(Poco::Timespan{receive_timeout_seconds, 0});
 }
@@ -133,6 +139,11 @@
     return true;
 }
 
+bool raw_client::has_input()
+{
+    return socket_.poll(Poco::Timespan{}, Poco::Net::Socket::SELECT_READ);
+}
+
 bool raw_client::at_end()
 {
     while (read_more())
--- a/tests/connection/http/raw_client.hpp
+++ b/tests/connection/http/raw_client.hpp
@@ -26,6 +26,9 @@
 public:
     explicit raw_client(std::uint16_t port);
 
+    // Uses a connected socket, such as one with TLS.
+    explicit raw_client(const Poco::Net::StreamSocket& socket);
+
     void send(std::string_view text);
 
     // Reads one response; with chunked bodies put together.
@@ -40,6 +43,9 @@
         return received_;
     }
 
+    // Whether something has arrived that was not read yet.
+    bool has_input();
+
     // True when the server has closed the connection.
     bool at_end();
 
