--- a/src/process/control/control_node.cpp
+++ b/src/process/control/control_node.cpp
@@ -78,7 +78,7 @@
 
 control_node::control_node(
     control_node_options options, shared_blame_tracker& blame,
-    const clock_reading& now)
+    burn_windows& burn, const clock_reading& now)
     : options_(std::move(options))
     , blame_(blame)
     , membership_(make_membership_options(options_), now.monotonic)
@@ -86,6 +86,7 @@
     , proposals_(make_proposal_options(options_))
     , placement_(make_placement_options(options_))
     , readiness_rule_(options_.freshness)
+    , burn_(options_.self, burn)
     , voters_(options_.voters)
     , last_advance_(now.monotonic)
 {
@@ -94,17 +95,22 @@
 
 absl::StatusOr<std::unique_ptr<control_node>> control_node::open(
     control_node_options options, shared_blame_tracker& blame,
-    const clock_reading& now)
+    burn_windows& burn, const clock_reading& now)
 {
     std::unique_ptr<control_node> node{
-        new control_node{std::move(options), blame, now}};
+        new control_node{std::move(options), blame, burn, now}};
+    absl::Status status;
     if (!node->options_.data_folder.empty())
     {
-        const absl::Status status = node->open_storage(now);
-        if (!status.ok())
-        {
-            return status;
-        }
+        status = node->open_storage(now);
+    }
+    if (status.ok())
+    {
+        status = node->open_decisions();
+    }
+    if (!status.ok())
+    {
+        return status;
     }
     return node;
 }
@@ -139,6 +145,34 @@
     {
         return absl::OkStatus();
     }
+    return open_voter(now);
+}
+
+absl::Status control_node::open_decisions()
+{
+    decision_keeper_options keeping;
+    keeping.self = options_.self;
+    keeping.incarnation = options_.incarnation;
+    keeping.recorder = options_.recorder;
+    keeping.store = options_.decision_store_limits;
+    // Voters keep the records: they are the instances whose disks every
+    // instance knows of.
+    if (voter_ != nullptr)
+    {
+        keeping.folder = options_.data_folder + "/decisions";
+    }
+    auto opened = decision_keeper::open(std::move(keeping));
+    if (!opened.ok())
+    {
+        return opened.status();
+    }
+    decisions_ = *std::move(opened);
+    return absl::OkStatus();
+}
+
+absl::Status control_node::open_voter(const clock_reading& now)
+{
+    const std::filesystem::path folder{options_.data_folder};
     voter_options voting;
     voting.raft.self = options_.self;
     voting.raft.initial_voters = options_.voters;
@@ -188,6 +222,8 @@
     versions_.receive(from, payload, now.monotonic);
     proposals_.receive(from, payload, now.monotonic);
     placement_.receive(from, payload, now.monotonic);
+    burn_.receive(from, payload, now.monotonic);
+    decisions_->receive(payload);
     if (voter_ != nullptr)
     {
         voter_->receive(from, payload, now.monotonic, now.unix_time);
@@ -219,6 +255,9 @@
     update_readiness(now);
     placement_.tick(now.monotonic);
     exchange_blame(now);
+    burn_.tick(live_voters(), now.monotonic);
+    decisions_->record(placement_.take_records(), now);
+    decisions_->tick(now);
     return absl::OkStatus();
 }
 
@@ -295,9 +334,19 @@
         log(log_level::info, subsystem::membership, "live_members count={}",
             live_.size());
         placement_.set_members(live_, now.monotonic);
+        decisions_->set_stores(live_voters());
     }
 }
 
+std::vector<instance_id> control_node::live_voters() const
+{
+    std::vector<instance_id> result;
+    std::ranges::copy_if(
+        live_, std::back_inserter(result),
+        [this](instance_id id) { return std::ranges::count(voters_, id) > 0; });
+    return result;
+}
+
 void control_node::update_readiness(const clock_reading& now)
 {
     readiness_inputs inputs;
@@ -384,6 +433,8 @@
     collect(versions_);
     collect(proposals_);
     collect(placement_);
+    collect(burn_);
+    collect(*decisions_);
     if (voter_ != nullptr)
     {
         collect(*voter_);
@@ -400,6 +451,7 @@
 
 void control_node::leave(const clock_reading& now)
 {
+    decisions_->close(now);
     membership_.leave(now.monotonic);
 }
 
--- a/src/process/control/control_node.hpp
+++ b/src/process/control/control_node.hpp
@@ -1,8 +1,10 @@
 #ifndef HICKORYGAP_PROCESS_CONTROL_CONTROL_NODE_HPP
 #define HICKORYGAP_PROCESS_CONTROL_CONTROL_NODE_HPP
 
+#include "process/control/burn_exchange.hpp"
 #include "process/control/clock_reading.hpp"
 #include "process/control/configuration_tracker.hpp"
+#include "process/control/decision_keeper.hpp"
 #include "process/control/readiness_rule.hpp"
 #include "process/membership/membership.hpp"
 #include "process/membership/version_log_file.hpp"
@@ -38,6 +40,8 @@
     duration freshness{std::chrono::seconds{10}};
     cell_owner_limits cell_limits;
     call_record_options calls;
+    decision_recorder_options recorder;
+    decision_store::options decision_store_limits;
     std::uint64_t seed = 0;
 };
 
@@ -50,7 +54,7 @@
     // Reads the data folder. Errors: storage_damaged, storage_failed.
     static absl::StatusOr<std::unique_ptr<control_node>> open(
         control_node_options options, shared_blame_tracker& blame,
-        const clock_reading& now);
+        burn_windows& burn, const clock_reading& now);
 
     void receive(
         instance_id from, incarnation_number incarnation,
@@ -108,6 +112,13 @@
         return readiness_.load();
     }
 
+    // Decision records held here; null without a store. Safe from any thread
+    // as long as this object lives.
+    const decision_store* decisions() const
+    {
+        return decisions_->store();
+    }
+
     // When the current version came into force on this instance.
     unix_millis version_since() const
     {
@@ -131,9 +142,12 @@
 private:
     control_node(
         control_node_options options, shared_blame_tracker& blame,
-        const clock_reading& now);
+        burn_windows& burn, const clock_reading& now);
 
     absl::Status open_storage(const clock_reading& now);
+    absl::Status open_voter(const clock_reading& now);
+    absl::Status open_decisions();
+    std::vector<instance_id> live_voters() const;
     absl::Status apply_versions(const clock_reading& now);
     void take_accepted_tickets();
     void on_new_configuration(const clock_reading& now);
@@ -156,6 +170,8 @@
     configuration_tracker configuration_;
     readiness_rule readiness_rule_;
     std::atomic<readiness> readiness_{readiness::starting};
+    burn_exchange burn_;
+    std::unique_ptr<decision_keeper> decisions_;
     std::unique_ptr<voter> voter_;
     std::unique_ptr<version_log_file> version_log_;
 
--- /dev/null
+++ b/src/process/control/decision_keeper.cpp
@@ -0,0 +1,122 @@
+#include "process/control/decision_keeper.hpp"
+
+#include "common/logging.hpp"
+#include "common/status_text.hpp"
+
+#include <utility>
+
+namespace hickorygap
+{
+
+decision_keeper::decision_keeper(decision_keeper_options options)
+    : options_(std::move(options))
+    , recorder_(options_.self, options_.incarnation, options_.recorder)
+{
+}
+
+absl::StatusOr<std::unique_ptr<decision_keeper>>
+decision_keeper::open(decision_keeper_options options)
+{
+    std::unique_ptr<decision_keeper> keeper{
+        new decision_keeper{std::move(options)}};
+    if (keeper->options_.folder.empty())
+    {
+        return keeper;
+    }
+    auto store =
+        decision_store::open(keeper->options_.folder, keeper->options_.store);
+    if (!store.ok())
+    {
+        return store.status();
+    }
+    keeper->store_ = *std::move(store);
+    return keeper;
+}
+
+void decision_keeper::set_stores(std::vector<instance_id> stores)
+{
+    recorder_.set_stores(std::move(stores));
+}
+
+void decision_keeper::record(
+    std::vector<wire::decision_record_msg> records, const clock_reading& now)
+{
+    for (wire::decision_record_msg& record : records)
+    {
+        record.unix_ms = now.unix_time;
+        recorder_.record(std::move(record), now.monotonic);
+    }
+}
+
+void decision_keeper::receive(const wire::payloadUnion& payload)
+{
+    if (const auto* batch = message_in<wire::decision_batch_msg>(payload))
+    {
+        take_batch(*batch);
+    }
+    else if (
+        const auto* ack = message_in<wire::decision_batch_ack_msg>(payload))
+    {
+        recorder_.receive(*ack);
+    }
+}
+
+void decision_keeper::take_batch(const wire::decision_batch_msg& batch)
+{
+    if (store_ == nullptr)
+    {
+        return;
+    }
+    const absl::Status status = store_->append(batch);
+    if (!status.ok())
+    {
+        log(log_level::error, subsystem::records,
+            "batch_refused instance={} sequence={} reason=\"{}\"",
+            batch.instance, batch.sequence, message_of(status));
+        return;
+    }
+    unsynced_ = true;
+}
+
+void decision_keeper::tick(const clock_reading& now)
+{
+    recorder_.tick(now.monotonic);
+    if (unsynced_)
+    {
+        unsynced_ = false;
+        acknowledge();
+    }
+}
+
+void decision_keeper::acknowledge()
+{
+    auto acknowledgements = store_->sync();
+    if (!acknowledgements.ok())
+    {
+        log(log_level::error, subsystem::records,
+            "batches_not_stored reason=\"{}\"",
+            message_of(acknowledgements.status()));
+        return;
+    }
+    for (wire::decision_batch_ack_msg& each : *acknowledgements)
+    {
+        const instance_id destination = each.instance;
+        outgoing_.push_back(make_outgoing(destination, std::move(each)));
+    }
+}
+
+std::vector<outgoing_message> decision_keeper::take_outgoing()
+{
+    for (outgoing_message& message : recorder_.take_outgoing())
+    {
+        outgoing_.push_back(std::move(message));
+    }
+    return std::exchange(outgoing_, {});
+}
+
+void decision_keeper::close(const clock_reading& now)
+{
+    recorder_.close(now.unix_time, now.monotonic);
+}
+
+} // namespace hickorygap
--- a/src/process/control/thread_control_client.cpp
+++ b/src/process/control/thread_control_client.cpp
@@ -117,6 +117,7 @@
     {
         if (auto decision = waiting->wait_for(cancel_interval))
         {
+            observe(query, *decision);
             return *decision;
         }
         if (!withdrawn && cancelled())
@@ -131,6 +132,17 @@
     }
 }
 
+void thread_control_client::observe(
+    const placement_query& query, const placement_decision& decision)
+{
+    const auto* refusal = std::get_if<placement_refusal>(&decision);
+    if (refusal != nullptr && refusal_observer_ &&
+        refusal->reason != wire::refusal_reason::withdrawn)
+    {
+        refusal_observer_(query);
+    }
+}
+
 void thread_control_client::finish(const attempt_report& report)
 {
     control_.post([report](control_node& node, const clock_reading& now)
--- a/src/process/control/thread_control_client.hpp
+++ b/src/process/control/thread_control_client.hpp
@@ -11,8 +11,10 @@
 class thread_control_client final : public control_client
 {
 public:
-    // Called with each finished attempt, on a traffic thread; for metrics.
+    // Called with each finished attempt and each refused query, on a traffic
+    // thread; for metrics.
     using report_observer = std::function<void(const attempt_report&)>;
+    using refusal_observer = std::function<void(const placement_query&)>;
 
     thread_control_client(
         control_thread& control, shared_blame_tracker& blame,
@@ -22,6 +24,10 @@
     {
         observer_ = std::move(observer);
     }
+    void set_refusal_observer(refusal_observer observer)
+    {
+        refusal_observer_ = std::move(observer);
+    }
 
     configuration_ptr current_configuration() const override;
     readiness current_readiness() const override;
@@ -36,6 +42,8 @@
     duration quarantined_for(request_fingerprint fingerprint) const override;
 
 private:
+    void
+    observe(const placement_query& query, const placement_decision& decision);
     wire::call_intent_msg make_intent(const idempotent_call& call);
 
     control_thread& control_;
@@ -43,6 +51,7 @@
     incarnation_number incarnation_;
     instance_id self_;
     report_observer observer_;
+    refusal_observer refusal_observer_;
 };
 
 } // namespace hickorygap
--- a/src/process/control/thread_operator_client.cpp
+++ b/src/process/control/thread_operator_client.cpp
@@ -108,8 +108,11 @@
 } // namespace
 
 thread_operator_client::thread_operator_client(
-    control_thread& control, std::string name)
+    control_thread& control, const burn_windows& burn, double error_budget,
+    std::string name)
     : control_(control)
+    , burn_(burn)
+    , error_budget_(error_budget)
     , name_(std::move(name))
 {
 }
@@ -212,16 +215,33 @@
 absl::StatusOr<decision_list>
 thread_operator_client::decisions(const decision_query& query)
 {
-    static_cast<void>(query);
-    return make_error(
-        error_kind::storage_failed,
-        "this instance has no store of decision records; ask an instance "
-        "with a data folder");
+    const auto store = control_.ask<const decision_store*>(
+        [](control_node& node, const clock_reading&)
+        { return node.decisions(); });
+    if (!store)
+    {
+        return stopped();
+    }
+    if (*store == nullptr)
+    {
+        return make_error(
+            error_kind::storage_failed,
+            "this instance keeps no decision records; ask a voter");
+    }
+    return (*store)->query(query);
 }
 
 absl::StatusOr<burn_report> thread_operator_client::burn()
 {
-    return burn_report{};
+    const configuration_ptr current = control_.current_configuration();
+    return burn_.report(
+        error_budget_,
+        [&current](organisation_id id)
+        {
+            const organisation* found = current->find_organisation(id);
+            return found == nullptr ? fmt::format("{:016x}", id) : found->name;
+        },
+        monotonic_now());
 }
 
 } // namespace hickorygap
--- a/src/process/control/thread_operator_client.hpp
+++ b/src/process/control/thread_operator_client.hpp
@@ -11,7 +11,10 @@
 class thread_operator_client final : public operator_client
 {
 public:
-    thread_operator_client(control_thread& control, std::string name);
+    // The windows must outlive the client.
+    thread_operator_client(
+        control_thread& control, const burn_windows& burn, double error_budget,
+        std::string name);
 
     absl::StatusOr<ticket_receipt> file_ticket(std::string_view text) override;
     absl::StatusOr<std::vector<accepted_ticket>> tickets() override;
@@ -25,6 +28,8 @@
 
 private:
     control_thread& control_;
+    const burn_windows& burn_;
+    double error_budget_;
     std::string name_;
 };
 
--- a/src/process/instance/running_instance.cpp
+++ b/src/process/instance/running_instance.cpp
@@ -77,6 +77,11 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(
             source.idempotency.window)
             .count());
+    options.recorder.bytes_per_second = source.decision_record.bytes_per_second;
+    options.recorder.buffer_bytes = source.decision_record.buffer_bytes;
+    options.recorder.batch_delay = source.decision_record.batch_delay;
+    options.decision_store_limits.file_bytes =
+        source.decision_record.file_bytes;
     options.seed = random_seed();
     return options;
 }
@@ -202,7 +207,8 @@
         return listening;
     }
     auto node = control_node::open(
-        make_node_options(settings_, incarnation_), blame_, read_clocks());
+        make_node_options(settings_, incarnation_), blame_, metrics_.burn(),
+        read_clocks());
     if (!node.ok())
     {
         return node.status();
@@ -214,21 +220,38 @@
     return absl::OkStatus();
 }
 
-absl::Status running_instance::start_servers()
+void running_instance::make_clients()
 {
     control_client_ = std::make_unique<thread_control_client>(
         *control_, blame_, incarnation_, settings_.instance.id);
+    control_client_->set_report_observer(
+        [this](const attempt_report& report)
+        { metrics_.on_finished(report, *control_->current_configuration()); });
+    control_client_->set_refusal_observer([this](const placement_query& query)
+                                          { metrics_.on_refused(query); });
     operator_client_ = std::make_unique<thread_operator_client>(
-        *control_, settings_.instance.name);
+        *control_, metrics_.burn(), settings_.slo.error_budget,
+        settings_.instance.name);
+}
+
+void running_instance::make_handlers()
+{
     relay_ =
         std::make_unique<request_relay>(*control_client_, blame_, counters_);
     caller_handler_ = std::make_unique<caller_handler>(
         *control_client_, *relay_, counters_, make_caller_limits(settings_),
         random_seed());
+    metrics_handler_ = std::make_unique<metrics_handler>(
+        *caller_handler_,
+        [this] { return metrics_.prometheus_text(counters_); });
     operator_handler_ = std::make_unique<operator_handler>(
         *operator_client_, settings_.operators.token_digest);
+}
+
+void running_instance::make_servers()
+{
     caller_server_ = std::make_unique<http_server>(
-        make_caller_options(settings_), *caller_handler_);
+        make_caller_options(settings_), *metrics_handler_);
     operator_server_ = std::make_unique<http_server>(
         make_operator_options(settings_), *operator_handler_);
     backend_monitor_options monitoring;
@@ -236,6 +259,13 @@
     monitor_ = std::make_unique<backend_monitor>(
         [this](const monitor_result& result) { on_monitor_result(result); },
         monitoring);
+}
+
+absl::Status running_instance::start_servers()
+{
+    make_clients();
+    make_handlers();
+    make_servers();
     control_->start();
     absl::Status status = caller_server_->start();
     if (status.ok())
@@ -254,6 +284,7 @@
     }
     next_follow_ = now.monotonic + follow_interval;
     update_monitored(node);
+    metrics_.on_network(control_->network().counters());
     if (!settings_.test.blocked_peers_file.empty())
     {
         read_blocked_peers();
--- a/src/process/instance/running_instance.hpp
+++ b/src/process/instance/running_instance.hpp
@@ -9,6 +9,8 @@
 #include "process/control/control_thread.hpp"
 #include "process/control/thread_control_client.hpp"
 #include "process/control/thread_operator_client.hpp"
+#include "process/instance/instance_metrics.hpp"
+#include "process/instance/metrics_handler.hpp"
 #include "process/settings/settings.hpp"
 
 #include <memory>
@@ -46,6 +48,9 @@
 
     absl::Status open();
     absl::Status start_servers();
+    void make_clients();
+    void make_handlers();
+    void make_servers();
     void follow_control(control_node& node, const clock_reading& now);
     void update_monitored(const control_node& node);
     void read_blocked_peers();
@@ -55,11 +60,13 @@
     incarnation_number incarnation_;
     shared_blame_tracker blame_;
     relay_counters counters_;
+    instance_metrics metrics_;
     std::unique_ptr<control_thread> control_;
     std::unique_ptr<thread_control_client> control_client_;
     std::unique_ptr<thread_operator_client> operator_client_;
     std::unique_ptr<request_relay> relay_;
     std::unique_ptr<caller_handler> caller_handler_;
+    std::unique_ptr<metrics_handler> metrics_handler_;
     std::unique_ptr<operator_handler> operator_handler_;
     std::unique_ptr<http_server> caller_server_;
     std::unique_ptr<http_server> operator_server_;
--- a/tests/support/fake_operator_client.hpp
+++ b/tests/support/fake_operator_client.hpp
@@ -16,7 +16,7 @@
 public:
     // Returned by every call while it is an error.
     absl::Status failure;
-    std::vector<ticket_record> accepted;
+    std::vector<accepted_ticket> accepted;
     in_force_report report;
     instance_status state;
     decision_list records;
@@ -35,7 +35,7 @@
             return parsed.status();
         }
         const ticket_document& document = parsed->document;
-        for (const ticket_record& record : accepted)
+        for (const accepted_ticket& record : accepted)
         {
             if (record.document.number != document.number)
             {
@@ -59,16 +59,16 @@
             document.number, time, document.content_digest, false};
     }
 
-    absl::StatusOr<std::vector<ticket_record>> tickets() override
+    absl::StatusOr<std::vector<accepted_ticket>> tickets() override
     {
         return or_failure(accepted);
     }
 
-    absl::StatusOr<std::optional<ticket_record>>
+    absl::StatusOr<std::optional<accepted_ticket>>
     ticket(configuration_version number) override
     {
-        std::optional<ticket_record> found;
-        for (const ticket_record& record : accepted)
+        std::optional<accepted_ticket> found;
+        for (const accepted_ticket& record : accepted)
         {
             if (record.document.number == number)
             {
--- a/tests/support/test_configuration.cpp
+++ b/tests/support/test_configuration.cpp
@@ -26,7 +26,8 @@
         R"({{"ticket": 1,
 "services": {{
  "report-7b": {{"kind": "engine", "model": "report-7b", "version": "1"}},
- "calculator": {{"kind": "plain", "path": "/calculator"}},
+ "calculator": {{"kind": "plain", "path": "/calculator",
+  "ranks": {{"background": {{"target_ms": 1}}}}}},
  "booking": {{"kind": "plain", "path": "/booking", "repeatable": false}}}},
 "backend_servers": {{{}}},
 "organisations": {{
