--- a/tests/process/consensus/file_log_storage_test.cpp
+++ b/tests/process/consensus/file_log_storage_test.cpp
@@ -1,4 +1,5 @@
 #include "process/consensus/file_log_storage.hpp"
+#include "support/temporary_folder.hpp"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
@@ -12,49 +13,12 @@
 #include <string>
 
 using namespace hickorygap;
+using test::temporary_folder;
 namespace fs = std::filesystem;
 
 namespace
 {
 
-// Data folder that is removed at the end of the test.
-class temporary_folder
-{
-public:
-    temporary_folder()
-    {
-        std::string name = fs::temp_directory_path() / "hickorygap-XXXXXX";
-        path_ = ::mkdtemp(name.data());
-    }
-    temporary_folder(const temporary_folder&) = delete;
-    temporary_folder& operator=(const temporary_folder&) = delete;
-    ~temporary_folder()
-    {
-        fs::remove_all(path_);
-    }
-
-    std::string path() const
-    {
-        return path_;
-    }
-
-    // The only file whose name starts with the prefix.
-    fs::path file(const std::string& prefix) const
-    {
-        for (const auto& item : fs::directory_iterator{path_})
-        {
-            if (item.path().filename().string().starts_with(prefix))
-            {
-                return item.path();
-            }
-        }
-        return {};
-    }
-
-private:
-    fs::path path_;
-};
-
 // Files can't grow over the limit while this object lives, as on a full disk.
 class file_size_limit
 {
--- a/tests/process/replicated_state/voter_test.cpp
+++ b/tests/process/replicated_state/voter_test.cpp
@@ -1,3 +1,5 @@
+#include "process/consensus/file_log_storage.hpp"
+#include "support/temporary_folder.hpp"
 #include "voter_cluster.hpp"
 
 #include <catch2/catch.hpp>
@@ -232,3 +234,44 @@
     CHECK(group.leader()->status().voters.voters.size() == 3);
     CHECK(group.leader()->status().voters.find_voter(2) == nullptr);
 }
+
+// Guards against a voter that forgets its state on a restart from files, and
+// against one that runs on a damaged log.
+TEST_CASE("a voter restarts from its files and refuses damaged ones")
+{
+    const test::temporary_folder folder;
+    voter_options options;
+    options.raft.self = 1;
+    options.raft.initial_voters = {1};
+    options.snapshot_interval = 4;
+    time_point now{std::chrono::seconds{1000}};
+    const auto open = [&]
+    {
+        return voter::open(
+            options, std::make_unique<file_log_storage>(folder.path()),
+            std::make_shared<test::text_validator>(), now);
+    };
+    for (configuration_version number = 1; number <= 5; ++number)
+    {
+        auto opened = open();
+        REQUIRE(opened.ok());
+        voter& subject = **opened;
+        const std::uint64_t term = subject.term();
+        for (int i = 0; i < 400 && subject.tickets().size() < number; ++i)
+        {
+            now = now + std::chrono::milliseconds{20};
+            subject.tick(now, number);
+            wire::propose_msg proposal;
+            proposal.kind = wire::entry_kind::ticket;
+            proposal.data = test::ticket_data(number, "text");
+            subject.receive(9, make_payload(proposal), now, number);
+            REQUIRE(subject.flush().ok());
+            static_cast<void>(subject.take_outgoing());
+        }
+        CHECK(subject.term() > term);
+        CHECK(subject.take_applied().size() == number);
+    }
+    REQUIRE_FALSE(folder.file("snapshot-").empty());
+    std::filesystem::resize_file(folder.file("snapshot-"), 100);
+    CHECK(kind_of(open().status()) == error_kind::storage_damaged);
+}
