Let the control thread forbid the creation of a group

Voters that all lost their disks, or that a ticket replaced and whose folders were emptied, would answer each other that they are new and start a second history with ticket 1, although other instances know tickets of the first. voter::set_creation_check lets the control thread refuse that; without the hook's result being used, the new test fails (a leader is elected).

--- a/src/process/consensus/raft_node.cpp
+++ b/src/process/consensus/raft_node.cpp
@@ -445,6 +445,10 @@
 
 void raft_node::create_group()
 {
+    if (!may_create_group_)
+    {
+        return;
+    }
     voter_list list;
     std::uint64_t term = hard_.term;
     for (const instance_id voter : options_.initial_voters)
--- a/src/process/consensus/raft_node.hpp
+++ b/src/process/consensus/raft_node.hpp
@@ -85,6 +85,13 @@
 
     void tick(time_point now);
 
+    // Whether this node may create a new group; true at the start. The caller
+    // forbids it when it knows of a group in another way.
+    void set_may_create_group(bool allowed)
+    {
+        may_create_group_ = allowed;
+    }
+
     // Handles consensus messages and ignores all others.
     void receive(
         instance_id from, const wire::payloadUnion& payload, time_point now);
@@ -310,6 +317,7 @@
     time_point vote_blocked_until_;
     std::set<instance_id> votes_;
 
+    bool may_create_group_ = true;
     std::map<instance_id, wire::group_reply_msg> group_replies_;
     time_point next_group_query_;
 
--- a/src/process/replicated_state/voter.cpp
+++ b/src/process/replicated_state/voter.cpp
@@ -47,6 +47,10 @@
 {
     now_ = now;
     unix_now_ = unix_now;
+    if (raft_.configuration() == nullptr && creation_check_)
+    {
+        check_creation();
+    }
     raft_.tick(now);
     if (raft_.is_leader())
     {
@@ -376,6 +380,19 @@
 
 // Changes of the group.
 
+void voter::check_creation()
+{
+    const absl::Status status = creation_check_();
+    raft_.set_may_create_group(status.ok());
+    if (!status.ok() && !creation_refused_)
+    {
+        log(log_level::warning, subsystem::consensus,
+            "group_creation_refused reason=\"{}\"",
+            std::string{status.message()});
+    }
+    creation_refused_ = !status.ok();
+}
+
 void voter::set_wanted_voters(
     configuration_version ticket, std::vector<instance_id> voters)
 {
--- a/src/process/replicated_state/voter.hpp
+++ b/src/process/replicated_state/voter.hpp
@@ -121,6 +121,15 @@
         acceptance_check_ = std::move(check);
     }
 
+    // Called while this voter's disk is empty and no group is known; an error
+    // forbids to create a new group. Without it, voters that all lost their
+    // disks would start a second history. The check should fail when this
+    // instance or any member knows a ticket.
+    void set_creation_check(std::function<absl::Status()> check)
+    {
+        creation_check_ = std::move(check);
+    }
+
     // Voters that the last ticket with a voter list demands, and the number
     // of that ticket. While leader, this voter changes the group towards
     // them, one at a time. Call it on every voter for every such ticket.
@@ -167,6 +176,7 @@
     absl::Status advance();
     void apply(const wire::log_entry_msg& entry);
     void maybe_compact();
+    void check_creation();
     void drive_voters();
     std::optional<voter_list> next_voters() const;
     void end_lost_calls();
@@ -179,6 +189,8 @@
     unix_millis unix_now_ = 0;
 
     std::function<absl::Status()> acceptance_check_;
+    std::function<absl::Status()> creation_check_;
+    bool creation_refused_ = false;
     configuration_version wanted_ticket_ = 0;
     std::vector<instance_id> wanted_voters_;
     std::map<instance_id, incarnation_number> oldest_incarnations_;
--- a/tests/process/consensus/raft_node_test.cpp
+++ b/tests/process/consensus/raft_node_test.cpp
@@ -223,6 +223,19 @@
     const auto sent = other.take_outgoing();
     REQUIRE(sent.size() == 1);
     CHECK_FALSE(message_in<wire::vote_reply_msg>(sent[0].payload)->granted);
+
+    raft_node third = make_node({});
+    third.tick(now);
+    wire::vote_reply_msg vote;
+    vote.term = third.term() + 1;
+    vote.granted = true;
+    vote.pre_vote = true;
+    vote.disk = 21;
+    third.receive(2, make_payload(vote), now);
+    CHECK(third.role() == raft_role::pre_candidate);
+    vote.disk = 20;
+    third.receive(2, make_payload(vote), now);
+    CHECK(third.role() == raft_role::candidate);
 }
 
 // Guards against an isolated leader that answers reads from its own state.
--- a/tests/process/replicated_state/voter_test.cpp
+++ b/tests/process/replicated_state/voter_test.cpp
@@ -220,6 +220,29 @@
     CHECK(replies[1].status == wire::proposal_status::outcome_unknown);
 }
 
+// Guards against a second history when all voters lost their disks: others
+// still have the tickets of the first.
+TEST_CASE("no group is created while the creation check fails")
+{
+    voter_cluster group{3, 6};
+    bool knows_tickets = true;
+    for (instance_id id = 1; id <= 3; ++id)
+    {
+        group.find(id)->set_creation_check(
+            [&knows_tickets]
+            {
+                return knows_tickets ? make_error(
+                                           error_kind::storage_damaged,
+                                           "restore a voter's data folder")
+                                     : absl::OkStatus();
+            });
+    }
+    group.run(20 * steps_per_second);
+    CHECK(group.leader() == nullptr);
+    knows_tickets = false;
+    CHECK(run_until_whole(group));
+}
+
 // Guards against a group that can't replace a voter by another instance.
 TEST_CASE("tickets replace one voter by another")
 {
