Keep work with a backlog to the engines that the rest does not need

A surge filled all engines, so that small organisations lost their cached context and waited for slots.

--- a/bench/placement/all_knowing_policy.cpp
+++ b/bench/placement/all_knowing_policy.cpp
@@ -11,7 +11,7 @@
     : description_(description)
     , models_(engines)
     , engines_(description.load_bound)
-    , admission_(queue_, rate_)
+    , admission_(queue_, rate_, backlogs_)
 {
     engines_.set_servers(description.servers);
     std::array<double, rank_count> floors{};
--- a/bench/placement/all_knowing_policy.hpp
+++ b/bench/placement/all_knowing_policy.hpp
@@ -62,6 +62,7 @@
     engine_table engines_;
     rank_queue queue_;
     service_rate rate_;
+    backlog_tracker backlogs_;
     admission admission_;
     std::unordered_map<request_key, placed_state, request_key_hash> waiting_;
     std::unordered_map<request_key, placed_state, request_key_hash> placed_;
--- a/src/request/placement/cell_owner.cpp
+++ b/src/request/placement/cell_owner.cpp
@@ -44,6 +44,11 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(value);
 }
 
+bool contains_engine(std::span<const engine_index> list, engine_index engine)
+{
+    return std::find(list.begin(), list.end(), engine) != list.end();
+}
+
 bool contains(std::span<const backend_server_id> list, backend_server_id id)
 {
     return std::find(list.begin(), list.end(), id) != list.end();
@@ -56,7 +61,7 @@
     : limits_(limits)
     , engines_(description.load_bound)
     , directory_(limits.chats)
-    , admission_(queue_, rate_)
+    , admission_(queue_, rate_, backlogs_)
 {
     set_description(description, time_point{});
 }
@@ -276,7 +281,8 @@
 cell_owner::choice
 cell_owner::choose(const placement_query& query, time_point now) const
 {
-    const auto room = engines_.with_room(query.excluded, now);
+    const auto room =
+        usable_room(query, engines_.with_room(query.excluded, now));
     if (room.empty())
     {
         return {};
@@ -293,15 +299,67 @@
         placement_reason::least_loaded};
 }
 
+std::vector<engine_index> cell_owner::usable_room(
+    const placement_query& query, std::span<const engine_index> room) const
+{
+    std::vector<engine_index> usable{room.begin(), room.end()};
+    if (backlogs_.is_backlogged(query.request_rank, query.organisation))
+    {
+        std::erase_if(
+            usable, [&](engine_index engine)
+            { return !contains_engine(backlog_engines_, engine); });
+    }
+    return usable;
+}
+
+// Keeps work with a backlog to the engines that the rest does not need, in an
+// order that is fixed for the cell.
+void cell_owner::choose_backlog_engines()
+{
+    backlog_engines_.clear();
+    if (!backlogs_.has_backlog())
+    {
+        return;
+    }
+    for (const engine_index engine : engines_.listed())
+    {
+        if (engines_.is_live(engine))
+        {
+            backlog_engines_.push_back(engine);
+        }
+    }
+    std::sort(
+        backlog_engines_.begin(), backlog_engines_.end(),
+        [&](engine_index left, engine_index right)
+        {
+            return rendezvous_score(description_.id, engines_.id_of(left)) >
+                   rendezvous_score(description_.id, engines_.id_of(right));
+        });
+    const double slots_each =
+        static_cast<double>(engines_.live_slots()) /
+        std::max<std::size_t>(backlog_engines_.size(), 1);
+    const auto kept = static_cast<std::size_t>(
+        backlogs_.reserved_slots(queue_) / std::max(slots_each, 1.0));
+    const std::size_t left =
+        backlog_engines_.size() - std::min(kept, backlog_engines_.size());
+    backlog_engines_.resize(std::max<std::size_t>(left, 1));
+}
+
 slot_fit cell_owner::fit_of(
     const waiting_state& waiting, std::span<const engine_index> room,
     time_point now) const
 {
     const placement_query& query = waiting.query;
     const auto homes = homes_of(query);
+    const bool backlogged = backlogs_.is_backlogged(
+        query.request_rank, query.organisation);
     slot_fit fit = slot_fit::impossible;
     for (const engine_index engine : room)
     {
+        if (backlogged && !contains_engine(backlog_engines_, engine))
+        {
+            continue;
+        }
         if (contains(query.excluded, engines_.id_of(engine)))
         {
             continue;
@@ -367,6 +425,8 @@
     engines_.add(chosen.engine);
     engines_.set_reserved(chosen.engine, query.isolated);
     queue_.slot_used(query.request_rank);
+    backlogs_.started(
+        query.request_rank, query.organisation, grant.cost, now);
     if (query.chat != 0)
     {
         directory_.put(query.chat, chosen.engine, now);
@@ -546,6 +606,7 @@
         }
     }
     queue_.slot_freed(grant.request_rank);
+    backlogs_.ended(grant.request_rank, grant.organisation);
 }
 
 void cell_owner::on_load_report(
@@ -609,6 +670,8 @@
     last_review_ = now;
     engines_.expire_reports(now);
     expire_grants(now);
+    backlogs_.review(queue_, now);
+    choose_backlog_engines();
     dispatch(now);
     refuse_hopeless(now);
     refuse_hopeless_isolated(now);
@@ -739,6 +802,7 @@
     grant.expires = now + grant_lease;
     engines_.add(engine);
     queue_.slot_used(grant.request_rank);
+    backlogs_.started(grant.request_rank, grant.organisation, grant.cost, now);
     if (held.chat != 0)
     {
         directory_.put(held.chat, engine, now);
--- a/src/request/placement/cell_owner.hpp
+++ b/src/request/placement/cell_owner.hpp
@@ -223,6 +223,10 @@
     bool waits_for_home(
         const waiting_state& waiting, const std::array<engine_index, 2>& homes,
         time_point now) const;
+    // The engines with room that the request may use.
+    std::vector<engine_index> usable_room(
+        const placement_query& query, std::span<const engine_index> room) const;
+    void choose_backlog_engines();
     placement_grant start_grant(
         const waiting_state& waiting, const choice& chosen, time_point now);
     void dispatch(time_point now);
@@ -248,7 +252,11 @@
     chat_directory directory_;
     rank_queue queue_;
     service_rate rate_;
+    backlog_tracker backlogs_;
     admission admission_;
+
+    // Engines that work with a backlog may use.
+    std::vector<engine_index> backlog_engines_;
     std::unordered_map<request_key, grant_state, request_key_hash> grants_;
     std::unordered_map<request_key, waiting_state, request_key_hash> waiting_;
     std::deque<waiting_state> isolated_;
--- a/src/request/placement/entry_router.cpp
+++ b/src/request/placement/entry_router.cpp
@@ -26,9 +26,10 @@
 // Sendings without an answer after which the next owner is asked.
 constexpr std::uint32_t sendings_per_owner = 2;
 
-// A queued query is repeated after this time, so that the loss of the grant
-// or of the owner is noticed. The time doubles with each repeat: at a fixed
-// second, a long queue of background work cost 83 KB/s on one instance.
+// A queued query is repeated after this time, or after a quarter of its
+// target if that is longer, so that the loss of the grant or of the owner is
+// noticed. The time doubles with each repeat: at a fixed second, a long queue
+// of background work cost 83 KB/s on one instance.
 constexpr duration first_queued_repeat{seconds{1}};
 
 // Time for which a cell that refused work as overloaded gets no spillover of
@@ -184,13 +185,25 @@
     pending.owner = owners_.candidate(cell, now);
     pending.unanswered = 0;
     pending.acknowledged = false;
-    pending.repeat = first_queued_repeat;
+    pending.repeat = first_repeat(pending.query);
     if (pending.owner != 0)
     {
         send_request(pending, now);
     }
 }
 
+duration entry_router::first_repeat(const placement_query& query) const
+{
+    const auto asked = topology_->services.find(query.service);
+    if (asked == topology_->services.end())
+    {
+        return first_queued_repeat;
+    }
+    const auto number = static_cast<std::size_t>(query.request_rank);
+    return std::max(
+        first_queued_repeat, asked->second.ranks[number].target / 4);
+}
+
 void entry_router::send_request(pending_query& pending, time_point now)
 {
     const cell_id cell = pending.cells[pending.cell_position];
--- a/src/request/placement/entry_router.hpp
+++ b/src/request/placement/entry_router.hpp
@@ -125,6 +125,7 @@
         std::unordered_map<request_key, pending_query, request_key_hash>;
 
     void ask(pending_query& pending, time_point now);
+    duration first_repeat(const placement_query& query) const;
     void send_request(pending_query& pending, time_point now);
     void ask_without_owner(pending_map::iterator position, time_point now);
     bool try_local(pending_map::iterator position, time_point now);
--- a/src/request/scheduling/admission.cpp
+++ b/src/request/scheduling/admission.cpp
@@ -1,6 +1,7 @@
 #include "request/scheduling/admission.hpp"
 
 #include <algorithm>
+#include <map>
 
 namespace hickorygap
 {
@@ -72,6 +73,19 @@
         std::min(with_higher, (cost_ahead + rate_.mean_cost()) / floor));
 }
 
+duration admission::wait_behind_own(
+    rank request_rank, organisation_id organisation, double own_cost_ahead,
+    time_point now) const
+{
+    if (!backlogs_.is_backlogged(request_rank, organisation))
+    {
+        return duration{0};
+    }
+    const double rate = backlogs_.started_cost_per_second(
+        request_rank, organisation, now);
+    return rate > 0.0 ? seconds(own_cost_ahead / rate) : duration{0};
+}
+
 duration admission::predicted_wait(const request_key& key, time_point now) const
 {
     const auto request_rank = queue_.rank_of(key);
@@ -93,8 +107,11 @@
 {
     const duration allowed = std::chrono::duration_cast<duration>(
         budget(item, now) * new_request_margin);
-    const duration wait =
-        wait_for_cost(item.request_rank, queue_.cost_ahead(item.key), now);
+    const duration wait = std::max(
+        wait_for_cost(item.request_rank, queue_.cost_ahead(item.key), now),
+        wait_behind_own(
+            item.request_rank, item.organisation,
+            queue_.own_cost_ahead(item.key), now));
     if (wait <= allowed)
     {
         return std::nullopt;
@@ -109,12 +126,17 @@
     {
         const rank candidate{static_cast<std::uint8_t>(number)};
         double ahead = 0.0;
+        std::map<organisation_id, double> own_ahead;
         for (const queued_request& item : queue_.in_service_order(candidate))
         {
             // The request's own cost is not ahead of it, and the mean cost
             // that wait_for_cost adds for the next free slot does not grow
             // with the wait.
-            const duration wait = wait_for_cost(candidate, ahead, now);
+            const duration wait = std::max(
+                wait_for_cost(candidate, ahead, now),
+                wait_behind_own(
+                    candidate, item.organisation, own_ahead[item.organisation],
+                    now));
             const duration left = budget(item, now);
             if (wait > left)
             {
@@ -124,6 +146,7 @@
             else
             {
                 ahead += item.cost;
+                own_ahead[item.organisation] += item.cost;
             }
         }
     }
--- a/src/request/scheduling/admission.hpp
+++ b/src/request/scheduling/admission.hpp
@@ -2,6 +2,7 @@
 #define HICKORYGAP_REQUEST_SCHEDULING_ADMISSION_HPP
 
 #include "common/time.hpp"
+#include "request/scheduling/backlog_tracker.hpp"
 #include "request/scheduling/rank_queue.hpp"
 #include "request/scheduling/service_rate.hpp"
 
@@ -23,10 +24,13 @@
 class admission
 {
 public:
-    // The queue and the rate must outlive this object.
-    admission(const rank_queue& queue, const service_rate& rate)
+    // The arguments must outlive this object.
+    admission(
+        const rank_queue& queue, const service_rate& rate,
+        const backlog_tracker& backlogs)
         : queue_(queue)
         , rate_(rate)
+        , backlogs_(backlogs)
     {
     }
 
@@ -51,11 +55,18 @@
     duration
     wait_for_cost(rank request_rank, double cost_ahead, time_point now) const;
 
+    // Wait of a request behind the organisation's own cost, by the rate at
+    // which its backlog was served lately; zero when it has no backlog.
+    duration wait_behind_own(
+        rank request_rank, organisation_id organisation, double own_cost_ahead,
+        time_point now) const;
+
     // Longest useful wait for a slot from now; negative when it is too late.
     duration budget(const queued_request& item, time_point now) const;
 
     const rank_queue& queue_;
     const service_rate& rate_;
+    const backlog_tracker& backlogs_;
 };
 
 } // namespace hickorygap
--- a/src/request/scheduling/rank_queue.cpp
+++ b/src/request/scheduling/rank_queue.cpp
@@ -346,7 +346,7 @@
     forget_idle(state);
 }
 
-double rank_queue::cost_ahead(const request_key& key) const
+double rank_queue::own_cost_ahead(const request_key& key) const
 {
     const auto found = index_.find(key);
     if (found == index_.end())
@@ -354,20 +354,32 @@
         return 0.0;
     }
     const queued_request& item = *found->second;
-    const rank_state& state = ranks_[number_of(item.request_rank)];
-    const organisation_queue& own = state.organisations.at(item.organisation);
-    double own_ahead = 0.0;
+    const organisation_queue& own =
+        ranks_[number_of(item.request_rank)].organisations.at(
+            item.organisation);
     if (&own.items.back() == &item)
     {
-        own_ahead = own.waiting_cost - item.cost;
+        return own.waiting_cost - item.cost;
     }
-    else
+    double ahead = 0.0;
+    for (auto other = own.items.begin(); &*other != &item; ++other)
     {
-        for (auto other = own.items.begin(); &*other != &item; ++other)
-        {
-            own_ahead += other->cost;
-        }
+        ahead += other->cost;
     }
+    return ahead;
+}
+
+double rank_queue::cost_ahead(const request_key& key) const
+{
+    const auto found = index_.find(key);
+    if (found == index_.end())
+    {
+        return 0.0;
+    }
+    const queued_request& item = *found->second;
+    const rank_state& state = ranks_[number_of(item.request_rank)];
+    const organisation_queue& own = state.organisations.at(item.organisation);
+    const double own_ahead = own_cost_ahead(key);
     const double tag = own.start_tag + own_ahead / weight_of(item.organisation);
     double ahead = own_ahead;
     for (const auto& [start_tag, organisation] : state.active)
@@ -406,6 +418,18 @@
     return ranks_[number_of(request_rank)].items;
 }
 
+void rank_queue::for_each_first(
+    absl::FunctionRef<void(const queued_request&)> visitor) const
+{
+    for (const rank_state& state : ranks_)
+    {
+        for (const auto& [tag, organisation] : state.active)
+        {
+            visitor(state.organisations.at(organisation).items.front());
+        }
+    }
+}
+
 std::vector<queued_request>
 rank_queue::in_service_order(rank request_rank) const
 {
--- a/src/request/scheduling/rank_queue.hpp
+++ b/src/request/scheduling/rank_queue.hpp
@@ -97,6 +97,9 @@
     // Cost that is served before the waiting request within its rank.
     double cost_ahead(const request_key& key) const;
 
+    // Cost of the organisation's own requests before the waiting request.
+    double own_cost_ahead(const request_key& key) const;
+
     // Rank of a waiting request; nullopt when it does not wait.
     std::optional<rank> rank_of(const request_key& key) const;
 
@@ -106,6 +109,12 @@
     // Requests of a rank in the order in which they would be served.
     std::vector<queued_request> in_service_order(rank request_rank) const;
 
+    double weight_of(organisation_id organisation) const;
+
+    // Calls the visitor with the first request of each organisation and rank.
+    void for_each_first(
+        absl::FunctionRef<void(const queued_request&)> visitor) const;
+
     // Request that is given up first when the queue is full: the last of the
     // organisation with the largest backlog by weight, in the least important
     // rank that waits. nullptr when the queue is empty.
@@ -170,8 +179,6 @@
         double floor_credit = 0.0;
     };
 
-    double weight_of(organisation_id organisation) const;
-
     // Least start tag of an organisation that becomes active.
     double
     earliest_tag(const rank_state& state, organisation_id organisation) const;
--- a/tests/request/scheduling/admission_test.cpp
+++ b/tests/request/scheduling/admission_test.cpp
@@ -40,7 +40,8 @@
 
     rank_queue queue;
     service_rate rate;
-    admission judge{queue, rate};
+    backlog_tracker backlogs;
+    admission judge{queue, rate, backlogs};
     request_id next = 1;
 };
 
