--- a/src/request/placement/bounded_hash_policy.cpp
+++ b/src/request/placement/bounded_hash_policy.cpp
@@ -1,5 +1,6 @@
 #include "request/placement/bounded_hash_policy.hpp"
 
+#include <algorithm>
 #include <limits>
 
 namespace hickorygap
@@ -30,7 +31,24 @@
 {
     const auto room = engines_.with_room(query.excluded, now);
     const std::uint64_t key = query.chat != 0 ? query.chat : query.request;
-    const engine_index engine = engines_.by_rendezvous(room, key);
+    engine_index engine = engines_.by_rendezvous(room, key);
+    if (engine == no_engine)
+    {
+        // The bound leaves no room where servers are excluded; a policy
+        // without a queue must go beyond it.
+        std::vector<engine_index> live = engines_.listed();
+        std::erase_if(
+            live,
+            [&](engine_index other)
+            {
+                const backend_server_id id = engines_.id_of(other);
+                return !engines_.is_live(other) ||
+                       std::find(
+                           query.excluded.begin(), query.excluded.end(), id) !=
+                           query.excluded.end();
+            });
+        engine = engines_.least_loaded(live, key);
+    }
     if (engine == no_engine)
     {
         return placement_refusal{
--- a/src/request/placement/cell_owner.cpp
+++ b/src/request/placement/cell_owner.cpp
@@ -1,6 +1,7 @@
 #include "request/placement/cell_owner.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace hickorygap
@@ -335,11 +336,10 @@
             return rendezvous_score(description_.id, engines_.id_of(left)) >
                    rendezvous_score(description_.id, engines_.id_of(right));
         });
-    const double slots_each =
-        static_cast<double>(engines_.live_slots()) /
-        std::max<std::size_t>(backlog_engines_.size(), 1);
-    const auto kept = static_cast<std::size_t>(
-        backlogs_.reserved_slots(queue_) / std::max(slots_each, 1.0));
+    const double slots_each = static_cast<double>(engines_.live_slots()) /
+                              std::max<std::size_t>(backlog_engines_.size(), 1);
+    const auto kept = static_cast<std::size_t>(std::round(
+        backlogs_.reserved_slots(queue_) / std::max(slots_each, 1.0)));
     const std::size_t left =
         backlog_engines_.size() - std::min(kept, backlog_engines_.size());
     backlog_engines_.resize(std::max<std::size_t>(left, 1));
@@ -351,8 +351,8 @@
 {
     const placement_query& query = waiting.query;
     const auto homes = homes_of(query);
-    const bool backlogged = backlogs_.is_backlogged(
-        query.request_rank, query.organisation);
+    const bool backlogged =
+        backlogs_.is_backlogged(query.request_rank, query.organisation);
     slot_fit fit = slot_fit::impossible;
     for (const engine_index engine : room)
     {
@@ -425,8 +425,7 @@
     engines_.add(chosen.engine);
     engines_.set_reserved(chosen.engine, query.isolated);
     queue_.slot_used(query.request_rank);
-    backlogs_.started(
-        query.request_rank, query.organisation, grant.cost, now);
+    backlogs_.started(query.request_rank, query.organisation, grant.cost, now);
     if (query.chat != 0)
     {
         directory_.put(query.chat, chosen.engine, now);
--- a/src/request/placement/entry_router.cpp
+++ b/src/request/placement/entry_router.cpp
@@ -56,6 +56,12 @@
 // Grants are renewed when half of their lease has passed.
 constexpr duration renewal_age = cell_owner::grant_lease / 2;
 
+// Time for which queries of an organisation and rank are refused here after
+// the owner refused one as overloaded. The queue ahead of such a query is at
+// least a second long, so that the pause leaves no slot unused; it saves the
+// messages of a surge.
+constexpr duration refusal_pause{milliseconds{200}};
+
 // Cells that are asked for one query: the chat's cell and one for spillover.
 constexpr std::size_t cells_per_query = 2;
 
@@ -78,6 +84,11 @@
         count, 0, std::numeric_limits<std::uint32_t>::max()));
 }
 
+bool is_ordinary(const placement_query& query)
+{
+    return query.attempt == 1 && !query.isolated;
+}
+
 bool may_spill(wire::refusal_reason reason)
 {
     return reason == wire::refusal_reason::overloaded ||
@@ -150,7 +161,7 @@
     pending.submitted = now;
     if (partitioned_)
     {
-        decide_refusal(
+        refuse_here(
             position, wire::refusal_reason::cut_off, retry_after_partitioned);
         return;
     }
@@ -165,11 +176,20 @@
     }
     if (pending.cells.empty())
     {
-        decide_refusal(
+        refuse_here(
             position, wire::refusal_reason::no_backend_server,
             retry_after_without_owner);
         return;
     }
+    const auto paused = paused_.find(pause_key(pending));
+    if (is_ordinary(query) && paused != paused_.end() &&
+        now - paused->second.refused < refusal_pause)
+    {
+        refuse_here(
+            position, wire::refusal_reason::overloaded,
+            paused->second.retry_after);
+        return;
+    }
     ask(pending, now);
     if (pending.owner == 0)
     {
@@ -177,6 +197,14 @@
     }
 }
 
+entry_router::organisation_key
+entry_router::pause_key(const pending_query& pending) const
+{
+    return {
+        pending.cells.front(), pending.query.request_rank,
+        pending.query.organisation};
+}
+
 // Chooses the owner to ask and sends the request; the owner is 0 afterwards
 // when none can be reached.
 void entry_router::ask(pending_query& pending, time_point now)
@@ -281,7 +309,7 @@
     duration retry_after)
 {
     withdraw_from_others(position->second, position->first, {});
-    decide_refusal(position, reason, retry_after);
+    refuse_here(position, reason, retry_after);
 }
 
 bool entry_router::try_local(pending_map::iterator position, time_point now)
@@ -540,14 +568,19 @@
             return;
         }
     }
-    if (pending.first_refusal)
+    const duration earliest =
+        pending.first_refusal
+            ? std::min(retry_after, pending.first_refusal->retry_after)
+            : retry_after;
+    const wire::refusal_reason reason =
+        pending.first_refusal ? pending.first_refusal->reason : refusal.reason;
+    // Later attempts and isolated ones may be refused for their own sake.
+    if (reason == wire::refusal_reason::overloaded &&
+        is_ordinary(pending.query))
     {
-        decide_refusal(
-            position, pending.first_refusal->reason,
-            std::min(retry_after, pending.first_refusal->retry_after));
-        return;
+        paused_[pause_key(pending)] = {now, earliest};
     }
-    decide_refusal(position, refusal.reason, retry_after);
+    decide_refusal(position, reason, earliest);
 }
 
 bool entry_router::can_spill(
@@ -682,6 +715,9 @@
         }
     }
     renew_grants(now);
+    std::erase_if(
+        paused_, [&](const auto& entry)
+        { return now - entry.second.refused >= refusal_pause; });
 }
 
 void entry_router::check_pending(pending_map::iterator position, time_point now)
@@ -802,6 +838,33 @@
          placement_refusal{key.request, key.attempt, reason, retry_after}});
 }
 
+// A refusal that no owner has recorded.
+void entry_router::refuse_here(
+    pending_map::iterator position, wire::refusal_reason reason,
+    duration retry_after)
+{
+    const placement_query& query = position->second.query;
+    wire::decision_record_msg record = make_record(query);
+    record.cell =
+        position->second.cells.empty() ? 0 : position->second.cells.front();
+    record.reason = static_cast<std::uint8_t>(placement_reason::refused);
+    record.outcome = static_cast<std::uint8_t>(reason);
+    records_.push_back(std::move(record));
+    decide_refusal(position, reason, retry_after);
+}
+
+wire::decision_record_msg
+entry_router::make_record(const placement_query& query) const
+{
+    wire::decision_record_msg record;
+    record.request = query.request;
+    record.chat = query.chat;
+    record.organisation = query.organisation;
+    record.rank = static_cast<std::uint8_t>(query.request_rank);
+    record.version = topology_->version;
+    return record;
+}
+
 void entry_router::on_backend_health(backend_server_id server, bool up)
 {
     if (up)
@@ -817,13 +880,7 @@
 void entry_router::record_local(
     const pending_query& pending, const cell& chosen, backend_server_id server)
 {
-    const placement_query& query = pending.query;
-    wire::decision_record_msg record;
-    record.request = query.request;
-    record.chat = query.chat;
-    record.organisation = query.organisation;
-    record.rank = static_cast<std::uint8_t>(query.request_rank);
-    record.version = topology_->version;
+    wire::decision_record_msg record = make_record(pending.query);
     record.cell = chosen.id;
     for (const backend_server_id id : chosen.backend_servers)
     {
--- a/src/request/placement/entry_router.hpp
+++ b/src/request/placement/entry_router.hpp
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -121,6 +122,14 @@
         time_point renew_at;
     };
 
+    using organisation_key = std::tuple<cell_id, rank, organisation_id>;
+
+    struct refusal_state
+    {
+        time_point refused;
+        duration retry_after{0};
+    };
+
     using pending_map =
         std::unordered_map<request_key, pending_query, request_key_hash>;
 
@@ -139,6 +148,11 @@
     void decide_refusal(
         pending_map::iterator position, wire::refusal_reason reason,
         duration retry_after);
+    organisation_key pause_key(const pending_query& pending) const;
+    void refuse_here(
+        pending_map::iterator position, wire::refusal_reason reason,
+        duration retry_after);
+    wire::decision_record_msg make_record(const placement_query& query) const;
     void give_up(
         pending_map::iterator position, wire::refusal_reason reason,
         duration retry_after);
@@ -180,6 +194,9 @@
     chat_directory recent_chats_;
     std::vector<backend_server_id> numbered_servers_;
 
+    // The latest refusals as overloaded, by organisation.
+    std::map<organisation_key, refusal_state> paused_;
+
     // When a cell last refused work of a rank as overloaded.
     std::map<std::pair<cell_id, rank>, time_point> overloaded_;
     std::vector<outgoing_message> outgoing_;
--- a/src/request/placement/owner_map.cpp
+++ b/src/request/placement/owner_map.cpp
@@ -3,6 +3,8 @@
 #include "common/hashing.hpp"
 
 #include <algorithm>
+#include <iterator>
+#include <tuple>
 
 namespace hickorygap
 {
@@ -64,28 +66,68 @@
     }
 }
 
+// Goes through all pairs of cell and member in descending order of score, so
+// that each cell gets its best member that has room.
 void owner_map::rebuild()
 {
     order_.clear();
-    std::vector<std::pair<std::uint64_t, instance_id>> scored;
+    std::vector<instance_id> eligible;
+    std::copy_if(
+        members_.begin(), members_.end(), std::back_inserter(eligible),
+        [&](instance_id member) { return !departing_.contains(member); });
+    if (eligible.empty() || cells_.empty())
+    {
+        return;
+    }
+    struct scored_pair
+    {
+        std::uint64_t score;
+        cell_id cell;
+        instance_id member;
+    };
+    std::vector<scored_pair> pairs;
+    pairs.reserve(cells_.size() * eligible.size());
     for (const cell_id cell : cells_)
     {
-        scored.clear();
-        for (const instance_id member : members_)
+        for (const instance_id member : eligible)
         {
-            if (!departing_.contains(member))
-            {
-                scored.emplace_back(rendezvous_score(cell, member), member);
-            }
+            pairs.push_back({rendezvous_score(cell, member), cell, member});
         }
-        const std::size_t kept = std::min(candidates_kept, scored.size());
-        std::partial_sort(
-            scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(kept),
-            scored.end(), std::greater<>{});
-        std::vector<instance_id>& order = order_[cell];
-        for (std::size_t position = 0; position < kept; ++position)
+    }
+    std::sort(
+        pairs.begin(), pairs.end(),
+        [](const scored_pair& left, const scored_pair& right)
         {
-            order.push_back(scored[position].second);
+            return std::tuple{left.score, left.cell, left.member} >
+                   std::tuple{right.score, right.cell, right.member};
+        });
+    // Twice the mean: a bound without slack would move many cells with each
+    // member that comes or goes.
+    const std::size_t most =
+        (2 * cells_.size() + eligible.size() - 1) / eligible.size();
+    std::map<instance_id, std::size_t> owned;
+    for (const scored_pair& pair : pairs)
+    {
+        std::vector<instance_id>& order = order_[pair.cell];
+        if (order.empty() && owned[pair.member] < most)
+        {
+            order.push_back(pair.member);
+            ++owned[pair.member];
+        }
+    }
+    // The followers, where the cell probably goes when its owner is lost.
+    for (const bool with_room : {true, false})
+    {
+        for (const scored_pair& pair : pairs)
+        {
+            std::vector<instance_id>& order = order_[pair.cell];
+            const bool room = owned[pair.member] < most;
+            if (order.size() < candidates_kept && room == with_room &&
+                std::find(order.begin(), order.end(), pair.member) ==
+                    order.end())
+            {
+                order.push_back(pair.member);
+            }
         }
     }
 }
--- a/src/request/placement/owner_map.hpp
+++ b/src/request/placement/owner_map.hpp
@@ -13,8 +13,10 @@
 namespace hickorygap
 {
 
-// Which instance owns each cell: the first in the cell's rendezvous order
-// over the live members. Also remembers instances that did not answer or
+// Which instance owns each cell: bounded rendezvous hashing over the live
+// members, so that none owns more than ceil(2 * cells / members). Without the
+// bound one instance owned both cells of a site with 8 instances and sent
+// twice the control traffic. Also remembers instances that did not answer or
 // declined, so that an entry router goes on to the next one.
 class owner_map
 {
@@ -43,7 +45,7 @@
     // Ends the skipping of an instance that answered.
     void unskip(cell_id cell, instance_id instance);
 
-    // First members in the cell's order after the owner.
+    // The owner of the cell and its probable successors.
     std::span<const instance_id> order_of(cell_id cell) const;
 
     std::span<const instance_id> members() const
--- a/src/request/scheduling/admission.cpp
+++ b/src/request/scheduling/admission.cpp
@@ -81,8 +81,8 @@
     {
         return duration{0};
     }
-    const double rate = backlogs_.started_cost_per_second(
-        request_rank, organisation, now);
+    const double rate =
+        backlogs_.started_cost_per_second(request_rank, organisation, now);
     return rate > 0.0 ? seconds(own_cost_ahead / rate) : duration{0};
 }
 
--- a/src/request/scheduling/backlog_tracker.cpp
+++ b/src/request/scheduling/backlog_tracker.cpp
@@ -14,6 +14,10 @@
 // for an engine with the chat's context, which is no sign of a backlog.
 constexpr duration backlog_wait{std::chrono::milliseconds{300}};
 
+// An organisation that uses less than this share of what the heaviest user of
+// the rank does waits because of others, not because it asks for too much.
+constexpr double backlog_share = 0.5;
+
 // A backlog is assumed to last this long after its last sign.
 constexpr duration backlog_memory{std::chrono::seconds{2}};
 
@@ -55,20 +59,32 @@
     const double passed = to_seconds(now - reviewed_);
     reviewed_ = now;
     const double weight = 1.0 - std::exp(-passed / use_memory_seconds);
+    std::array<double, rank_count> most{};
+    for (auto& [key, state] : classes_)
+    {
+        state.average_in_flight +=
+            weight * (state.in_flight - state.average_in_flight);
+        double& rank_most = most[static_cast<std::size_t>(key.first)];
+        rank_most = std::max(
+            rank_most, state.average_in_flight / queue.weight_of(key.second));
+    }
     queue.for_each_first(
         [&](const queued_request& first)
         {
-            if (now - first.queued_at > backlog_wait)
+            class_state& state =
+                classes_[{first.request_rank, first.organisation}];
+            const double use =
+                state.average_in_flight / queue.weight_of(first.organisation);
+            if (now - first.queued_at > backlog_wait &&
+                use >= backlog_share *
+                           most[static_cast<std::size_t>(first.request_rank)])
             {
-                classes_[{first.request_rank, first.organisation}]
-                    .backlogged_until = now + backlog_memory;
+                state.backlogged_until = now + backlog_memory;
             }
         });
     backlogs_ = 0;
     for (auto& [key, state] : classes_)
     {
-        state.average_in_flight +=
-            weight * (state.in_flight - state.average_in_flight);
         state.backlogged = state.backlogged_until > now;
         backlogs_ += state.backlogged ? 1 : 0;
     }
@@ -138,8 +154,8 @@
                         ? std::min(state.average_in_flight, share)
                         : state.average_in_flight;
         }
-        const double floor = slots * queue.floor_of(
-                                 rank{static_cast<std::uint8_t>(number)});
+        const double floor =
+            slots * queue.floor_of(rank{static_cast<std::uint8_t>(number)});
         total += higher_backlog ? std::min(used, floor) : used;
         floors += backlogged[number] ? floor : 0.0;
         higher_backlog = higher_backlog || backlogged[number];
--- a/src/request/scheduling/backlog_tracker.hpp
+++ b/src/request/scheduling/backlog_tracker.hpp
@@ -27,9 +27,8 @@
     void review(const rank_queue& queue, time_point now);
 
     // Whether the organisation's requests of the rank waited for long within
-    // the last seconds.
-    bool
-    is_backlogged(rank request_rank, organisation_id organisation) const;
+    // the last seconds, although it is among the heaviest users of the rank.
+    bool is_backlogged(rank request_rank, organisation_id organisation) const;
     bool has_backlog() const
     {
         return backlogs_ > 0;
--- a/tests/request/placement/cell_owner_test.cpp
+++ b/tests/request/placement/cell_owner_test.cpp
@@ -381,3 +381,91 @@
         std::get<placement_refusal>(owner.place(make_query(2, 5, now), now));
     CHECK(down.reason == wire::refusal_reason::no_backend_server);
 }
+
+// Guards against a returning chat whose context is computed again although its
+// engine has room soon, and against one that waits for it too long.
+TEST_CASE("a returning chat waits a little for its engine")
+{
+    cell_owner owner{make_cell(2, 1)};
+    time_point now{seconds{1}};
+    const auto home =
+        std::get<placement_grant>(owner.place(make_query(1, 5, now), now))
+            .backend_server;
+    const auto second = owner.place(make_query(2, 5, now), now);
+    CHECK(std::holds_alternative<placement_queued>(second));
+    SECTION("the engine has room in time")
+    {
+        attempt_report report;
+        report.request = 1;
+        report.backend_server = home;
+        owner.release(report, now + milliseconds{100});
+        const auto decided = owner.take_decided();
+        REQUIRE(decided.size() == 1);
+        CHECK(std::get<placement_grant>(decided[0]).backend_server == home);
+    }
+    SECTION("the engine stays full")
+    {
+        owner.tick(now + milliseconds{100});
+        CHECK(owner.take_decided().empty());
+        owner.tick(now + milliseconds{300});
+        const auto decided = owner.take_decided();
+        REQUIRE(decided.size() == 1);
+        CHECK(std::get<placement_grant>(decided[0]).backend_server != home);
+    }
+}
+
+// Guards against a surge of one organisation that fills all engines, so that
+// another one waits for a slot and loses its cached context.
+TEST_CASE("a surge leaves engines to the others")
+{
+    cell_owner owner{make_cell(8, 4)};
+    time_point now{seconds{1}};
+    request_id next = 1;
+    std::map<request_id, std::pair<backend_server_id, time_point>> running;
+    std::size_t small_waits = 0;
+    const auto submit = [&](organisation_id organisation)
+    {
+        auto query = make_query(next++, 0, now);
+        query.organisation = organisation;
+        const auto result = owner.place(query, now);
+        if (const auto* grant = std::get_if<placement_grant>(&result))
+        {
+            running[grant->request] = {grant->backend_server, now};
+            return true;
+        }
+        return false;
+    };
+    for (int step = 0; step < 3000; ++step)
+    {
+        now = now + milliseconds{10};
+        submit(1);
+        // 5 requests/s that run for 1 s use 5 of the 32 slots.
+        if (step % 20 == 0 && !submit(2) && step > 1000)
+        {
+            ++small_waits;
+        }
+        for (auto position = running.begin(); position != running.end();)
+        {
+            const auto current = position++;
+            if (now - current->second.second >= seconds{1})
+            {
+                attempt_report report;
+                report.request = current->first;
+                report.backend_server = current->second.first;
+                report.actual_cost = 100;
+                running.erase(current);
+                owner.release(report, now);
+            }
+        }
+        owner.tick(now);
+        for (const placement_decision& decided : owner.take_decided())
+        {
+            if (const auto* grant = std::get_if<placement_grant>(&decided))
+            {
+                running[grant->request] = {grant->backend_server, now};
+            }
+        }
+    }
+    // 100 requests were sent after the start of the surge.
+    CHECK(small_waits < 5);
+}
--- a/tests/request/placement/placement_service_test.cpp
+++ b/tests/request/placement/placement_service_test.cpp
@@ -390,3 +390,98 @@
     CHECK(polled.size() == 60);
     CHECK(std::set(polled.begin(), polled.end()).size() == 60);
 }
+
+// Guards against grants of a lost entry router that block slots for ever, and
+// against waiting requests that are granted to nobody.
+TEST_CASE("the grants of a lost entry router are released")
+{
+    placement_fleet fleet{4, make_test_topology(12, 4), 3};
+    fleet.run(milliseconds{100});
+    instance_id entry = 1;
+    while (!fleet.at(entry).owned_cells().empty())
+    {
+        ++entry;
+    }
+    for (request_id request = 1; request <= 60; ++request)
+    {
+        fleet.submit(entry, make_test_query(request, request, fleet.now));
+    }
+    fleet.run(milliseconds{50});
+    CHECK(fleet.owned_grants() == 48);
+    fleet.kill(entry);
+    fleet.announce_members();
+    fleet.run(milliseconds{50});
+    CHECK(fleet.owned_grants() == 0);
+}
+
+// Guards against chats that lose their context when their owner is lost.
+TEST_CASE("a new owner learns where chats were served")
+{
+    placement_fleet fleet{4, make_test_topology(12, 8), 3};
+    fleet.run(milliseconds{100});
+    instance_id owner = 1;
+    while (fleet.at(owner).owned_cells().empty())
+    {
+        ++owner;
+    }
+    std::map<chat_id, backend_server_id> served;
+    request_id next = 1;
+    const auto serve = [&](chat_id chat)
+    {
+        const instance_id entry = owner == 1 ? 2 : 1;
+        fleet.submit(entry, make_test_query(next++, chat, fleet.now));
+        fleet.run(milliseconds{30});
+        const auto decisions = fleet.decisions(entry);
+        REQUIRE(decisions.size() == 1);
+        const auto grant =
+            std::get<placement_grant>(decisions.front().decision);
+        fleet.finish(entry, grant);
+        return grant;
+    };
+    for (chat_id chat = 1; chat <= 20; ++chat)
+    {
+        served[chat] = serve(chat).backend_server;
+    }
+    fleet.kill(owner);
+    fleet.announce_members();
+    fleet.run(milliseconds{100});
+    for (chat_id chat = 1; chat <= 20; ++chat)
+    {
+        CHECK(serve(chat).backend_server == served[chat]);
+    }
+}
+
+// Guards against a surge whose refusals use up the control traffic, and
+// against refusals that hit other organisations.
+TEST_CASE("refusals of a surge are repeated locally for a moment")
+{
+    placement_fleet fleet{1, make_test_topology(1, 1), 3};
+    request_id next = 1;
+    std::size_t refused = 0;
+    const auto submit = [&](organisation_id organisation)
+    {
+        fleet.submit(1, make_test_query(next++, 0, fleet.now, organisation));
+        const auto decisions = fleet.decisions(1);
+        if (decisions.empty())
+        {
+            return wire::refusal_reason::none;
+        }
+        const auto* refusal =
+            std::get_if<placement_refusal>(&decisions.front().decision);
+        refused += refusal != nullptr ? 1 : 0;
+        return refusal == nullptr ? wire::refusal_reason::none
+                                  : refusal->reason;
+    };
+    for (int request = 0; request < 100 && refused == 0; ++request)
+    {
+        submit(1);
+    }
+    REQUIRE(refused == 1);
+    const cell_id cell = fleet.at(1).owned_cells().front();
+    const std::size_t queued = fleet.at(1).find_owned(cell)->queue().size();
+    CHECK(submit(1) == wire::refusal_reason::overloaded);
+    CHECK(submit(2) == wire::refusal_reason::none);
+    CHECK(fleet.at(1).find_owned(cell)->queue().size() == queued + 1);
+    // Every decision is recorded, also those without an owner.
+    CHECK(fleet.at(1).take_records().size() == refused + 1);
+}
--- /dev/null
+++ b/tests/request/scheduling/backlog_tracker_test.cpp
@@ -0,0 +1,109 @@
+#include "request/scheduling/backlog_tracker.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace hickorygap;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+constexpr organisation_id small = 1;
+constexpr organisation_id large = 2;
+
+// Two organisations that hold slots for some seconds, of which the large one
+// has a request waiting.
+struct watched_cell
+{
+    explicit watched_cell(rank large_rank)
+    {
+        queue.set_slots(100);
+        queue.set_floors({0.0, 0.0, 0.1});
+        queued_request item;
+        item.key = {1, 1};
+        item.request_rank = large_rank;
+        item.organisation = large;
+        item.queued_at = now;
+        queue.push(item);
+        for (int slot = 0; slot < 40; ++slot)
+        {
+            tracker.started(rank::normal, small, 10, now);
+            tracker.started(large_rank, large, 10, now);
+        }
+    }
+
+    void run(duration length)
+    {
+        for (const time_point end = now + length; now < end;)
+        {
+            now = now + milliseconds{50};
+            tracker.review(queue, now);
+        }
+    }
+
+    rank_queue queue;
+    backlog_tracker tracker;
+    time_point now{seconds{100}};
+};
+
+} // namespace
+
+// Guards against short waits that count as a backlog, against a backlog that
+// is never noticed, and against one that never ends.
+TEST_CASE("a long wait shows a backlog for some seconds")
+{
+    watched_cell cell{rank::normal};
+    cell.run(milliseconds{250});
+    CHECK_FALSE(cell.tracker.has_backlog());
+    cell.run(milliseconds{250});
+    CHECK(cell.tracker.is_backlogged(rank::normal, large));
+    CHECK_FALSE(cell.tracker.is_backlogged(rank::normal, small));
+    cell.queue.remove({1, 1});
+    cell.run(seconds{3});
+    CHECK_FALSE(cell.tracker.has_backlog());
+}
+
+// Guards against a reservation for work that the backlog outranks: work with
+// a backlog would lose more than its fair share or its rank allows.
+TEST_CASE("reserved slots follow use, rank and fair share")
+{
+    // 40 slots in use and their square root; a backlog of urgent work leaves
+    // normal work nothing but its floor, which is 0.
+    const auto [large_rank, expected] = GENERATE(table<rank, double>(
+        {{rank::normal, 46.3}, {rank::background, 46.3}, {rank::urgent, 0.0}}));
+    watched_cell cell{large_rank};
+    cell.run(seconds{40});
+    CHECK(
+        cell.tracker.reserved_slots(cell.queue) ==
+        Approx(expected).margin(0.5));
+
+    for (int slot = 0; slot < 30; ++slot)
+    {
+        cell.tracker.started(rank::normal, small, 10, cell.now);
+    }
+    cell.run(seconds{40});
+    const double reserved = cell.tracker.reserved_slots(cell.queue);
+    // Of 70 slots in use, the fair share beside the large organisation in the
+    // same rank is 50.
+    const double limit = large_rank == rank::normal       ? 57.1
+                         : large_rank == rank::background ? 78.4
+                                                          : 0.0;
+    CHECK(reserved == Approx(limit).margin(0.5));
+}
+
+// Guards against memory that grows with every organisation ever seen.
+TEST_CASE("idle organisations are forgotten")
+{
+    watched_cell cell{rank::normal};
+    for (int slot = 0; slot < 40; ++slot)
+    {
+        cell.tracker.ended(rank::normal, small);
+        cell.tracker.ended(rank::normal, large);
+    }
+    cell.queue.remove({1, 1});
+    cell.run(seconds{120});
+    CHECK(
+        cell.tracker.started_cost_per_second(rank::normal, large, cell.now) ==
+        0.0);
+}
