--- a/src/version/configuration/configuration_builder.cpp
+++ b/src/version/configuration/configuration_builder.cpp
@@ -8,7 +8,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <set>
 #include <tuple>
 
 namespace hickorygap
@@ -58,11 +57,7 @@
         }
         put(result_->backend_servers_, object->server);
     }
-    for (const auto& [name, object] : change.organisations)
-    {
-        object ? put(result_->organisations_, *object)
-               : remove(result_->organisations_, name);
-    }
+    apply_organisations(change);
     if (change.voters)
     {
         apply_voters(*change.voters);
@@ -76,7 +71,6 @@
 {
     check_references();
     check_addresses();
-    index_api_keys();
     if (!error_.ok())
     {
         return error_;
@@ -168,43 +162,75 @@
 {
     // Two backend servers of one service at one address would count the
     // capacity twice. Of different services they may share a process.
-    using key = std::tuple<service_id, std::string_view, std::uint16_t>;
-    std::map<key, std::string_view> used;
+    std::vector<const backend_server*> servers;
+    servers.reserve(result_->backend_servers_.size());
     for (const auto& [id, server] : result_->backend_servers_)
     {
-        const auto [position, is_new] = used.try_emplace(
-            key{server.service, server.host, server.port}, server.name);
-        if (!is_new)
-        {
-            fail(fmt::format(
-                "backend_servers.{} and backend_servers.{} have the same "
-                "address {} and service; remove one of them",
-                position->second, server.name,
-                format_address(server.host, server.port)));
-            return;
-        }
+        servers.push_back(&server);
+    }
+    const auto place_of = [](const backend_server* server)
+    { return std::tie(server->service, server->port, server->host); };
+    std::sort(
+        servers.begin(), servers.end(),
+        [&](const backend_server* left, const backend_server* right)
+        { return place_of(left) < place_of(right); });
+    const auto same = std::adjacent_find(
+        servers.begin(), servers.end(),
+        [&](const backend_server* left, const backend_server* right)
+        { return place_of(left) == place_of(right); });
+    if (same != servers.end())
+    {
+        const backend_server& first = **same;
+        fail(fmt::format(
+            "backend_servers.{} and backend_servers.{} have the same address "
+            "{} and service; remove one of them",
+            first.name, (*std::next(same))->name,
+            format_address(first.host, first.port)));
     }
 }
 
-void configuration_builder::index_api_keys()
+void configuration_builder::apply_organisations(const ticket& change)
 {
-    result_->organisations_by_key_.clear();
-    for (const auto& [id, entry] : result_->organisations_)
+    // The old keys of all changed organisations go first, so that a ticket
+    // may move a key from one organisation to another.
+    for (const auto& [name, object] : change.organisations)
     {
-        for (const digest& key : entry.api_key_digests)
+        const auto old = result_->organisations_.find(hash_name(name));
+        if (old == result_->organisations_.end())
         {
-            const auto [position, is_new] =
-                result_->organisations_by_key_.try_emplace(key, id);
-            if (!is_new)
-            {
-                fail(fmt::format(
-                    "organisations.{} and organisations.{} have the same API "
-                    "key; give each its own",
-                    result_->organisations_.at(position->second).name,
-                    entry.name));
-                return;
-            }
+            continue;
         }
+        for (const digest& key : old->second.api_key_digests)
+        {
+            result_->organisations_by_key_.erase(key);
+        }
+    }
+    for (const auto& [name, object] : change.organisations)
+    {
+        if (!object)
+        {
+            remove(result_->organisations_, name);
+            continue;
+        }
+        put(result_->organisations_, *object);
+        for (const digest& key : object->api_key_digests)
+        {
+            add_api_key(key, *object);
+        }
+    }
+}
+
+void configuration_builder::add_api_key(
+    const digest& key, const organisation& owner)
+{
+    const auto [position, is_new] =
+        result_->organisations_by_key_.try_emplace(key, owner.id);
+    if (!is_new)
+    {
+        fail(fmt::format(
+            "organisations.{} and organisations.{} have the same API key; "
+            "give each its own",
+            result_->organisations_.at(position->second).name, owner.name));
     }
 }
 
--- a/src/version/configuration/configuration_builder.hpp
+++ b/src/version/configuration/configuration_builder.hpp
@@ -24,7 +24,8 @@
     explicit configuration_builder(const configuration_ptr& previous);
 
     // Applies one ticket. `accepted` becomes the configuration's time. Checks
-    // against the state before the ticket: number, voters, hash collisions.
+    // against the state before the ticket: number, voters, hash collisions,
+    // API keys.
     configuration_builder&
     apply(const ticket& change, unix_millis accepted = 0);
 
@@ -37,7 +38,8 @@
     void apply_voters(const std::vector<instance_id>& voters);
     void check_references();
     void check_addresses();
-    void index_api_keys();
+    void apply_organisations(const ticket& change);
+    void add_api_key(const digest& key, const organisation& owner);
 
     template <typename Object>
     void put(std::map<std::uint64_t, Object>& objects, const Object& object);
--- a/src/version/configuration/ticket.cpp
+++ b/src/version/configuration/ticket.cpp
@@ -415,8 +415,10 @@
     {
         return status;
     }
-    result.document.text = canonical_text(result, true);
-    result.document.content_digest = sha256(canonical_text(result, false));
+    const std::string content = canonical_text(result, false);
+    result.document.content_digest = sha256(content);
+    result.document.text =
+        result.comment.empty() ? content : canonical_text(result, true);
     if (result.document.text.size() > ticket_size_limit)
     {
         return make_error(
--- a/tests/version/configuration/configuration_builder_test.cpp
+++ b/tests/version/configuration/configuration_builder_test.cpp
@@ -193,15 +193,24 @@
 // Guards against rules that refuse what operators need to do.
 TEST_CASE("valid changes are accepted")
 {
-    const std::string text = GENERATE(
+    const std::string text = GENERATE(values<std::string>({
         R"("services": {"s": null},
            "backend_servers": {"e1": null, "e2": null})",
         R"("backend_servers": {"e3": {"address": "127.0.0.1:2",
             "service": "p", "failure_domain": "a"}})",
         R"("backend_servers": {"e1": null, "e4": {"address": "127.0.0.1:1",
             "service": "s", "failure_domain": "a"}})",
+        // Moves a key from one organisation to another, either way round.
+        fmt::format(
+            R"("organisations": {{"o1": {{}},
+                "o2": {{"api_key_digests": ["{}"]}}}})",
+            key_of(1)),
+        fmt::format(
+            R"("organisations": {{"a1": {{"api_key_digests": ["{}"]}},
+                "o1": null}})",
+            key_of(1)),
         R"("voters": [1, 2])", R"("voters": [1, 2, 3, 4])",
-        R"("comment": "no change")");
+        R"("comment": "no change")"}));
     CAPTURE(text);
     const auto checked = ticket_check(
         R"({"ticket": 2, )" + text + "}", base_configuration(), 2000);
