Cover a ticket's content digest by the hash chain

The chain now covers number, time, content digest and text, and the digest spreads with the document.

--- a/src/process/control/control_node.cpp
+++ b/src/process/control/control_node.cpp
@@ -70,6 +70,7 @@
     result.version = record.number;
     result.document = record.document;
     result.accepted = record.accepted;
+    result.content_digest = record.canonical_digest;
     result.chain = record.chain;
     return result;
 }
--- a/src/process/membership/version_document.cpp
+++ b/src/process/membership/version_document.cpp
@@ -5,6 +5,21 @@
 namespace hickorygap
 {
 
+namespace
+{
+
+digest digest_of(const std::vector<std::uint8_t>& bytes)
+{
+    digest result{};
+    if (bytes.size() == result.size())
+    {
+        std::copy(bytes.begin(), bytes.end(), result.begin());
+    }
+    return result;
+}
+
+} // namespace
+
 wire::version_entry_msg to_wire(const version_document& document)
 {
     wire::version_entry_msg entry;
@@ -12,6 +27,8 @@
     entry.document = document.document;
     entry.accepted_unix_ms = document.accepted;
     entry.chain.assign(document.chain.begin(), document.chain.end());
+    entry.content_digest.assign(
+        document.content_digest.begin(), document.content_digest.end());
     return entry;
 }
 
@@ -21,11 +38,8 @@
     document.version = entry.version;
     document.document = entry.document;
     document.accepted = entry.accepted_unix_ms;
-    if (entry.chain.size() == document.chain.size())
-    {
-        std::copy(
-            entry.chain.begin(), entry.chain.end(), document.chain.begin());
-    }
+    document.chain = digest_of(entry.chain);
+    document.content_digest = digest_of(entry.content_digest);
     return document;
 }
 
--- a/src/process/membership/version_document.hpp
+++ b/src/process/membership/version_document.hpp
@@ -19,6 +19,9 @@
     std::vector<std::uint8_t> document;
     unix_millis accepted = 0;
 
+    // Digest of the ticket's content, part of the chain.
+    digest content_digest{};
+
     // ticket_chain after this document; the
     // chain of version 0 is all zeros.
     digest chain{};
--- a/src/process/membership/version_sync.cpp
+++ b/src/process/membership/version_sync.cpp
@@ -52,7 +52,7 @@
     if (document.version != version() + 1 ||
         document.chain != ticket_chain(
                               chain(), document.version, document.accepted,
-                              document.document))
+                              document.content_digest, document.document))
     {
         return false;
     }
--- a/src/process/replicated_state/ticket_record.cpp
+++ b/src/process/replicated_state/ticket_record.cpp
@@ -29,7 +29,8 @@
 digest ticket_chain(const digest& previous, const ticket_record& record)
 {
     return ticket_chain(
-        previous, record.number, record.accepted, record.document);
+        previous, record.number, record.accepted, record.canonical_digest,
+        record.document);
 }
 
 absl::Status verify_chain(std::span<const ticket_record> history)
--- a/src/version/configuration/ticket_chain.cpp
+++ b/src/version/configuration/ticket_chain.cpp
@@ -19,9 +19,10 @@
 
 digest ticket_chain(
     const digest& previous, configuration_version number, unix_millis accepted,
-    std::span<const std::uint8_t> text)
+    const digest& content_digest, std::span<const std::uint8_t> text)
 {
-    const std::string prefix = fmt::format("{} {} ", number, accepted);
+    const std::string prefix =
+        fmt::format("{} {} {} ", number, accepted, to_hex(content_digest));
     std::vector<std::uint8_t> bytes{prefix.begin(), prefix.end()};
     bytes.insert(bytes.end(), text.begin(), text.end());
     return chain_digest(previous, bytes);
@@ -34,7 +35,8 @@
     const std::span text{
         reinterpret_cast<const std::uint8_t*>(document.text.data()),
         document.text.size()};
-    return ticket_chain(previous, document.number, accepted, text);
+    return ticket_chain(
+        previous, document.number, accepted, document.content_digest, text);
 }
 
 absl::Status make_ticket_conflict(
--- a/src/version/configuration/ticket_chain.hpp
+++ b/src/version/configuration/ticket_chain.hpp
@@ -22,11 +22,11 @@
 };
 
 // Link of the chain after a ticket: SHA-256 over the previous link and
-// "<number> <accepted ms> <text>". The chain starts with zeros. Voters, the
-// spread of versions and operators all check this one chain.
+// "<number> <accepted ms> <content digest> <text>". The chain starts with
+// zeros. Voters, the spread of versions and operators all check this one.
 digest ticket_chain(
     const digest& previous, configuration_version number, unix_millis accepted,
-    std::span<const std::uint8_t> text);
+    const digest& content_digest, std::span<const std::uint8_t> text);
 digest ticket_chain(
     const digest& previous, const ticket_document& document,
     unix_millis accepted);
--- a/tests/process/commands/commands_test.cpp
+++ b/tests/process/commands/commands_test.cpp
@@ -198,7 +198,7 @@
     CHECK(result.code == exit_code::done);
     CHECK_THAT(result.out, Catch::Contains("4 tickets verified"));
     const auto original = fleet.client.accepted;
-    ticket_record& changed = fleet.client.accepted[1];
+    accepted_ticket& changed = fleet.client.accepted[1];
     SECTION("time of acceptance")
     {
         ++changed.accepted;
--- a/tests/process/membership/membership_network.cpp
+++ b/tests/process/membership/membership_network.cpp
@@ -249,7 +249,7 @@
     document.accepted = document.version;
     document.chain = ticket_chain(
         leader.versions->chain(), document.version, document.accepted,
-        document.document);
+        document.content_digest, document.document);
     if (!leader.versions->add(document).ok())
     {
         version_went_back_ = true;
