Follow servers that change cells, keep isolation over owner changes

An entry router renews grants with the owner of the server's new cell; so far only load reports showed the work there. held_grant.isolated lets a new owner keep an engine to a suspected request. Every refusal but a withdrawal has a retry time of at least 1 s: unknown_cell and not_owner had none.

--- a/src/request/placement/cell_owner.cpp
+++ b/src/request/placement/cell_owner.cpp
@@ -10,9 +10,13 @@
 namespace
 {
 
-// Interval at which waiting requests are judged again.
+// Interval at which leases, reports and backlogs are looked at.
 constexpr duration review_interval{std::chrono::milliseconds{50}};
 
+// Interval at which waiting requests are judged again. The work grows with
+// the queue; targets are of seconds.
+constexpr duration refusal_interval{std::chrono::milliseconds{100}};
+
 // Time without new work for an engine on which an attempt broke, unless the
 // engine is heard from earlier.
 constexpr duration suspension{std::chrono::seconds{1}};
@@ -350,16 +354,14 @@
     time_point now) const
 {
     const placement_query& query = waiting.query;
+    if (room.empty())
+    {
+        return slot_fit::impossible;
+    }
     const auto homes = homes_of(query);
-    const bool backlogged =
-        backlogs_.is_backlogged(query.request_rank, query.organisation);
     slot_fit fit = slot_fit::impossible;
     for (const engine_index engine : room)
     {
-        if (backlogged && !contains_engine(backlog_engines_, engine))
-        {
-            continue;
-        }
         if (contains(query.excluded, engines_.id_of(engine)))
         {
             continue;
@@ -445,9 +447,19 @@
         {
             return;
         }
+        std::vector<engine_index> backlog_room = room;
+        std::erase_if(
+            backlog_room, [&](engine_index engine)
+            { return !contains_engine(backlog_engines_, engine); });
         const auto item = queue_.take_next(
             [&](const queued_request& candidate)
-            { return fit_of(waiting_.at(candidate.key), room, now); },
+            {
+                const bool backlogged = backlogs_.is_backlogged(
+                    candidate.request_rank, candidate.organisation);
+                return fit_of(
+                    waiting_.at(candidate.key),
+                    backlogged ? backlog_room : room, now);
+            },
             now);
         if (!item)
         {
@@ -672,8 +684,12 @@
     backlogs_.review(queue_, now);
     choose_backlog_engines();
     dispatch(now);
-    refuse_hopeless(now);
-    refuse_hopeless_isolated(now);
+    if (now - last_refusals_ >= refusal_interval)
+    {
+        last_refusals_ = now;
+        refuse_hopeless(now);
+        refuse_hopeless_isolated(now);
+    }
 }
 
 void cell_owner::expire_grants(time_point now)
@@ -799,7 +815,12 @@
     grant.cost = std::max(held.expected_cost, 1U);
     grant.granted = now;
     grant.expires = now + grant_lease;
+    grant.isolated = held.isolated;
     engines_.add(engine);
+    if (held.isolated)
+    {
+        engines_.set_reserved(engine, true);
+    }
     queue_.slot_used(grant.request_rank);
     backlogs_.started(grant.request_rank, grant.organisation, grant.cost, now);
     if (held.chat != 0)
@@ -878,6 +899,7 @@
         held.organisation = grant.organisation;
         held.rank = static_cast<std::uint8_t>(grant.request_rank);
         held.expected_cost = grant.cost;
+        held.isolated = grant.isolated;
         result.push_back(held);
     }
     return result;
--- a/src/request/placement/cell_owner.hpp
+++ b/src/request/placement/cell_owner.hpp
@@ -266,6 +266,7 @@
     std::vector<owner_decision> decided_;
     std::vector<wire::decision_record_msg> records_;
     time_point last_review_;
+    time_point last_refusals_;
 };
 
 } // namespace hickorygap
--- a/src/request/placement/entry_router.cpp
+++ b/src/request/placement/entry_router.cpp
@@ -51,6 +51,7 @@
 constexpr std::size_t without_owner_queries = 256;
 
 constexpr duration retry_after_without_owner{seconds{1}};
+constexpr duration least_retry_after{seconds{1}};
 constexpr duration retry_after_partitioned{seconds{10}};
 
 // Grants are renewed when half of their lease has passed.
@@ -109,9 +110,35 @@
 void entry_router::set_topology(topology_ptr topology, time_point now)
 {
     topology_ = std::move(topology);
+    follow_moved_servers(now);
     members_changed(now);
 }
 
+// Tells the owner of the new cell about work on a server that changed its
+// cell; the grant expires at the owner of the old one.
+void entry_router::follow_moved_servers(time_point now)
+{
+    std::map<backend_server_id, cell_id> cells;
+    for (const cell& present : topology_->cells)
+    {
+        for (const backend_server_id server : present.backend_servers)
+        {
+            cells[server] = present.id;
+        }
+    }
+    for (auto& [key, held] : held_)
+    {
+        const auto found = cells.find(held.server);
+        if (found != cells.end() && found->second != held.cell)
+        {
+            --held_per_cell_[held.cell];
+            held.cell = found->second;
+            ++held_per_cell_[held.cell];
+            held.renew_at = now;
+        }
+    }
+}
+
 // A query whose owner is gone is sent to the new owner without waiting for
 // the timeout.
 void entry_router::members_changed(time_point now)
@@ -691,6 +718,7 @@
     described.organisation = held.organisation;
     described.rank = static_cast<std::uint8_t>(held.request_rank);
     described.expected_cost = held.cost;
+    described.isolated = held.isolated;
     return described;
 }
 
@@ -815,6 +843,7 @@
     held.organisation = query.organisation;
     held.request_rank = query.request_rank;
     held.cost = query.expected_cost;
+    held.isolated = query.isolated;
     // The owner learns of a grant that it did not make as soon as possible.
     held.renew_at = granted_by == self_ && owners_.owner_of(held.cell) != self_
                         ? now
@@ -833,9 +862,14 @@
 {
     const request_key key = position->first;
     pending_.erase(position);
+    // Every refusal says when it pays to come back, except to a caller that
+    // has gone.
+    const duration earliest = reason == wire::refusal_reason::withdrawn
+                                  ? retry_after
+                                  : std::max(retry_after, least_retry_after);
     decisions_.push_back(
         {key.request, key.attempt,
-         placement_refusal{key.request, key.attempt, reason, retry_after}});
+         placement_refusal{key.request, key.attempt, reason, earliest}});
 }
 
 // A refusal that no owner has recorded.
--- a/src/request/placement/entry_router.hpp
+++ b/src/request/placement/entry_router.hpp
@@ -119,6 +119,7 @@
         organisation_id organisation = 0;
         rank request_rank = rank::normal;
         std::uint32_t cost = 1;
+        bool isolated = false;
         time_point renew_at;
     };
 
@@ -164,6 +165,7 @@
     bool can_spill(
         const pending_query& pending, wire::refusal_reason reason,
         time_point now) const;
+    void follow_moved_servers(time_point now);
     void renew_grants(time_point now);
     void return_grant(instance_id to, const wire::placement_grant_msg& grant);
     wire::held_grant_msg
