Count only a refused connection as death, and prompts as cost

A lack of descriptors in this process failed the health check like a dead backend server and would have put blame on requests; only a refused or reset connection counts now. Accepting pauses when it fails, because the listener stays readable and the thread would spin. The reported cost of a stream includes its prompt, as the expected cost does.

--- a/src/connection/http/backend_exchange.cpp
+++ b/src/connection/http/backend_exchange.cpp
@@ -1,5 +1,7 @@
 #include "connection/http/backend_exchange.hpp"
 
+#include "version/configuration/rank_names.hpp"
+
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
@@ -18,9 +20,6 @@
 // Time for a backend server to take a request's bytes.
 constexpr duration send_timeout = std::chrono::seconds{10};
 
-constexpr std::array<const char*, rank_count> rank_names{
-    "urgent", "normal", "background"};
-
 Poco::Net::HTTPRequest
 make_request(const backend_call& call, const std::string& authority)
 {
@@ -39,8 +38,7 @@
     if (!call.attempt.empty())
     {
         request.set("X-Attempt", call.attempt);
-        request.set(
-            "X-Rank", rank_names[static_cast<std::size_t>(call.request_rank)]);
+        request.set("X-Rank", std::string{rank_name(call.request_rank)});
     }
     if (call.chat != 0)
     {
--- a/src/connection/http/call_relay.cpp
+++ b/src/connection/http/call_relay.cpp
@@ -159,7 +159,7 @@
         context_.refuse(
             caller_, {error_kind::no_backend_server,
                       "this request was not run because its backend server "
-                      "can't be reached; send it again with the same "
+                      "can't be used now; send it again with the same "
                       "Idempotency-Key",
                       true, retry_after_refusal});
         return;
--- a/src/connection/http/caller_handler.cpp
+++ b/src/connection/http/caller_handler.cpp
@@ -5,6 +5,7 @@
 #include "connection/http/chat_request.hpp"
 #include "connection/http/http_caller_channel.hpp"
 #include "connection/http/request_body.hpp"
+#include "version/configuration/rank_names.hpp"
 
 #include <Poco/Exception.h>
 #include <Poco/String.h>
@@ -43,23 +44,6 @@
     return uri.substr(0, uri.find('?'));
 }
 
-std::optional<rank> parse_rank(std::string_view name)
-{
-    if (name == "urgent")
-    {
-        return rank::urgent;
-    }
-    if (name == "normal")
-    {
-        return rank::normal;
-    }
-    if (name == "background")
-    {
-        return rank::background;
-    }
-    return std::nullopt;
-}
-
 std::optional<refusal> refusal_when(readiness state)
 {
     switch (state)
@@ -312,9 +296,9 @@
     work.fingerprint = fingerprint_of(parsed->model, work.body);
     const auto answer_tokens =
         parsed->max_tokens == 0 ? default_answer_tokens : parsed->max_tokens;
-    work.expected_cost =
-        static_cast<std::uint32_t>(work.body.size() / bytes_per_token) +
-        answer_tokens;
+    work.prompt_cost =
+        static_cast<std::uint32_t>(work.body.size() / bytes_per_token);
+    work.expected_cost = work.prompt_cost + answer_tokens;
     return read_chat_name(request, parsed->chat, work);
 }
 
--- a/src/connection/http/http_server.cpp
+++ b/src/connection/http/http_server.cpp
@@ -310,6 +310,9 @@
             {
                 log(log_level::warning, subsystem::http,
                     "accept_failed error=\"{}\"", error.displayText());
+                // The listener stays readable, for example while descriptors
+                // are short.
+                std::this_thread::sleep_for(poll_interval);
                 return;
             }
         }
--- a/src/connection/http/relayed_request.hpp
+++ b/src/connection/http/relayed_request.hpp
@@ -23,6 +23,9 @@
     rank request_rank = rank::normal;
     chat_id chat = 0;
     request_fingerprint fingerprint = 0;
+
+    // Expected tokens of the prompt, and of prompt and answer together.
+    std::uint32_t prompt_cost = 0;
     std::uint32_t expected_cost = 1;
     time_point arrival;
 
--- a/src/connection/http/repeatable_relay.cpp
+++ b/src/connection/http/repeatable_relay.cpp
@@ -136,6 +136,11 @@
     }
     blame_guard blame{
         context_.blame(), server->id, request_.fingerprint, query.isolated};
+    if (!blame.admitted() && !query.isolated)
+    {
+        // The request became a suspect while it was queued.
+        return attempt_result::failed;
+    }
     if (!blame.admitted())
     {
         give_up(
@@ -274,6 +279,7 @@
             running, "the engine continued the stream at a wrong place; send "
                      "the request again");
     }
+    running.granted.add_cost(request_.prompt_cost);
     std::string event;
     while (running.granted.state() != attempt_state::ended)
     {
@@ -314,6 +320,7 @@
         break;
     }
     running.granted.mark_first_byte(monotonic_now());
+    // Each event carries one token.
     running.granted.add_cost(1);
     const bool last = event == last_event;
     if (last)
--- a/src/connection/http/watched_socket.cpp
+++ b/src/connection/http/watched_socket.cpp
@@ -35,11 +35,18 @@
         failure_ = failure::timed_out;
         throw;
     }
-    catch (const Poco::Exception&)
+    catch (const Poco::Net::ConnectionRefusedException&)
     {
         failure_ = failure::refused;
         throw;
     }
+    catch (const Poco::Exception&)
+    {
+        // Among others a lack of descriptors here, which says nothing about
+        // the peer.
+        failure_ = failure::unreachable;
+        throw;
+    }
 }
 
 void watched_socket::wait_for_input()
--- a/src/connection/http/watched_socket.hpp
+++ b/src/connection/http/watched_socket.hpp
@@ -22,6 +22,8 @@
         none,
         // The connection was refused; no byte was sent.
         refused,
+        // No connection was made for another reason; no byte was sent.
+        unreachable,
         // The connection was reset or closed by the peer.
         closed,
         timed_out,
--- a/tests/connection/http/basic_path_test.cpp
+++ b/tests/connection/http/basic_path_test.cpp
@@ -30,7 +30,10 @@
     CHECK(
         fixture.control.reports()[0].outcome ==
         wire::attempt_outcome::completed);
-    CHECK(fixture.control.reports()[0].actual_cost == 9);
+    // Nine events and an estimated token per four bytes of the prompt.
+    CHECK(
+        fixture.control.reports()[0].actual_cost ==
+        9 + std::string{streamed_body}.size() / 4);
 }
 
 // Guards against an answer without "stream" that is sent as events.
