Name the reasons in decision records and refuse more mistakes

Stored reasons were bare numbers that nobody could read; they have a fixed table and names in the operators' JSON now. An unknown empty object in the settings was ignored, because only its leaves were checked; it is refused, and an empty group of known keys stays allowed.

--- a/src/connection/http/operator_json.cpp
+++ b/src/connection/http/operator_json.cpp
@@ -2,6 +2,7 @@
 
 #include "common/error.hpp"
 #include "common/json.hpp"
+#include "process/decision_record/decision_reason.hpp"
 #include "version/configuration/rank_names.hpp"
 
 #include <Poco/JSON/Array.h>
@@ -104,8 +105,14 @@
     return object;
 }
 
-Object::Ptr object_of(const stored_decision& decision)
+Object::Ptr
+object_of(const stored_decision& decision, const decision_list& list)
 {
+    const auto name_of = [&list](std::uint64_t id)
+    {
+        const auto found = list.names.find(id);
+        return found == list.names.end() ? id_text(id) : found->second;
+    };
     const wire::decision_record_msg& record = decision.record;
     Object::Ptr object = make_object();
     set_time(*object, "time", record.unix_ms);
@@ -114,7 +121,7 @@
     object->set("sequence", decision.sequence);
     object->set("request", id_text(record.request));
     object->set("chat", id_text(record.chat));
-    object->set("organisation", id_text(record.organisation));
+    object->set("organisation", name_of(record.organisation));
     object->set(
         "rank", record.rank < rank_count ? rank_names.at(record.rank) : "none");
     object->set("version", record.version);
@@ -123,7 +130,7 @@
     for (std::size_t i = 0; i < record.candidates.size(); ++i)
     {
         Object::Ptr candidate = make_object();
-        candidate->set("backend_server", id_text(record.candidates[i]));
+        candidate->set("backend_server", name_of(record.candidates[i]));
         if (i < record.loads.size())
         {
             candidate->set("load", record.loads[i]);
@@ -131,9 +138,9 @@
         candidates->add(candidate);
     }
     object->set("candidates", candidates);
-    object->set("choice", id_text(record.choice));
-    object->set("reason", record.reason);
-    object->set("outcome", record.outcome);
+    object->set("choice", name_of(record.choice));
+    object->set("reason", decision_reason_name(record.reason));
+    object->set("outcome", decision_outcome_name(record.outcome));
     object->set("queued_ms", record.queued_ms);
     return object;
 }
@@ -245,7 +252,12 @@
 std::string to_json(const decision_list& list)
 {
     Object::Ptr object = make_object();
-    object->set("decisions", array_of(list.decisions));
+    Array::Ptr decisions = new Array;
+    for (const stored_decision& decision : list.decisions)
+    {
+        decisions->add(object_of(decision, list));
+    }
+    object->set("decisions", decisions);
     Array::Ptr gaps = new Array;
     for (const decision_gap& gap : list.gaps)
     {
--- a/src/process/decision_record/decision_chain.cpp
+++ b/src/process/decision_record/decision_chain.cpp
@@ -1,5 +1,7 @@
 #include "process/decision_record/decision_chain.hpp"
 
+#include "process/decision_record/decision_reason.hpp"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -11,6 +13,9 @@
 namespace
 {
 
+constexpr auto end_reason =
+    static_cast<std::uint8_t>(decision_reason::end_of_chain);
+
 // The content without the batch's own link is what the link covers.
 digest link_of(const wire::decision_batch_msg& batch, const digest& previous)
 {
@@ -62,8 +67,8 @@
     {
         return std::nullopt;
     }
-    const bool ends = !batch.records.empty() &&
-                      batch.records.back()->reason == end_record_reason;
+    const bool ends =
+        !batch.records.empty() && batch.records.back()->reason == end_reason;
     return chain_segment{
         batch.sequence, batch.sequence, *previous, *chain, ends};
 }
--- a/src/process/decision_record/decision_chain.hpp
+++ b/src/process/decision_record/decision_chain.hpp
@@ -15,16 +15,6 @@
 namespace hickorygap
 {
 
-// Values of decision_record.reason that describe the chain itself. All other
-// values are reasons for a placement.
-
-// Records were dropped here because the buffer was full; `request` holds
-// their number and `unix_ms` the time of the first.
-inline constexpr std::uint8_t gap_record_reason = 255;
-
-// The instance shut down after this record; the chain is complete.
-inline constexpr std::uint8_t end_record_reason = 254;
-
 // Link that the first batch of an incarnation follows.
 digest first_link(instance_id instance, incarnation_number incarnation);
 
@@ -41,7 +31,7 @@
     digest previous{};
     digest chain{};
 
-    // Whether the last batch ends the chain, see end_record_reason.
+    // Whether the last batch ends the chain, see decision_reason::end_of_chain.
     bool ends = false;
 
     friend bool
--- a/src/process/decision_record/decision_query.hpp
+++ b/src/process/decision_record/decision_query.hpp
@@ -7,6 +7,8 @@
 
 #include <cstddef>
 #include <limits>
+#include <map>
+#include <string>
 #include <vector>
 
 namespace hickorygap
@@ -55,6 +57,10 @@
     std::vector<stored_decision> decisions;
     std::vector<decision_gap> gaps;
 
+    // Names of organisations and backend servers that the records mention,
+    // as far as the configuration in force has them.
+    std::map<std::uint64_t, std::string> names;
+
     // True when more records match than the limit allows.
     bool truncated = false;
 };
--- a/src/process/decision_record/decision_recorder.cpp
+++ b/src/process/decision_record/decision_recorder.cpp
@@ -1,6 +1,7 @@
 #include "process/decision_record/decision_recorder.hpp"
 
 #include "process/decision_record/decision_chain.hpp"
+#include "process/decision_record/decision_reason.hpp"
 
 #include <algorithm>
 
@@ -22,11 +23,11 @@
     return record_bytes + candidate_bytes * record.candidates.size();
 }
 
-wire::decision_record_msg
-marker_record(std::uint8_t reason, std::uint64_t count, unix_millis wall_clock)
+wire::decision_record_msg marker_record(
+    decision_reason reason, std::uint64_t count, unix_millis wall_clock)
 {
     wire::decision_record_msg marker;
-    marker.reason = reason;
+    marker.reason = static_cast<std::uint8_t>(reason);
     marker.request = count;
     marker.unix_ms = wall_clock;
     return marker;
@@ -82,7 +83,7 @@
 void decision_recorder::close(unix_millis wall_clock, time_point now)
 {
     append_gap_record(now);
-    append(marker_record(end_record_reason, 0, wall_clock), now);
+    append(marker_record(decision_reason::end_of_chain, 0, wall_clock), now);
     if (!open_.empty())
     {
         seal_open_batch();
@@ -165,7 +166,7 @@
     {
         append(
             marker_record(
-                gap_record_reason, std::exchange(unrecorded_, 0),
+                decision_reason::gap, std::exchange(unrecorded_, 0),
                 first_unrecorded_),
             now);
     }
--- a/src/process/settings/settings.cpp
+++ b/src/process/settings/settings.cpp
@@ -270,7 +270,9 @@
 {
     for (const auto& [key, value] : object)
     {
-        if (value.type() == typeid(Poco::JSON::Object::Ptr))
+        // An empty object counts as a leaf, so that an unknown one is found.
+        if (value.type() == typeid(Poco::JSON::Object::Ptr) &&
+            value.extract<Poco::JSON::Object::Ptr>()->size() > 0)
         {
             flatten(
                 *value.extract<Poco::JSON::Object::Ptr>(), prefix + key + ".",
@@ -292,7 +294,14 @@
     }
     for (const auto& [key, value] : values)
     {
-        if (std::find(known.begin(), known.end(), key) == known.end())
+        const bool is_empty_group =
+            value.type() == typeid(Poco::JSON::Object::Ptr) &&
+            std::any_of(
+                known.begin(), known.end(),
+                [&, &group = key](std::string_view candidate)
+                { return candidate.starts_with(group + "."); });
+        if (!is_empty_group &&
+            std::find(known.begin(), known.end(), key) == known.end())
         {
             return refused(fmt::format(
                 "{} is no known key; the nearest known key is {}", key,
--- a/src/version/configuration/configuration_builder.cpp
+++ b/src/version/configuration/configuration_builder.cpp
@@ -32,7 +32,7 @@
     if (number <= result_->version_)
     {
         fail(fmt::format(
-            "ticket {} comes after ticket {}; file it under a higher number",
+            "ticket {} can't follow ticket {}; file it under a higher number",
             number, result_->version_));
         return *this;
     }
--- a/src/version/configuration/ticket.cpp
+++ b/src/version/configuration/ticket.cpp
@@ -92,6 +92,12 @@
     {
         reader.fail(key, fmt::format("must have at most {} bytes", text_limit));
     }
+    const auto is_control = [](unsigned char c)
+    { return std::iscntrl(c) != 0; };
+    if (std::any_of(output.begin(), output.end(), is_control))
+    {
+        reader.fail(key, "holds control characters; remove them");
+    }
 }
 
 void require(
--- a/tests/process/decision_record/decision_recorder_test.cpp
+++ b/tests/process/decision_record/decision_recorder_test.cpp
@@ -1,4 +1,5 @@
 #include "process/decision_record/decision_chain.hpp"
+#include "process/decision_record/decision_reason.hpp"
 #include "process/decision_record/decision_recorder.hpp"
 
 #include <catch2/catch.hpp>
@@ -115,11 +116,13 @@
                     chain_index::add_result::added);
                 for (const auto& record : batch.records)
                 {
-                    if (record->reason == gap_record_reason)
+                    const auto reason =
+                        static_cast<decision_reason>(record->reason);
+                    if (reason == decision_reason::gap)
                     {
                         in_gaps += record->request;
                     }
-                    else if (record->reason != end_record_reason)
+                    else if (reason != decision_reason::end_of_chain)
                     {
                         ++found;
                         // In order, with gaps only where records say so.
@@ -218,3 +221,24 @@
     recorder.receive(acknowledgement);
     CHECK(recorder.all_stored());
 }
+
+// Guards against stored numbers that nobody can read.
+TEST_CASE("reasons and outcomes have names")
+{
+    CHECK(decision_reason_name(1) == "directory");
+    CHECK(
+        decision_reason_name(reason_of(wire::refusal_reason::overloaded)) ==
+        "refused_overloaded");
+    CHECK(
+        decision_reason_name(reason_of(wire::refusal_reason::draining)) ==
+        "refused_draining");
+    CHECK(decision_reason_name(255) == "gap");
+    CHECK(decision_reason_name(50) == "50");
+    CHECK(decision_reason_name(250) == "250");
+    CHECK(decision_outcome_name(0) == "unknown");
+    CHECK(
+        decision_outcome_name(
+            outcome_of(wire::attempt_outcome::backend_server_lost)) ==
+        "backend_server_lost");
+    CHECK(decision_outcome_name(99) == "99");
+}
--- a/tests/process/settings/settings_test.cpp
+++ b/tests/process/settings/settings_test.cpp
@@ -72,11 +72,11 @@
     CHECK(result->test.blocked_peers_file.empty());
 }
 
-// Guards against a wrong seed list.
+// Guards against a wrong seed list, and against an empty group of known keys
+// that is taken for an unknown key.
 TEST_CASE("seeds are read")
 {
-    const auto result =
-        parse_settings(file_with(R"("voters": [])")); // no seeds
+    const auto result = parse_settings(file_with(R"("voters": [], "log": {})"));
     REQUIRE(result.ok());
     CHECK(result->peers.seeds.empty());
     std::string text = file_with("");
@@ -97,6 +97,7 @@
     const auto [member, expected] = GENERATE(table<std::string, std::string>(
         {{R"("freshnes_ms": 1)", "nearest known key is freshness_ms"},
          {R"("callers": {"prt": 1})", "nearest known key is callers.port"},
+         {R"("calers": {})", "calers is no known key"},
          {R"("callers": 5)", "callers is no known key"},
          {R"("callers": {"port": 65536})",
           "callers.port must be a whole number from 0 to 65535"},
--- a/tests/version/configuration/ticket_test.cpp
+++ b/tests/version/configuration/ticket_test.cpp
@@ -1,8 +1,10 @@
 #include "common/error.hpp"
 #include "common/hashing.hpp"
+#include "common/json.hpp"
 #include "version/configuration/ticket.hpp"
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 #include <rapidcheck/catch.h>
 
 #include <string>
@@ -97,6 +99,33 @@
     CHECK(second->comment == first->comment);
 }
 
+// Guards against text and numbers that change when they are written and read.
+TEST_CASE("any text and number survives the canonical form")
+{
+    rc::prop(
+        "the canonical form keeps comment, model and weight",
+        []()
+        {
+            const auto character = rc::gen::inRange<char>(' ', '~');
+            const auto text = *rc::gen::container<std::string>(character);
+            const auto weight = *rc::gen::inRange(1, 1'000'000'000) / 1e6;
+            const auto first = parse_ticket(fmt::format(
+                R"({{"ticket": 1, "comment": {0}, "services": {{"s": {{
+                    "kind": "engine", "model": {1}}}}},
+                    "organisations": {{"o": {{"weight": {2}}}}}}})",
+                json_quote(text), json_quote("m" + text), weight + 1));
+            RC_ASSERT(first.ok());
+            const auto second = parse_ticket(first->document.text);
+            RC_ASSERT(second.ok());
+            RC_ASSERT(second->comment == text);
+            RC_ASSERT(second->services.at("s")->model == "m" + text);
+            RC_ASSERT(
+                second->organisations.at("o")->weight ==
+                first->organisations.at("o")->weight);
+            RC_ASSERT(second->document.text == first->document.text);
+        });
+}
+
 // Guards against a retry that conflicts with itself, and against a comment
 // mark inside a string that is taken for a comment.
 TEST_CASE("the digest does not depend on spacing and comments")
@@ -184,6 +213,9 @@
          {R"({"ticket": 1, "services": {"a": {"kind": "plain",
              "path": "x"}}})",
           "services.a.path must start"},
+         {R"({"ticket": 1, "services": {"a": {"kind": "engine",
+             "model": "a\nb"}}})",
+          "model holds control characters"},
          {R"({"ticket": 1, "services": {"a": {"kind": "plain", "path": "/",
              "ranks": {"urgent": {"target_ms": 0}}}}})",
           "services.a.ranks.urgent.target_ms must be a whole number from 1 "
