Don't send a request that was quarantined while it was queued

The quarantine was looked up before placement only. A suspect whose second crash was reported by another instance while it waited for its grant was still sent, in isolation, and could crash a third backend server. The tracker now refuses it when it is about to be sent.

--- a/src/connection/http/call_relay.cpp
+++ b/src/connection/http/call_relay.cpp
@@ -156,6 +156,12 @@
             server->host, server->port, context_.options().connect_timeout))
     {
         granted.end(wire::attempt_outcome::failed_before_start);
+        if (const auto quarantined =
+                context_.find_quarantine(request_.fingerprint))
+        {
+            context_.refuse(caller_, *quarantined);
+            return;
+        }
         context_.refuse(
             caller_, {error_kind::no_backend_server,
                       "this request was not run because its backend server "
--- a/src/connection/http/repeatable_relay.cpp
+++ b/src/connection/http/repeatable_relay.cpp
@@ -136,9 +136,10 @@
     }
     blame_guard blame{
         context_.blame(), server->id, request_.fingerprint, query.isolated};
-    if (!blame.admitted() && !query.isolated)
+    if (!blame.admitted() &&
+        (!query.isolated || context_.find_quarantine(request_.fingerprint)))
     {
-        // The request became a suspect while it was queued.
+        // The request became a suspect or was quarantined while it was queued.
         return attempt_result::failed;
     }
     if (!blame.admitted())
--- a/src/request/attempt/blame_tracker.cpp
+++ b/src/request/attempt/blame_tracker.cpp
@@ -48,7 +48,8 @@
     const auto found = records_.find(fingerprint);
     if (found != records_.end() && is_suspect(found->second, now))
     {
-        if (!isolated || found->second.running_isolated)
+        if (found->second.until > now || !isolated ||
+            found->second.running_isolated)
         {
             return false;
         }
--- a/src/request/attempt/blame_tracker.hpp
+++ b/src/request/attempt/blame_tracker.hpp
@@ -59,8 +59,10 @@
 public:
     explicit blame_tracker(blame_options options = {});
 
-    // An attempt goes to a backend server. False when a suspect is already
-    // being run in isolation; sending it twice at once could crash two more.
+    // An attempt goes to a backend server. False when it must not: the
+    // fingerprint is quarantined, or a suspect that is not isolated or is
+    // already being run in isolation; sending it twice at once could crash
+    // two more. What placement was asked may be outdated by then.
     bool on_sent(
         backend_server_id backend_server, request_fingerprint fingerprint,
         bool isolated, unix_millis now);
--- a/tests/request/attempt/blame_tracker_test.cpp
+++ b/tests/request/attempt/blame_tracker_test.cpp
@@ -40,6 +40,9 @@
     CHECK_FALSE(tracker.on_sent(7, poison, true, 50));
     tracker.on_backend_server_died(8, poison, true, 60);
     CHECK(tracker.is_quarantined(poison, 60));
+    tracker.on_ended(8, poison, true, false);
+    // Placed as a suspect, quarantined meanwhile.
+    CHECK_FALSE(tracker.on_sent(7, poison, true, 70));
     CHECK(tracker.is_quarantined(poison, 10 * minute));
     CHECK_FALSE(tracker.is_quarantined(poison, 10 * minute + 60));
     CHECK(tracker.must_isolate(poison, 10 * minute + 60));
