Align the contents of record frames

A run of the tests with the address and undefined-behaviour sanitizers (a trial build outside the repository) reported a misaligned 64-bit load where FlatBuffers reads a stored batch in place: frames followed one another without padding. Contents start at multiples of 8 bytes now, and the same run reports nothing. The search for a frame after damage moves in steps of 8 bytes for the same reason.

--- a/src/process/decision_record/record_frames.cpp
+++ b/src/process/decision_record/record_frames.cpp
@@ -11,16 +11,24 @@
 namespace
 {
 
-constexpr std::size_t length_size = sizeof(std::uint32_t);
+// Contents start at multiples of this, because FlatBuffers reads 64-bit
+// fields in place.
+constexpr std::size_t alignment = 8;
+constexpr std::size_t length_size = alignment;
 constexpr std::size_t header_size = length_size + sizeof(std::uint64_t);
 
+std::size_t frame_size(std::size_t content_size)
+{
+    return header_size + (content_size + alignment - 1) / alignment * alignment;
+}
+
 // A batch is at most one frame between instances long, 1 MiB.
 constexpr std::size_t torn_bytes_limit = 1024UL * 1024;
 
 // The valid frame at the start of the data; empty when there is none.
 std::span<const std::uint8_t> content_at(std::span<const std::uint8_t> data)
 {
-    std::uint32_t length = 0;
+    std::uint64_t length = 0;
     std::uint64_t checksum = 0;
     if (data.size() < header_size)
     {
@@ -28,7 +36,7 @@
     }
     std::memcpy(&length, data.data(), sizeof length);
     std::memcpy(&checksum, data.data() + length_size, sizeof checksum);
-    if (length == 0 || length > data.size() - header_size)
+    if (length == 0 || length > data.size() || frame_size(length) > data.size())
     {
         return {};
     }
@@ -51,7 +59,7 @@
     {
         return frames_tail::damaged;
     }
-    for (std::size_t i = 1; i < rest.size(); ++i)
+    for (std::size_t i = alignment; i < rest.size(); i += alignment)
     {
         if (!content_at(rest.subspan(i)).empty())
         {
@@ -65,9 +73,9 @@
 
 std::vector<std::uint8_t> make_frame(std::span<const std::uint8_t> content)
 {
-    const auto length = static_cast<std::uint32_t>(content.size());
+    const std::uint64_t length = content.size();
     const std::uint64_t checksum = XXH3_64bits(content.data(), content.size());
-    std::vector<std::uint8_t> frame(header_size + content.size());
+    std::vector<std::uint8_t> frame(frame_size(content.size()));
     std::memcpy(frame.data(), &length, sizeof length);
     std::memcpy(frame.data() + length_size, &checksum, sizeof checksum);
     std::copy(content.begin(), content.end(), frame.begin() + header_size);
@@ -89,7 +97,7 @@
             return result;
         }
         visit(content);
-        result.valid_bytes += header_size + content.size();
+        result.valid_bytes += frame_size(content.size());
     }
 }
 
--- a/src/process/decision_record/record_frames.hpp
+++ b/src/process/decision_record/record_frames.hpp
@@ -9,7 +9,8 @@
 namespace hickorygap
 {
 
-// Frames of the record files: length (4 bytes), xxHash (8 bytes), content.
+// Frames of the record files: length (8 bytes), xxHash (8 bytes), content,
+// zeros up to a multiple of 8 bytes.
 
 // One frame around the content.
 std::vector<std::uint8_t> make_frame(std::span<const std::uint8_t> content);
