--- a/bench/membership_bench.cpp
+++ b/bench/membership_bench.cpp
@@ -168,6 +168,8 @@
             last - start);
     }
 
+    // Watching all views costs more than membership itself.
+    network.on_dead = nullptr;
     start = network.now();
     network.start(failed);
     const traffic restart = measure(network, 30s);
--- a/tests/process/membership/membership_property_test.cpp
+++ b/tests/process/membership/membership_property_test.cpp
@@ -269,7 +269,8 @@
 
 // Guards against members that are declared dead because messages are lost.
 // 20 members for 10 minutes at 10% loss are 200 member minutes; the stated
-// rate is at most one false death in 100 member minutes.
+// rate is at most one false death in that time. Measured with seeds 1 to 5:
+// none in 1,000 member minutes at 10% loss, 4 at 20%.
 TEST_CASE("loss of one message in ten hardly ever kills a member")
 {
     membership_network network{{.size = 20, .seed = 6, .loss = 0.1}};
@@ -284,7 +285,7 @@
     };
     network.run_for(10min);
     INFO("views in which a member was dead for a time: " << events);
-    CHECK(dead.size() <= 2);
+    CHECK(dead.size() <= 1);
     CHECK(network.run_until([&] { return network.views_agree(); }, 30s));
 }
 
