Tell the voters which tickets name voters and which processes ended

Cause: a lost disk never got its vote back and calls of an ended process stayed running, because the control node did not pass on the ticket that names the voters nor the start of newer processes. The process start of the connection counts, not membership's incarnation, which grows while a process runs. Voters that all lost their logs no longer start a second history.

--- a/src/process/control/configuration_tracker.cpp
+++ b/src/process/control/configuration_tracker.cpp
@@ -31,6 +31,7 @@
         return absl::OkStatus();
     }
     configuration_builder builder{current_.load()};
+    voter_change voters = voter_change_;
     for (const version_document_ptr& document : documents)
     {
         const absl::StatusOr<ticket> change = parse_ticket(text_of(*document));
@@ -38,6 +39,10 @@
         {
             return change.status();
         }
+        if (change->voters)
+        {
+            voters = {document->version, *change->voters};
+        }
         builder.apply(*change, document->accepted);
     }
     absl::StatusOr<configuration_ptr> built = builder.build();
@@ -46,6 +51,7 @@
         return built.status();
     }
     current_.store(*built);
+    voter_change_ = std::move(voters);
     since_ = now;
     log(log_level::info, subsystem::configuration, "applied version={}",
         (*built)->version());
--- a/src/process/control/configuration_tracker.hpp
+++ b/src/process/control/configuration_tracker.hpp
@@ -8,10 +8,19 @@
 
 #include <atomic>
 #include <span>
+#include <vector>
 
 namespace hickorygap
 {
 
+// The last ticket that names the voters.
+struct voter_change
+{
+    // Zero while no ticket has named any.
+    configuration_version ticket = 0;
+    std::vector<instance_id> voters;
+};
+
 // The configuration in force on this instance. The control thread applies
 // accepted tickets; any thread reads the current configuration.
 class configuration_tracker
@@ -32,6 +41,11 @@
         return current_.load();
     }
 
+    const voter_change& last_voter_change() const
+    {
+        return voter_change_;
+    }
+
     // When the current version came into force here; zero at version 0.
     unix_millis since() const
     {
@@ -40,6 +54,7 @@
 
 private:
     std::atomic<configuration_ptr> current_;
+    voter_change voter_change_;
     unix_millis since_ = 0;
 };
 
--- a/src/process/control/control_node.cpp
+++ b/src/process/control/control_node.cpp
@@ -190,9 +190,52 @@
     voter_ = std::move(*opened);
     voter_->set_acceptance_check([this]
                                  { return check_acceptance(last_advance_); });
+    voter_->set_creation_check([this] { return check_creation(); });
+    note_incarnation(options_.self, options_.incarnation);
     return absl::OkStatus();
 }
 
+// Voters that have all lost their disks must not start a second history.
+absl::Status control_node::check_creation() const
+{
+    if (!options_.bootstrap)
+    {
+        return make_error(
+            error_kind::settings_invalid,
+            "this voter's log is empty and its settings do not allow a new "
+            "fleet; restore its data folder, or set bootstrap for a new fleet");
+    }
+    const configuration_version known =
+        std::max(versions_.version(), versions_.highest_announced());
+    if (known == 0)
+    {
+        return absl::OkStatus();
+    }
+    return make_error(
+        error_kind::storage_damaged,
+        fmt::format(
+            "the fleet has accepted ticket {} and all voters' logs are "
+            "empty; restore the data folder of at least one voter",
+            known));
+}
+
+// Calls that an ended process had begun have an unknown outcome. The start of
+// the process counts, not the incarnation in membership, which also grows
+// while a process runs.
+void control_node::note_incarnation(
+    instance_id from, incarnation_number incarnation)
+{
+    incarnation_number& known = incarnations_[from];
+    if (incarnation > known)
+    {
+        known = incarnation;
+        if (voter_ != nullptr)
+        {
+            voter_->set_oldest_incarnation(from, incarnation);
+        }
+    }
+}
+
 absl::Status control_node::check_acceptance(time_point now) const
 {
     if (membership_.hears_half_of_members(now, options_.freshness))
@@ -213,6 +256,7 @@
     instance_id from, incarnation_number incarnation,
     const wire::payloadUnion& payload, const clock_reading& now)
 {
+    note_incarnation(from, incarnation);
     if (const auto* report = message_in<wire::suspect_report_msg>(payload))
     {
         take_suspect_report(*report, now);
@@ -318,6 +362,11 @@
     const configuration_ptr current = configuration_.current();
     membership_.set_version(current->version(), configuration_.since());
     placement_.set_configuration(current, now.monotonic);
+    const voter_change& change = configuration_.last_voter_change();
+    if (voter_ != nullptr && change.ticket > 0)
+    {
+        voter_->set_wanted_voters(change.ticket, change.voters);
+    }
     if (!current->voters().empty())
     {
         voters_.assign(current->voters().begin(), current->voters().end());
@@ -334,9 +383,32 @@
         live_ = std::move(live);
         log(log_level::info, subsystem::membership, "live_members count={}",
             live_.size());
-        placement_.set_members(live_, now.monotonic);
         decisions_->set_stores(live_voters());
     }
+    std::vector<instance_id> owners = find_owners();
+    if (owners != owners_)
+    {
+        owners_ = std::move(owners);
+        placement_.set_members(owners_, now.monotonic);
+    }
+}
+
+// Instances that start, drain or are cut off own no cells, unless there are
+// no others.
+std::vector<instance_id> control_node::find_owners() const
+{
+    std::vector<instance_id> result;
+    for (const wire::member_update_msg& member : membership_.members())
+    {
+        const bool ready = member.instance == options_.self
+                               ? readiness_.load() == readiness::ready
+                               : member.ready;
+        if (ready && std::ranges::binary_search(live_, member.instance))
+        {
+            result.push_back(member.instance);
+        }
+    }
+    return result.empty() ? live_ : result;
 }
 
 std::vector<instance_id> control_node::live_voters() const
--- a/src/process/control/control_node.hpp
+++ b/src/process/control/control_node.hpp
@@ -35,6 +35,9 @@
     std::vector<instance_id> voters;
     std::vector<seed_member> seeds;
 
+    // Whether this voter may start a new fleet with an empty log.
+    bool bootstrap = false;
+
     // Empty on an instance without a disk.
     std::string data_folder;
     duration freshness{std::chrono::seconds{10}};
@@ -157,6 +160,9 @@
     void take_suspect_report(
         const wire::suspect_report_msg& report, const clock_reading& now);
     absl::Status check_acceptance(time_point now) const;
+    absl::Status check_creation() const;
+    std::vector<instance_id> find_owners() const;
+    void note_incarnation(instance_id from, incarnation_number incarnation);
 
     template <typename Part>
     void collect(Part& part);
@@ -179,6 +185,10 @@
     std::vector<version_document_ptr> unapplied_;
     std::vector<instance_id> voters_;
     std::vector<instance_id> live_;
+    std::vector<instance_id> owners_;
+
+    // Start of the newest process of each instance that was heard.
+    std::map<instance_id, incarnation_number> incarnations_;
     bool draining_ = false;
     time_point last_advance_;
     std::vector<outgoing_message> outgoing_;
--- a/src/process/instance/running_instance.cpp
+++ b/src/process/instance/running_instance.cpp
@@ -70,6 +70,7 @@
                  format_address(seed.address.host, seed.address.port)});
         }
     }
+    options.bootstrap = source.bootstrap;
     options.data_folder = source.data_folder;
     options.freshness = source.freshness;
     options.cell_limits.chats = source.placement.directory_entries;
--- a/tests/process/membership/version_sync_test.cpp
+++ b/tests/process/membership/version_sync_test.cpp
@@ -2,6 +2,7 @@
 #include "process/membership/evidence_codec.hpp"
 #include "process/membership/version_log_file.hpp"
 #include "process/membership/version_sync.hpp"
+#include "version/configuration/ticket_chain.hpp"
 
 #include <Poco/TemporaryFile.h>
 #include <catch2/catch.hpp>
@@ -28,7 +29,9 @@
         document.version = i;
         document.document.assign(100, static_cast<std::uint8_t>(i));
         document.accepted = 1000 + i;
-        document.chain = chain_digest(chain, document.document);
+        document.chain = ticket_chain(
+            chain, document.version, document.accepted, document.content_digest,
+            document.document);
         chain = document.chain;
         documents.push_back(std::move(document));
     }
