Check the load bound with what was in flight at each grant

It now replays the decision records, which keep the order of the grants; each grant is checked with the exact total, which the earlier check had only above or below.

--- a/tests/request/placement/cell_owner_test.cpp
+++ b/tests/request/placement/cell_owner_test.cpp
@@ -79,6 +79,7 @@
         {
             owner.tick(now);
         }
+        replay_records();
         for (const placement_decision& decided : owner.take_decided())
         {
             take(decided);
@@ -102,6 +103,7 @@
         }
         waiting.insert(query.request);
         const auto result = owner.place(query, now);
+        replay_records();
         if (const auto* grant = std::get_if<placement_grant>(&result))
         {
             take(*grant);
@@ -125,12 +127,26 @@
         RC_ASSERT(waiting.erase(grant.request) == 1U);
         RC_ASSERT(up.at(grant.backend_server));
         RC_ASSERT(excluded[grant.request] != grant.backend_server);
-        granted[grant.request] = grant.backend_server;
-        check_bound(grant.backend_server);
+        RC_ASSERT(granted.at(grant.request) == grant.backend_server);
+    }
+
+    // The records have the grants in the order in which they were made, so
+    // that the bound is checked with what was in flight at each of them.
+    void replay_records()
+    {
+        for (const wire::decision_record_msg& record : owner.take_records())
+        {
+            const placement_reason reason{record.reason};
+            if (reason != placement_reason::refused &&
+                reason != placement_reason::ended)
+            {
+                RC_ASSERT(
+                    granted.emplace(record.request, record.choice).second);
+                check_bound(record.choice);
+            }
+        }
     }
 
-    // Several grants may follow one another before this check, so that the
-    // total includes all of them.
     void check_bound(backend_server_id server)
     {
         double total = 0;
