Separate the operators' interface from HTTP, keep grants of draining members

connection/http no longer includes process modules: the operators' interface is a module of its own. A draining member owns no cells but keeps its grants; before, its grants were released and only came back with the next renewal.

--- a/src/process/control/control_node.cpp
+++ b/src/process/control/control_node.cpp
@@ -378,7 +378,8 @@
 void control_node::update_members(const clock_reading& now)
 {
     std::vector<instance_id> live = membership_.live_members(now.monotonic);
-    if (live != live_)
+    const bool live_changed = live != live_;
+    if (live_changed)
     {
         live_ = std::move(live);
         log(log_level::info, subsystem::membership, "live_members count={}",
@@ -386,10 +387,10 @@
         decisions_->set_stores(live_voters());
     }
     std::vector<instance_id> owners = find_owners();
-    if (owners != owners_)
+    if (live_changed || owners != owners_)
     {
         owners_ = std::move(owners);
-        placement_.set_members(owners_, now.monotonic);
+        placement_.set_members(owners_, live_, now.monotonic);
     }
 }
 
--- a/src/process/control/in_force_view.hpp
+++ b/src/process/control/in_force_view.hpp
@@ -1,8 +1,8 @@
 #ifndef HICKORYGAP_PROCESS_CONTROL_IN_FORCE_VIEW_HPP
 #define HICKORYGAP_PROCESS_CONTROL_IN_FORCE_VIEW_HPP
 
-#include "connection/http/operator_client.hpp"
 #include "process/control/control_node.hpp"
+#include "process/operators/operator_client.hpp"
 
 namespace hickorygap
 {
--- a/src/process/control/thread_operator_client.hpp
+++ b/src/process/control/thread_operator_client.hpp
@@ -1,8 +1,8 @@
 #ifndef HICKORYGAP_PROCESS_CONTROL_THREAD_OPERATOR_CLIENT_HPP
 #define HICKORYGAP_PROCESS_CONTROL_THREAD_OPERATOR_CLIENT_HPP
 
-#include "connection/http/operator_client.hpp"
 #include "process/control/control_thread.hpp"
+#include "process/operators/operator_client.hpp"
 
 namespace hickorygap
 {
--- a/src/process/instance/running_instance.hpp
+++ b/src/process/instance/running_instance.hpp
@@ -4,13 +4,13 @@
 #include "connection/http/backend_monitor.hpp"
 #include "connection/http/caller_handler.hpp"
 #include "connection/http/http_server.hpp"
-#include "connection/http/operator_handler.hpp"
 #include "connection/http/request_relay.hpp"
 #include "process/control/control_thread.hpp"
 #include "process/control/thread_control_client.hpp"
 #include "process/control/thread_operator_client.hpp"
 #include "process/instance/instance_metrics.hpp"
 #include "process/instance/metrics_handler.hpp"
+#include "process/operators/operator_handler.hpp"
 #include "process/settings/settings.hpp"
 
 #include <memory>
--- a/src/connection/http/operator_handler.cpp
+++ b/src/process/operators/operator_handler.cpp
@@ -1,8 +1,8 @@
-#include "connection/http/operator_handler.hpp"
+#include "process/operators/operator_handler.hpp"
 
 #include "common/error.hpp"
 #include "common/logging.hpp"
-#include "connection/http/operator_json.hpp"
+#include "process/operators/operator_json.hpp"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPResponse.h>
--- a/src/connection/http/operator_handler.hpp
+++ b/src/process/operators/operator_handler.hpp
@@ -2,7 +2,7 @@
 #define HICKORYGAP_CONNECTION_HTTP_OPERATOR_HANDLER_HPP
 
 #include "connection/http/http_server.hpp"
-#include "connection/http/operator_client.hpp"
+#include "process/operators/operator_client.hpp"
 
 namespace hickorygap
 {
--- a/src/connection/http/operator_json.cpp
+++ b/src/process/operators/operator_json.cpp
@@ -1,4 +1,4 @@
-#include "connection/http/operator_json.hpp"
+#include "process/operators/operator_json.hpp"
 
 #include "common/error.hpp"
 #include "common/json.hpp"
--- a/src/connection/http/operator_json.hpp
+++ b/src/process/operators/operator_json.hpp
@@ -1,7 +1,7 @@
 #ifndef HICKORYGAP_CONNECTION_HTTP_OPERATOR_JSON_HPP
 #define HICKORYGAP_CONNECTION_HTTP_OPERATOR_JSON_HPP
 
-#include "connection/http/operator_client.hpp"
+#include "process/operators/operator_client.hpp"
 
 #include <span>
 #include <string>
--- a/src/request/placement/placement_service.cpp
+++ b/src/request/placement/placement_service.cpp
@@ -89,9 +89,16 @@
 void placement_service::set_members(
     std::span<const instance_id> live, time_point now)
 {
-    const std::vector<instance_id> previous{
-        owners_.members().begin(), owners_.members().end()};
-    owners_.set_members(live);
+    set_members(live, live, now);
+}
+
+void placement_service::set_members(
+    std::span<const instance_id> owners, std::span<const instance_id> live,
+    time_point now)
+{
+    const std::vector<instance_id> previous =
+        std::exchange(live_, {live.begin(), live.end()});
+    owners_.set_members(owners);
     release_lost_members(previous, now);
     refresh_ownership(now);
     entry_.members_changed(now);
@@ -101,10 +108,9 @@
 void placement_service::release_lost_members(
     std::span<const instance_id> previous, time_point now)
 {
-    const auto members = owners_.members();
     for (const instance_id instance : previous)
     {
-        if (std::binary_search(members.begin(), members.end(), instance))
+        if (std::binary_search(live_.begin(), live_.end(), instance))
         {
             continue;
         }
@@ -166,7 +172,7 @@
     fresh->cautious_until = now + lease_period;
     wire::grants_query_msg query;
     query.cell = owned.id;
-    for (const instance_id member : owners_.members())
+    for (const instance_id member : live_)
     {
         fresh->unanswered.insert(member);
         send(member, query);
--- a/src/request/placement/placement_service.hpp
+++ b/src/request/placement/placement_service.hpp
@@ -41,6 +41,12 @@
     // when the instance has joined the fleet; before, no cell has an owner.
     void set_members(std::span<const instance_id> live, time_point now);
 
+    // The same when some live members must not own cells, for example because
+    // they are draining: they keep their grants. Both lists are sorted.
+    void set_members(
+        std::span<const instance_id> owners, std::span<const instance_id> live,
+        time_point now);
+
     // While partitioned, new work is refused as not run, and as an owner this
     // instance grants nothing.
     void set_partitioned(bool partitioned, time_point now);
@@ -149,6 +155,9 @@
     placement_service_options options_;
     topology_ptr topology_;
     owner_map owners_;
+
+    // Members that may hold grants.
+    std::vector<instance_id> live_;
     entry_router entry_;
     std::map<cell_id, std::unique_ptr<owned_cell>> owned_;
     std::set<backend_server_id> down_;
--- a/tests/process/commands/commands_test.cpp
+++ b/tests/process/commands/commands_test.cpp
@@ -1,5 +1,5 @@
-#include "connection/http/operator_handler.hpp"
 #include "process/commands/command_line.hpp"
+#include "process/operators/operator_handler.hpp"
 #include "support/fake_operator_client.hpp"
 #include "support/handler_server.hpp"
 
--- a/tests/connection/http/operator_handler_test.cpp
+++ b/tests/process/operators/operator_handler_test.cpp
@@ -1,5 +1,5 @@
 #include "common/json.hpp"
-#include "connection/http/operator_handler.hpp"
+#include "process/operators/operator_handler.hpp"
 #include "support/fake_operator_client.hpp"
 #include "support/handler_server.hpp"
 
--- a/tests/scenarios/runner/runner.cpp
+++ b/tests/scenarios/runner/runner.cpp
@@ -381,6 +381,10 @@
     {
         return expect_one_engine(line);
     }
+    if (what == "voters")
+    {
+        return expect_voters(line);
+    }
     if (what == "served")
     {
         return expect_served(line);
@@ -392,6 +396,32 @@
     return expect_answer(line);
 }
 
+// expect voters INSTANCE...: each of them has a vote.
+absl::Status runner::expect_voters(const script_line& line)
+{
+    for (const std::string& name : expand(line.words, 1))
+    {
+        const absl::Status status = wait_until(
+            line,
+            [&]() -> std::string
+            {
+                const http_result result =
+                    ask_operator(name, "/operator/status");
+                const std::string role =
+                    parse_object(result.body)
+                        ->optValue<std::string>("role", "");
+                const bool votes = role == "leader" || role == "follower" ||
+                                   role == "candidate";
+                return votes ? "" : name + " is " + role;
+            });
+        if (!status.ok())
+        {
+            return status;
+        }
+    }
+    return absl::OkStatus();
+}
+
 // expect in-force VERSION INSTANCE...
 absl::Status runner::expect_in_force(const script_line& line)
 {
--- a/tests/support/fake_operator_client.hpp
+++ b/tests/support/fake_operator_client.hpp
@@ -2,7 +2,7 @@
 #define HICKORYGAP_SUPPORT_FAKE_OPERATOR_CLIENT_HPP
 
 #include "common/error.hpp"
-#include "connection/http/operator_client.hpp"
+#include "process/operators/operator_client.hpp"
 #include "version/configuration/configuration_builder.hpp"
 
 #include <vector>
