Show decision records, log crashes and quarantines, mark unreachable instances

Found by trying the operators' pages on a running fleet: 'decisions' failed as soon as there was a record (a string_view in a JSON object can't be read back as a string); no log line named a crashed backend server or a quarantine; a dead instance still showed READY yes; and an instance that is cut off claimed that its version is on every live instance. A test covers the first; the last now needs a quorum's confirmation.

--- a/src/process/control/control_node.cpp
+++ b/src/process/control/control_node.cpp
@@ -454,6 +454,10 @@
                                      { return blame.take_suspect_reports(); });
     for (const suspect_notice& notice : reports)
     {
+        log(log_level::warning, subsystem::attempt,
+            "backend_server_crashed backend_server={:016x} "
+            "fingerprint={:016x} isolated={}",
+            notice.backend_server, notice.fingerprint, notice.confirmed);
         wire::suspect_report_msg message;
         message.fingerprint = notice.fingerprint;
         message.backend_server = notice.backend_server;
@@ -471,6 +475,7 @@
         [&](blame_tracker& blame) { return blame.quarantines(now.unix_time); });
     for (const quarantine& entry : quarantines)
     {
+        note_quarantine(entry);
         membership_.add_quarantine(entry.fingerprint, entry.until);
     }
     for (const auto& entry : membership_.quarantines(now.unix_time))
@@ -485,6 +490,25 @@
     }
 }
 
+// Logs each quarantine once.
+void control_node::note_quarantine(const quarantine& entry)
+{
+    unix_millis& known = quarantines_[entry.fingerprint];
+    if (known != entry.until)
+    {
+        known = entry.until;
+        log(log_level::warning, subsystem::attempt,
+            "request_quarantined fingerprint={:016x} until={}",
+            entry.fingerprint, format_utc(entry.until));
+    }
+    // Keeps the memory bounded; a repeated line does no harm.
+    constexpr std::size_t remembered = 4096;
+    if (quarantines_.size() > remembered)
+    {
+        quarantines_.clear();
+    }
+}
+
 void control_node::take_suspect_report(
     const wire::suspect_report_msg& report, const clock_reading& now)
 {
--- a/src/process/control/control_node.hpp
+++ b/src/process/control/control_node.hpp
@@ -157,6 +157,7 @@
     void update_members(const clock_reading& now);
     void update_readiness(const clock_reading& now);
     void exchange_blame(const clock_reading& now);
+    void note_quarantine(const quarantine& entry);
     void take_suspect_report(
         const wire::suspect_report_msg& report, const clock_reading& now);
     absl::Status check_acceptance(time_point now) const;
@@ -189,6 +190,7 @@
 
     // Start of the newest process of each instance that was heard.
     std::map<instance_id, incarnation_number> incarnations_;
+    std::map<request_fingerprint, unix_millis> quarantines_;
     bool draining_ = false;
     time_point last_advance_;
     std::vector<outgoing_message> outgoing_;
--- a/src/process/control/in_force_view.cpp
+++ b/src/process/control/in_force_view.cpp
@@ -25,9 +25,8 @@
     }
 }
 
-instance_in_force make_row(
-    const wire::member_update_msg& member, const control_node& node,
-    const clock_reading& now)
+instance_in_force
+make_row(const wire::member_update_msg& member, const control_node& node)
 {
     instance_in_force row;
     row.id = member.instance;
@@ -37,7 +36,7 @@
     row.state = state_of(member);
     row.version = member.version;
     row.since = member.version_since_unix_ms;
-    row.ready = member.ready;
+    row.ready = member.ready && row.state == instance_state::alive;
     if (member.instance == node.options().self)
     {
         row.version = node.current_configuration()->version();
@@ -48,7 +47,6 @@
             row.state = instance_state::partitioned;
         }
     }
-    static_cast<void>(now);
     return row;
 }
 
@@ -112,8 +110,7 @@
 
 } // namespace
 
-in_force_report
-make_in_force_report(const control_node& node, const clock_reading& now)
+in_force_report make_in_force_report(const control_node& node)
 {
     in_force_report report;
     const configuration_ptr current = node.current_configuration();
@@ -122,7 +119,7 @@
     {
         if (member.state != wire::member_state::left)
         {
-            report.instances.push_back(make_row(member, node, now));
+            report.instances.push_back(make_row(member, node));
         }
     }
     report.fleet_since = find_fleet_since(report);
--- a/src/process/control/in_force_view.hpp
+++ b/src/process/control/in_force_view.hpp
@@ -9,8 +9,7 @@
 
 // What is in force where, as the members' acknowledgements tell it to this
 // instance. An instance that is not heard is shown as such, never as done.
-in_force_report
-make_in_force_report(const control_node& node, const clock_reading& now);
+in_force_report make_in_force_report(const control_node& node);
 
 // State of this instance.
 instance_status
--- a/src/process/control/thread_operator_client.cpp
+++ b/src/process/control/thread_operator_client.cpp
@@ -88,6 +88,24 @@
     return result;
 }
 
+// Names of the objects in the records, as far as they still exist.
+void add_names(decision_list& list, const configuration& current)
+{
+    for (const auto& [id, server] : current.backend_servers())
+    {
+        list.names[id] = server.name;
+    }
+    for (const stored_decision& decision : list.decisions)
+    {
+        const organisation* found =
+            current.find_organisation(decision.record.organisation);
+        if (found != nullptr)
+        {
+            list.names[found->id] = found->name;
+        }
+    }
+}
+
 absl::Status stopped()
 {
     return make_error(
@@ -183,14 +201,19 @@
     const proposal_result read =
         control_.read_version(monotonic_now() + read_timeout)->wait();
     const auto report = control_.ask<in_force_report>(
-        [](control_node& node, const clock_reading& now)
-        { return make_in_force_report(node, now); });
+        [](control_node& node, const clock_reading&)
+        { return make_in_force_report(node); });
     if (!report)
     {
         return stopped();
     }
     in_force_report result = *report;
     result.quorum_confirmed = read.status == wire::proposal_status::accepted;
+    if (!result.quorum_confirmed)
+    {
+        // A later version may be in force elsewhere.
+        result.fleet_since.reset();
+    }
     if (result.quorum_confirmed && read.version > result.version)
     {
         // This instance lags: the fleet does not yet have the last version.
@@ -228,7 +251,12 @@
             error_kind::storage_failed,
             "this instance keeps no decision records; ask a voter");
     }
-    return (*store)->query(query);
+    auto list = (*store)->query(query);
+    if (list.ok())
+    {
+        add_names(*list, *control_.current_configuration());
+    }
+    return list;
 }
 
 absl::StatusOr<burn_report> thread_operator_client::burn()
--- a/src/process/operators/operator_json.cpp
+++ b/src/process/operators/operator_json.cpp
@@ -123,7 +123,9 @@
     object->set("chat", id_text(record.chat));
     object->set("organisation", name_of(record.organisation));
     object->set(
-        "rank", record.rank < rank_count ? rank_names.at(record.rank) : "none");
+        "rank",
+        std::string{
+            record.rank < rank_count ? rank_names.at(record.rank) : "none"});
     object->set("version", record.version);
     object->set("cell", id_text(record.cell));
     Array::Ptr candidates = new Array;
@@ -139,8 +141,8 @@
     }
     object->set("candidates", candidates);
     object->set("choice", name_of(record.choice));
-    object->set("reason", decision_reason_name(record.reason));
-    object->set("outcome", decision_outcome_name(record.outcome));
+    object->set("reason", std::string{decision_reason_name(record.reason)});
+    object->set("outcome", std::string{decision_outcome_name(record.outcome)});
     object->set("queued_ms", record.queued_ms);
     return object;
 }
@@ -213,6 +215,7 @@
 {
     Object::Ptr object = make_object();
     object->set("version", report.version);
+    object->set("quorum_confirmed", report.quorum_confirmed);
     set_time(*object, "fleet_since", report.fleet_since.value_or(0));
     object->set("instances", array_of(report.instances));
     object->set("backend_servers", array_of(report.backend_servers));
--- a/tests/process/operators/operator_handler_test.cpp
+++ b/tests/process/operators/operator_handler_test.cpp
@@ -186,6 +186,28 @@
     CHECK(query.limit == 3);
 }
 
+// Guards against a report that fails as soon as there is a record to show.
+TEST_CASE("decision records are shown with their names")
+{
+    operator_port port;
+    stored_decision decision;
+    decision.record.organisation = hash_name("diarroi");
+    decision.record.rank = 0;
+    decision.record.choice = hash_name("engine-1");
+    decision.record.candidates = {hash_name("engine-1")};
+    decision.record.loads = {3};
+    decision.record.reason = 1;
+    port.client.records.decisions = {decision};
+    port.client.records.names = {{hash_name("diarroi"), "diarroi"}};
+    const auto result = port.send("GET", "/operator/decisions");
+    REQUIRE(result.status == 200);
+    const auto shown = result.json->getArray("decisions")->getObject(0);
+    CHECK(shown->getValue<std::string>("organisation") == "diarroi");
+    CHECK(shown->getValue<std::string>("rank") == "urgent");
+    CHECK_FALSE(shown->getValue<std::string>("reason").empty());
+    CHECK_FALSE(shown->getValue<std::string>("outcome").empty());
+}
+
 // Guards against mistakes that get an empty answer in place of an error.
 TEST_CASE("mistaken requests are refused")
 {
