Measure a fleet of real processes on loopback

It reuses the sources of the scenario runner; fleet::launch_instance starts instances without waiting for each, child_process::pid gives access to /proc.

--- /dev/null
+++ b/bench/fleet/process_usage.hpp
@@ -0,0 +1,25 @@
+#ifndef HICKORYGAP_BENCH_FLEET_PROCESS_USAGE_HPP
+#define HICKORYGAP_BENCH_FLEET_PROCESS_USAGE_HPP
+
+#include "scenarios/runner/fleet.hpp"
+
+#include <string>
+
+namespace hickorygap::bench
+{
+
+// What an instance has used: control bytes from its /metrics, the rest from
+// /proc. All but the memory are sums since the start of the process.
+struct process_usage
+{
+    double sent_bytes = 0;
+    double received_bytes = 0;
+    double processor_s = 0;
+    double resident_mib = 0;
+};
+
+process_usage read_usage(testing::fleet& all, const std::string& name);
+
+} // namespace hickorygap::bench
+
+#endif
--- a/tests/scenarios/runner/child_process.hpp
+++ b/tests/scenarios/runner/child_process.hpp
@@ -28,6 +28,12 @@
     std::optional<int> wait(double limit_seconds);
     bool running();
 
+    // Valid until the end of the process is collected by wait.
+    pid_t pid() const
+    {
+        return pid_;
+    }
+
 private:
     pid_t pid_ = -1;
     std::optional<int> status_;
--- a/tests/scenarios/runner/fleet.cpp
+++ b/tests/scenarios/runner/fleet.cpp
@@ -199,6 +199,12 @@
         start_stand_in(name, options);
         return;
     }
+    launch_instance(name);
+    wait_for_port(operator_port(name), name);
+}
+
+void fleet::launch_instance(const std::string& name)
+{
     write_settings(name);
     write_blocked(name);
     processes_[name] = std::make_unique<child_process>(
@@ -206,7 +212,6 @@
             (options_.build / "src/hickorygap").string(), "serve", "--settings",
             path(name + ".json")},
         path(name + ".out"), path(name + ".log"));
-    wait_for_port(operator_port(name), name);
 }
 
 void fleet::start_stand_in(
--- a/tests/scenarios/runner/fleet.hpp
+++ b/tests/scenarios/runner/fleet.hpp
@@ -44,6 +44,9 @@
     void start(
         const std::string& name,
         const std::map<std::string, std::string>& options);
+
+    // Starts an instance without waiting until it listens.
+    void launch_instance(const std::string& name);
     child_process* find(const std::string& name);
 
     // Cuts every link between the two groups, in both directions.
