--- a/bench/membership_bench.cpp
+++ b/bench/membership_bench.cpp
@@ -4,6 +4,7 @@
 // Usage: membership_bench [number of instances ...], default 8 100 380.
 
 #include "process/membership/membership_network.hpp"
+#include "version/configuration/ticket_chain.hpp"
 
 #include <fmt/format.h>
 
@@ -216,7 +217,9 @@
         version_document document;
         document.version = i;
         document.document.assign(1024, static_cast<std::uint8_t>(i));
-        document.chain = chain_digest(chain, document.document);
+        document.chain = ticket_chain(
+            chain, document.version, document.accepted, document.content_digest,
+            document.document);
         chain = document.chain;
         documents.push_back(std::move(document));
     }
--- a/scripts/run-linter.sh
+++ b/scripts/run-linter.sh
@@ -9,5 +9,5 @@
 scripts/list-sources.sh | grep '\.cpp$' | grep "^$prefix" |
     xargs -P "$(nproc)" -I '{}' sh -c \
         'out=$(clang-tidy -p "$0" --quiet "$1" 2>/dev/null) ||
-            { printf "%s\n" "$out"; exit 255; }' "$build" '{}'
+            { printf "%s\n" "$out"; exit 1; }' "$build" '{}'
 echo "linter: clean"
--- a/src/process/control/decision_keeper.cpp
+++ b/src/process/control/decision_keeper.cpp
@@ -98,10 +98,9 @@
             message_of(acknowledgements.status()));
         return;
     }
-    for (wire::decision_batch_ack_msg& each : *acknowledgements)
+    for (const wire::decision_batch_ack_msg& each : *acknowledgements)
     {
-        const instance_id destination = each.instance;
-        outgoing_.push_back(make_outgoing(destination, std::move(each)));
+        outgoing_.push_back(make_outgoing(each.instance, each));
     }
 }
 
