--- a/src/process/instance/running_instance.cpp
+++ b/src/process/instance/running_instance.cpp
@@ -130,6 +130,8 @@
     caller_limits limits;
     limits.body = source.callers.limits.body_bytes;
     limits.body_timeout = source.callers.limits.body_timeout;
+    limits.streams_per_organisation =
+        source.callers.limits.organisation_streams;
     return limits;
 }
 
--- a/src/process/settings/settings.hpp
+++ b/src/process/settings/settings.hpp
@@ -59,6 +59,7 @@
             duration header_timeout;
             duration body_timeout;
             duration idle_timeout;
+            std::uint32_t organisation_streams;
         } limits;
         tls_settings tls;
     } callers;
--- a/src/process/settings/settings_table.cpp
+++ b/src/process/settings/settings_table.cpp
@@ -67,6 +67,12 @@
         "callers.limits.idle_timeout_ms",
         HICKORYGAP_MEMBER(callers.limits.idle_timeout), "60000",
         "Time after which an idle connection is closed.", "ms", 100, hour_ms},
+    setting{
+        "callers.limits.organisation_streams",
+        HICKORYGAP_MEMBER(callers.limits.organisation_streams), "48",
+        "Requests of one organisation that this instance serves at once; keep "
+        "it below callers.threads.",
+        "requests", 1, 4096},
     setting{
         "callers.tls.certificate_file",
         HICKORYGAP_MEMBER(callers.tls.certificate_file), "\"\"",
