End the control thread before the monitor that it uses

Cause, found by reading: at shutdown the main thread destroyed the monitor of backend servers while the control thread could still hand it a new set. The control thread ends first now. An address that can't be parsed is logged; the former parser would have thrown in the control thread. No failure had been seen from either.

--- a/src/process/control/control_thread.cpp
+++ b/src/process/control/control_thread.cpp
@@ -1,5 +1,6 @@
 #include "process/control/control_thread.hpp"
 
+#include "common/address.hpp"
 #include "common/logging.hpp"
 #include "common/status_text.hpp"
 
@@ -24,6 +25,17 @@
     return refusal;
 }
 
+absl::Status
+set_peer_address(peer_network& network, instance_id peer, std::string_view text)
+{
+    const auto address = parse_address(text);
+    if (!address.ok())
+    {
+        return address.status();
+    }
+    return network.set_address(peer, address->host, address->port);
+}
+
 } // namespace
 
 control_thread::control_thread(
@@ -168,18 +180,14 @@
 
 void control_thread::send_outgoing()
 {
-    for (const auto& [id, address] : node_->members().take_address_changes())
+    for (const auto& [id, text] : node_->members().take_address_changes())
     {
-        const std::size_t colon = address.rfind(':');
-        const auto port =
-            static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)));
-        const absl::Status status =
-            network_->set_address(id, address.substr(0, colon), port);
+        const absl::Status status = set_peer_address(*network_, id, text);
         if (!status.ok())
         {
             log(log_level::warning, subsystem::network,
-                "bad_address instance={} reason=\"{}\"", id,
-                message_of(status));
+                "bad_address instance={} address=\"{}\" reason=\"{}\"", id,
+                text, message_of(status));
         }
     }
     for (const outgoing_message& message : node_->take_outgoing())
--- a/src/process/instance/running_instance.cpp
+++ b/src/process/instance/running_instance.cpp
@@ -172,11 +172,12 @@
     {
         operator_server_->stop_accepting();
     }
-    monitor_.reset();
+    // The control thread uses the monitor, so it ends first.
     if (control_ != nullptr)
     {
         control_->stop();
     }
+    monitor_.reset();
 }
 
 absl::StatusOr<std::unique_ptr<running_instance>>
@@ -364,7 +365,6 @@
     caller_server_->stop_accepting();
     const bool drained = caller_server_->drain(settings_.shutdown.drain_limit);
     operator_server_->stop_accepting();
-    monitor_.reset();
     control_->post([](control_node& node, const clock_reading& now)
                    { node.leave(now); });
     std::this_thread::sleep_for(farewell);
