--- a/tests/scenarios/runner/fleet.cpp
+++ b/tests/scenarios/runner/fleet.cpp
@@ -194,6 +194,10 @@
 void fleet::start(
     const std::string& name, const std::map<std::string, std::string>& options)
 {
+    if (child_process* known = find(name); known != nullptr && known->running())
+    {
+        return;
+    }
     if (name.front() != 'i')
     {
         start_stand_in(name, options);
--- a/tests/scenarios/runner/fleet.hpp
+++ b/tests/scenarios/runner/fleet.hpp
@@ -39,7 +39,7 @@
 
     explicit fleet(fleet_options options);
 
-    // Starts a process, or starts it again after its end. Options become
+    // Starts a process that does not run, again after its end. Options become
     // flags of a stand-in.
     void start(
         const std::string& name,
--- a/tests/scenarios/runner/runner.cpp
+++ b/tests/scenarios/runner/runner.cpp
@@ -261,7 +261,26 @@
     return absl::OkStatus();
 }
 
+// file NUMBER [through=LAST] [via=] [as=] [status=] and what the ticket changes
 absl::Status runner::file(const script_line& line)
+{
+    const std::uint64_t first = std::stoull(line.words.at(0));
+    const std::uint64_t last =
+        std::stoull(line.option("through", line.words.at(0)));
+    for (std::uint64_t number = first; number <= last; ++number)
+    {
+        script_line single = line;
+        single.words.at(0) = std::to_string(number);
+        const absl::Status status = file_one(single);
+        if (!status.ok())
+        {
+            return status;
+        }
+    }
+    return absl::OkStatus();
+}
+
+absl::Status runner::file_one(const script_line& line)
 {
     http_call call;
     call.port = fleet_->operator_port(line.option("via", "i1"));
--- a/tests/scenarios/runner/runner.hpp
+++ b/tests/scenarios/runner/runner.hpp
@@ -34,6 +34,7 @@
     absl::Status signal(const script_line& line, int number);
     absl::Status cut(const script_line& line);
     absl::Status file(const script_line& line);
+    absl::Status file_one(const script_line& line);
     absl::Status send(const script_line& line);
     absl::Status expect(const script_line& line);
     absl::Status expect_voters(const script_line& line);
