--- a/src/process/control/control_node.cpp
+++ b/src/process/control/control_node.cpp
@@ -81,7 +81,7 @@
     control_node_options options, shared_blame_tracker& blame,
     burn_windows& burn, const clock_reading& now)
     : options_(std::move(options))
-    , blame_(blame)
+    , blame_(options_.self, blame)
     , membership_(make_membership_options(options_), now.monotonic)
     , versions_(make_version_options(options_), now.monotonic)
     , proposals_(make_proposal_options(options_))
@@ -257,16 +257,12 @@
     const wire::payloadUnion& payload, const clock_reading& now)
 {
     note_incarnation(from, incarnation);
-    if (const auto* report = message_in<wire::suspect_report_msg>(payload))
-    {
-        take_suspect_report(*report, now);
-        return;
-    }
     // Each part ignores the kinds of message that are not its own.
     membership_.receive(from, incarnation, payload, now.monotonic);
     versions_.receive(from, payload, now.monotonic);
     proposals_.receive(from, payload, now.monotonic);
     placement_.receive(from, payload, now.monotonic);
+    blame_.receive(payload, now);
     burn_.receive(from, payload, now.monotonic);
     decisions_->receive(payload);
     if (voter_ != nullptr)
@@ -299,7 +295,7 @@
     update_members(now);
     update_readiness(now);
     placement_.tick(now.monotonic);
-    exchange_blame(now);
+    blame_.tick(membership_, live_, now);
     burn_.tick(live_voters(), now.monotonic);
     decisions_->record(placement_.take_records(), now);
     decisions_->tick(now);
@@ -446,79 +442,6 @@
     }
 }
 
-// Crashes are rare, so each is told to every live member at once: a retry
-// that enters through another instance must not crash a third server.
-void control_node::exchange_blame(const clock_reading& now)
-{
-    const auto reports = blame_.with([](blame_tracker& blame)
-                                     { return blame.take_suspect_reports(); });
-    for (const suspect_notice& notice : reports)
-    {
-        log(log_level::warning, subsystem::attempt,
-            "backend_server_crashed backend_server={:016x} "
-            "fingerprint={:016x} isolated={}",
-            notice.backend_server, notice.fingerprint, notice.confirmed);
-        wire::suspect_report_msg message;
-        message.fingerprint = notice.fingerprint;
-        message.backend_server = notice.backend_server;
-        message.crashed_unix_ms = notice.crashed;
-        message.confirmed = notice.confirmed;
-        for (const instance_id member : live_)
-        {
-            if (member != options_.self)
-            {
-                outgoing_.push_back(make_outgoing(member, message));
-            }
-        }
-    }
-    const auto quarantines = blame_.with(
-        [&](blame_tracker& blame) { return blame.quarantines(now.unix_time); });
-    for (const quarantine& entry : quarantines)
-    {
-        note_quarantine(entry);
-        membership_.add_quarantine(entry.fingerprint, entry.until);
-    }
-    for (const auto& entry : membership_.quarantines(now.unix_time))
-    {
-        blame_.with(
-            [&](blame_tracker& blame)
-            {
-                blame.merge(
-                    quarantine{entry.fingerprint, entry.until_unix_ms},
-                    now.unix_time);
-            });
-    }
-}
-
-// Logs each quarantine once.
-void control_node::note_quarantine(const quarantine& entry)
-{
-    unix_millis& known = quarantines_[entry.fingerprint];
-    if (known != entry.until)
-    {
-        known = entry.until;
-        log(log_level::warning, subsystem::attempt,
-            "request_quarantined fingerprint={:016x} until={}",
-            entry.fingerprint, format_utc(entry.until));
-    }
-    // Keeps the memory bounded; a repeated line does no harm.
-    constexpr std::size_t remembered = 4096;
-    if (quarantines_.size() > remembered)
-    {
-        quarantines_.clear();
-    }
-}
-
-void control_node::take_suspect_report(
-    const wire::suspect_report_msg& report, const clock_reading& now)
-{
-    const suspect_notice notice{
-        report.fingerprint, report.backend_server, report.crashed_unix_ms,
-        report.confirmed};
-    blame_.with([&](blame_tracker& blame)
-                { blame.merge(notice, now.unix_time); });
-}
-
 template <typename Part>
 void control_node::collect(Part& part)
 {
@@ -531,6 +454,7 @@
     collect(versions_);
     collect(proposals_);
     collect(placement_);
+    collect(blame_);
     collect(burn_);
     collect(*decisions_);
     if (voter_ != nullptr)
--- a/src/process/control/control_node.hpp
+++ b/src/process/control/control_node.hpp
@@ -1,6 +1,7 @@
 #ifndef HICKORYGAP_PROCESS_CONTROL_CONTROL_NODE_HPP
 #define HICKORYGAP_PROCESS_CONTROL_CONTROL_NODE_HPP
 
+#include "process/control/blame_exchange.hpp"
 #include "process/control/burn_exchange.hpp"
 #include "process/control/clock_reading.hpp"
 #include "process/control/configuration_tracker.hpp"
@@ -156,10 +157,6 @@
     void on_new_configuration(const clock_reading& now);
     void update_members(const clock_reading& now);
     void update_readiness(const clock_reading& now);
-    void exchange_blame(const clock_reading& now);
-    void note_quarantine(const quarantine& entry);
-    void take_suspect_report(
-        const wire::suspect_report_msg& report, const clock_reading& now);
     absl::Status check_acceptance(time_point now) const;
     absl::Status check_creation() const;
     std::vector<instance_id> find_owners() const;
@@ -169,7 +166,7 @@
     void collect(Part& part);
 
     control_node_options options_;
-    shared_blame_tracker& blame_;
+    blame_exchange blame_;
     membership membership_;
     version_sync versions_;
     proposal_client proposals_;
@@ -190,7 +187,6 @@
 
     // Start of the newest process of each instance that was heard.
     std::map<instance_id, incarnation_number> incarnations_;
-    std::map<request_fingerprint, unix_millis> quarantines_;
     bool draining_ = false;
     time_point last_advance_;
     std::vector<outgoing_message> outgoing_;
