Pick the scenarios' ports below the range of outgoing connections

Cause: with 100 instances, 'i25 does not listen': its port, picked by the system, had been taken by another instance's outgoing connection before i25 started. Ruled out: memory and file limits. The same race could hit scenarios.

--- a/src/process/control/control_node.cpp
+++ b/src/process/control/control_node.cpp
@@ -6,6 +6,7 @@
 #include "process/control/document_validator.hpp"
 
 #include <algorithm>
+#include <array>
 #include <filesystem>
 
 namespace hickorygap
@@ -24,6 +25,9 @@
     raft_seed = 5
 };
 
+constexpr std::array<std::string_view, 4> readiness_names{
+    "ready", "starting", "cut_off", "draining"};
+
 membership_options make_membership_options(const control_node_options& options)
 {
     membership_options result;
@@ -433,8 +437,8 @@
     {
         log(log_level::info, subsystem::process,
             "readiness state={} hears_voters={} hears_half={} version={}",
-            static_cast<int>(updated), inputs.hears_voters,
-            inputs.hears_half_of_members, inputs.version);
+            readiness_names.at(static_cast<std::size_t>(updated)),
+            inputs.hears_voters, inputs.hears_half_of_members, inputs.version);
         readiness_.store(updated);
         membership_.set_ready(updated == readiness::ready);
         placement_.set_partitioned(
--- a/tests/scenarios/runner/fleet.cpp
+++ b/tests/scenarios/runner/fleet.cpp
@@ -5,6 +5,7 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
 #include <fmt/format.h>
+#include <unistd.h>
 
 #include <chrono>
 #include <fstream>
@@ -17,16 +18,34 @@
 namespace
 {
 
-// Ports are picked by the system one after the other while all stay bound,
-// so that none is given out twice.
+// Ports below the system's range for outgoing connections: a port of that
+// range may be taken by a connection between the time that it is picked and
+// the start of its process. The first port depends on the process, so that
+// scenarios that run at once don't pick the same ones.
+constexpr std::uint16_t lowest_port = 10000;
+constexpr std::uint16_t port_range = 20000;
+constexpr std::uint32_t ports_between_processes = 331;
+
 std::vector<std::uint16_t> pick_ports(std::size_t count)
 {
-    std::vector<Poco::Net::ServerSocket> sockets;
+    static std::uint32_t next =
+        static_cast<std::uint32_t>(::getpid()) * ports_between_processes;
     std::vector<std::uint16_t> result;
-    for (std::size_t i = 0; i < count; ++i)
+    while (result.size() < count)
     {
-        sockets.emplace_back(Poco::Net::SocketAddress{"127.0.0.1", 0});
-        result.push_back(sockets.back().address().port());
+        const auto port =
+            static_cast<std::uint16_t>(lowest_port + next++ % port_range);
+        try
+        {
+            const Poco::Net::ServerSocket probe{
+                Poco::Net::SocketAddress{"127.0.0.1", port}};
+            result.push_back(port);
+        }
+        catch (const Poco::Exception&)
+        {
+            // In use; the next one may be free.
+            continue;
+        }
     }
     return result;
 }
