Give decision records their stored meaning, show the group that votes

Causes: placement and the stored records numbered reasons and outcomes in different ways, so that a completed attempt was shown as backend_server_lost, and the record of an end lacked organisation, chat and rank; seen by running 'decisions' on the demo's fleet. The scenario voter_replaced failed in one of two runs: its ticket was filed before the group had recorded the lost disk, and only a later ticket re-admits a voter, as the design says.

--- a/src/process/control/decision_keeper.cpp
+++ b/src/process/control/decision_keeper.cpp
@@ -2,12 +2,38 @@
 
 #include "common/logging.hpp"
 #include "common/status_text.hpp"
+#include "process/decision_record/decision_reason.hpp"
+#include "request/placement/cell_owner.hpp"
 
 #include <utility>
 
 namespace hickorygap
 {
 
+namespace
+{
+
+decision_reason stored_reason(placement_reason reason)
+{
+    switch (reason)
+    {
+    case placement_reason::directory:
+        return decision_reason::directory;
+    case placement_reason::least_loaded:
+        return decision_reason::least_loaded;
+    case placement_reason::isolated:
+        return decision_reason::isolated;
+    case placement_reason::local:
+        return decision_reason::owner_unreachable;
+    case placement_reason::ended:
+        return decision_reason::ended;
+    default:
+        return decision_reason::unknown;
+    }
+}
+
+} // namespace
+
 decision_keeper::decision_keeper(decision_keeper_options options)
     : options_(std::move(options))
     , recorder_(options_.self, options_.incarnation, options_.recorder)
@@ -43,6 +69,7 @@
 {
     for (wire::decision_record_msg& record : records)
     {
+        set_stored_values(record);
         record.unix_ms = now.unix_time;
         recorder_.record(std::move(record), now.monotonic);
     }
@@ -61,6 +88,24 @@
     }
 }
 
+// Placement's own values may change; stored records keep theirs.
+void decision_keeper::set_stored_values(wire::decision_record_msg& record)
+{
+    const auto reason = static_cast<placement_reason>(record.reason);
+    if (reason == placement_reason::refused)
+    {
+        record.reason =
+            reason_of(static_cast<wire::refusal_reason>(record.outcome));
+        record.outcome = 0;
+        return;
+    }
+    record.outcome =
+        reason == placement_reason::ended
+            ? outcome_of(static_cast<wire::attempt_outcome>(record.outcome))
+            : 0;
+    record.reason = static_cast<std::uint8_t>(stored_reason(reason));
+}
+
 void decision_keeper::take_batch(const wire::decision_batch_msg& batch)
 {
     if (store_ == nullptr)
--- a/src/process/control/decision_keeper.hpp
+++ b/src/process/control/decision_keeper.hpp
@@ -62,6 +62,7 @@
 private:
     explicit decision_keeper(decision_keeper_options options);
 
+    static void set_stored_values(wire::decision_record_msg& record);
     void take_batch(const wire::decision_batch_msg& batch);
     void acknowledge();
 
--- a/src/process/control/in_force_view.cpp
+++ b/src/process/control/in_force_view.cpp
@@ -85,6 +85,24 @@
     return row;
 }
 
+// Instances that have a vote now. A voter knows it from the log; others know
+// only whom the last ticket names.
+std::vector<instance_id> group_of(const control_node& node)
+{
+    const voter* replica = node.replica();
+    if (replica == nullptr)
+    {
+        return {node.voters().begin(), node.voters().end()};
+    }
+    std::vector<instance_id> result;
+    const voter_status status = replica->status();
+    for (const voter_identity& member : status.voters.voters)
+    {
+        result.push_back(member.instance);
+    }
+    return result;
+}
+
 voter_role role_of(const control_node& node)
 {
     const voter* replica = node.replica();
@@ -148,7 +166,7 @@
         status.leader = replica->leader();
         status.term = replica->term();
     }
-    status.voters.assign(node.voters().begin(), node.voters().end());
+    status.voters = group_of(node);
     status.members_alive = static_cast<std::uint32_t>(
         node.members().live_members(now.monotonic).size());
     status.members_known =
--- a/src/process/decision_record/decision_reason.cpp
+++ b/src/process/decision_record/decision_reason.cpp
@@ -11,9 +11,9 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 7> placement_names{
-    "unknown",  "directory",        "hash", "least_loaded", "spillover",
-    "isolated", "owner_unreachable"};
+constexpr std::array<std::string_view, 8> placement_names{
+    "unknown",  "directory",         "hash", "least_loaded", "spillover",
+    "isolated", "owner_unreachable", "ended"};
 
 constexpr auto first_refusal =
     static_cast<std::uint8_t>(decision_reason::first_refusal);
--- a/src/process/decision_record/decision_reason.hpp
+++ b/src/process/decision_record/decision_reason.hpp
@@ -26,6 +26,8 @@
     isolated = 5,
     // Placed by the entry router, because the cell's owner was unreachable.
     owner_unreachable = 6,
+    // No placement: the record tells how a granted attempt ended.
+    ended = 7,
     // Refusals have the value 100 plus wire::refusal_reason.
     first_refusal = 100,
     // Marks of the chain itself, no placements: the instance shut down after
--- a/src/request/placement/cell_owner.cpp
+++ b/src/request/placement/cell_owner.cpp
@@ -598,7 +598,7 @@
     {
         engines_.suspend(grant.engine, now + suspension);
     }
-    record_end(report);
+    record_end(report, grant);
     end_grant(position);
     dispatch(now);
 }
@@ -956,7 +956,8 @@
     records_.push_back(std::move(record));
 }
 
-void cell_owner::record_end(const attempt_report& report)
+void cell_owner::record_end(
+    const attempt_report& report, const grant_state& grant)
 {
     if (records_.size() >= record_limit)
     {
@@ -964,6 +965,9 @@
     }
     wire::decision_record_msg record;
     record.request = report.request;
+    record.chat = grant.chat;
+    record.organisation = grant.organisation;
+    record.rank = static_cast<std::uint8_t>(grant.request_rank);
     record.cell = description_.id;
     record.version = description_.version;
     record.choice = report.backend_server;
--- a/src/request/placement/cell_owner.hpp
+++ b/src/request/placement/cell_owner.hpp
@@ -244,7 +244,7 @@
     void record_decision(
         const placement_query& query, backend_server_id choice,
         placement_reason reason, wire::refusal_reason outcome, duration queued);
-    void record_end(const attempt_report& report);
+    void record_end(const attempt_report& report, const grant_state& grant);
 
     cell_description description_;
     cell_owner_limits limits_;
--- a/tests/process/decision_record/decision_recorder_test.cpp
+++ b/tests/process/decision_record/decision_recorder_test.cpp
@@ -226,6 +226,7 @@
 TEST_CASE("reasons and outcomes have names")
 {
     CHECK(decision_reason_name(1) == "directory");
+    CHECK(decision_reason_name(7) == "ended");
     CHECK(
         decision_reason_name(reason_of(wire::refusal_reason::overloaded)) ==
         "refused_overloaded");
--- a/tests/scenarios/runner/runner.cpp
+++ b/tests/scenarios/runner/runner.cpp
@@ -400,6 +400,10 @@
     {
         return expect_one_engine(line);
     }
+    if (what == "group")
+    {
+        return expect_group(line);
+    }
     if (what == "voters")
     {
         return expect_voters(line);
@@ -415,6 +419,29 @@
     return expect_answer(line);
 }
 
+// expect group IDS via=INSTANCE: exactly these have a vote, e.g. 1,2,3.
+absl::Status runner::expect_group(const script_line& line)
+{
+    const std::string& wanted = line.words.at(1);
+    return wait_until(
+        line,
+        [&]() -> std::string
+        {
+            const http_result result =
+                ask_operator(line.option("via", "i1"), "/operator/status");
+            const auto voters = parse_object(result.body)->getArray("voters");
+            std::vector<std::string> ids;
+            for (std::size_t i = 0; !voters.isNull() && i < voters->size(); ++i)
+            {
+                ids.push_back(voters->get(static_cast<unsigned>(i))
+                                  .convert<std::string>());
+            }
+            std::sort(ids.begin(), ids.end());
+            const std::string found = fmt::format("{}", fmt::join(ids, ","));
+            return found == wanted ? "" : "the group is " + found;
+        });
+}
+
 // expect voters INSTANCE...: each of them has a vote.
 absl::Status runner::expect_voters(const script_line& line)
 {
--- a/tests/scenarios/runner/runner.hpp
+++ b/tests/scenarios/runner/runner.hpp
@@ -37,6 +37,7 @@
     absl::Status file_one(const script_line& line);
     absl::Status send(const script_line& line);
     absl::Status expect(const script_line& line);
+    absl::Status expect_group(const script_line& line);
     absl::Status expect_voters(const script_line& line);
     absl::Status expect_in_force(const script_line& line);
     absl::Status expect_runs(const script_line& line);
