Add an event loop with HTTP/1.1 framing and links between instances

Cause: a running stream holds a blocking thread and wakes up each 20 to 50 ms; on a fraction of a core that is the largest cost of the traffic path.

Change: one epoll loop for all connections and timers over non-blocking POCO sockets; strict heads (parsed by POCO after validation), bodies by length, chunks or end of connection, whole server-sent events; envelopes between instances. Time is read from CLOCK_BOOTTIME, which counts suspension. Log lines can go to a sink that never blocks.

Ruled out: POCO's PollSet (a map of sockets is built in each turn); POCO's reader alone (it accepts a space before the colon of a field name and folded lines, which other programs split differently).

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 	@scripts/install-packages.sh
 
 $(BUILD)/build.ninja: CMakeLists.txt | deps
-	cmake -S . -B $(BUILD) -G Ninja
+	cmake -S . -B $(BUILD) -G Ninja -DHICKORYGAP_WARNINGS_AS_ERRORS=ON
 
 build: $(BUILD)/build.ninja
 	cmake --build $(BUILD) -j $(JOBS)
--- a/scripts/list-sources.sh
+++ b/scripts/list-sources.sh
@@ -2,5 +2,5 @@
 # Prints the C++ sources of the project, generated code left out.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-find src tests bench \( -name '*.hpp' -o -name '*.cpp' \) \
+find src platform tests bench \( -name '*.hpp' -o -name '*.cpp' \) \
     -not -path '*/generated/*' | sort
--- a/src/common/logging.cpp
+++ b/src/common/logging.cpp
@@ -13,13 +13,14 @@
 {
 
 std::atomic<log_level> lowest_level{log_level::info};
+std::atomic<log_sink*> current_sink{nullptr};
 
 constexpr std::array<std::string_view, 4> level_names{
     "debug", "info", "warning", "error"};
 
-constexpr std::array<std::string_view, 10> subsystem_names{
-    "process", "consensus", "membership", "configuration", "placement",
-    "http",    "attempt",   "network",    "storage",       "records"};
+constexpr std::array<std::string_view, 11> subsystem_names{
+    "process", "consensus", "membership", "configuration", "placement", "http",
+    "attempt", "network",   "storage",    "records",       "routing"};
 
 } // namespace
 
@@ -33,6 +34,11 @@
     return level >= lowest_level.load(std::memory_order_relaxed);
 }
 
+void set_log_sink(log_sink* sink)
+{
+    current_sink.store(sink, std::memory_order_release);
+}
+
 void write_log(log_level level, subsystem source, std::string_view text)
 {
     // One call per line, so that lines of several threads do not mix.
@@ -40,6 +46,11 @@
         "{} {} {} {}\n", format_utc(unix_now()),
         level_names[static_cast<std::size_t>(level)],
         subsystem_names[static_cast<std::size_t>(source)], text);
+    if (log_sink* sink = current_sink.load(std::memory_order_acquire))
+    {
+        sink->write(level, line);
+        return;
+    }
     std::fwrite(line.data(), 1, line.size(), stderr);
 }
 
--- a/src/common/logging.hpp
+++ b/src/common/logging.hpp
@@ -27,15 +27,32 @@
     attempt,
     network,
     storage,
-    records
+    records,
+    routing
 };
 
 // Lowest level that is written; info at the start. Safe from any thread.
 void set_log_level(log_level level);
 bool log_enabled(log_level level);
 
-// Writes one line to standard error: time, level, subsystem and the text,
-// which should be key=value pairs after a short event name.
+// Takes finished lines, each with its line end.
+class log_sink
+{
+public:
+    log_sink() = default;
+    log_sink(const log_sink&) = delete;
+    log_sink& operator=(const log_sink&) = delete;
+    virtual ~log_sink() = default;
+
+    virtual void write(log_level level, std::string_view line) = 0;
+};
+
+// Sends all further lines to the sink, or to standard error for nullptr. Not
+// safe while other threads write; the sink must outlive its use.
+void set_log_sink(log_sink* sink);
+
+// Writes one line to the sink: time, level, subsystem and the text, which
+// should be key=value pairs after a short event name.
 void write_log(log_level level, subsystem source, std::string_view text);
 
 // Formats with fmt and writes one line, if the level is enabled.
--- /dev/null
+++ b/src/common/text.hpp
@@ -0,0 +1,51 @@
+#ifndef HICKORYGAP_COMMON_TEXT_HPP
+#define HICKORYGAP_COMMON_TEXT_HPP
+
+#include <charconv>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace hickorygap
+{
+
+// The parts of a text between separators; one part for a text without any.
+std::vector<std::string_view> split(std::string_view text, char separator);
+
+// Without spaces and tabs at both ends.
+std::string_view strip(std::string_view text);
+
+// Letters of ASCII in lower case, others unchanged.
+std::string lower_case(std::string_view text);
+
+bool equals_ignoring_case(std::string_view left, std::string_view right);
+
+// The whole text as a number without a sign; false for other text.
+template <typename Number>
+bool parse_number(std::string_view text, Number& output, int base = 10)
+{
+    const char* last = text.data() + text.size();
+    const auto [end, error] = std::from_chars(text.data(), last, output, base);
+    return !text.empty() && error == std::errc{} && end == last;
+}
+
+// Hash of names, for maps that are searched with views.
+struct name_hash
+{
+    using is_transparent = void;
+
+    std::size_t operator()(std::string_view name) const
+    {
+        return std::hash<std::string_view>{}(name);
+    }
+};
+
+template <typename Value>
+using name_map =
+    std::unordered_map<std::string, Value, name_hash, std::equal_to<>>;
+
+} // namespace hickorygap
+
+#endif
--- a/src/common/time.cpp
+++ b/src/common/time.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/chrono.h>
 
+#include <ctime>
+
 namespace hickorygap
 {
 
@@ -11,6 +13,16 @@
         std::chrono::steady_clock::now().time_since_epoch())};
 }
 
+time_point boot_now()
+{
+    timespec reading{};
+    clock_gettime(CLOCK_BOOTTIME, &reading);
+    return {
+        std::chrono::seconds{reading.tv_sec} +
+        std::chrono::duration_cast<duration>(
+            std::chrono::nanoseconds{reading.tv_nsec})};
+}
+
 unix_millis unix_now()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
--- a/src/common/time.hpp
+++ b/src/common/time.hpp
@@ -42,6 +42,10 @@
 // Reads the monotonic clock.
 time_point monotonic_now();
 
+// Reads the monotonic clock that also advances while the machine is suspended.
+// Leases and timeouts that must survive a suspension use this one.
+time_point boot_now();
+
 // Reads the wall clock.
 unix_millis unix_now();
 
--- /dev/null
+++ b/src/connection/event/listener.cpp
@@ -0,0 +1,97 @@
+#include "connection/event/listener.hpp"
+
+#include "common/error.hpp"
+#include "common/logging.hpp"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocketImpl.h>
+#include <fmt/format.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+namespace hickorygap
+{
+
+namespace
+{
+
+// Connections that wait in the system's queue. Callers that find it full are
+// delayed by a second and more.
+constexpr int backlog = 512;
+
+// Connections accepted in one turn, so that running streams are not held up.
+constexpr int accepts_per_turn = 16;
+
+} // namespace
+
+listener::listener(event_loop& loop, accept_function on_accept)
+    : loop_{loop}
+    , on_accept_{std::move(on_accept)}
+{
+}
+
+listener::~listener()
+{
+    close();
+}
+
+absl::Status listener::open(const numeric_address& address)
+{
+    try
+    {
+        socket_.bind(
+            Poco::Net::SocketAddress{address.host, address.port}, true, false);
+        socket_.listen(backlog);
+        socket_.setBlocking(false);
+    }
+    catch (const Poco::Exception& error)
+    {
+        return make_error(
+            error_kind::unreachable,
+            fmt::format(
+                "can't listen at {}: {}; check that the address is this "
+                "machine's and that the port is free",
+                format_address(address.host, address.port),
+                error.displayText()));
+    }
+    loop_.add(socket_.impl()->sockfd(), *this, true, false);
+    open_ = true;
+    return absl::OkStatus();
+}
+
+void listener::close()
+{
+    if (open_)
+    {
+        open_ = false;
+        loop_.remove(socket_.impl()->sockfd());
+        socket_.close();
+    }
+}
+
+void listener::on_ready(io_readiness /*readiness*/)
+{
+    for (int i = 0; i < accepts_per_turn && open_; ++i)
+    {
+        const int descriptor = ::accept4(
+            socket_.impl()->sockfd(), nullptr, nullptr,
+            SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (descriptor < 0)
+        {
+            if (errno != EAGAIN && errno != EWOULDBLOCK)
+            {
+                log(log_level::warning, subsystem::network,
+                    "accept_failed error=\"{}\"", std::strerror(errno));
+            }
+            return;
+        }
+        on_accept_(Poco::Net::StreamSocket{
+            new Poco::Net::StreamSocketImpl{descriptor}});
+    }
+}
+
+} // namespace hickorygap
--- /dev/null
+++ b/src/connection/h1/event_splitter.cpp
@@ -0,0 +1,79 @@
+#include "connection/h1/event_splitter.hpp"
+
+#include <charconv>
+
+namespace hickorygap
+{
+
+namespace
+{
+
+std::optional<std::uint64_t> id_of(std::string_view event)
+{
+    constexpr std::string_view field = "id:";
+    while (!event.empty())
+    {
+        const std::size_t end = event.find('\n');
+        std::string_view line = event.substr(0, end);
+        event.remove_prefix(
+            end == std::string_view::npos ? event.size() : end + 1);
+        if (!line.starts_with(field))
+        {
+            continue;
+        }
+        line.remove_prefix(field.size());
+        while (line.starts_with(' '))
+        {
+            line.remove_prefix(1);
+        }
+        if (line.ends_with('\r'))
+        {
+            line.remove_suffix(1);
+        }
+        std::uint64_t id = 0;
+        const auto [last, error] =
+            std::from_chars(line.data(), line.data() + line.size(), id);
+        if (error == std::errc{} && last == line.data() + line.size())
+        {
+            return id;
+        }
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+// Position after the empty line that ends the first event, or npos.
+std::size_t event_end(std::string_view text)
+{
+    const std::size_t plain = text.find("\n\n");
+    const std::size_t with_return = text.find("\n\r\n");
+    if (plain == std::string_view::npos &&
+        with_return == std::string_view::npos)
+    {
+        return std::string_view::npos;
+    }
+    return plain < with_return ? plain + 2 : with_return + 3;
+}
+
+} // namespace
+
+void event_splitter::add(std::string& input)
+{
+    buffer_.append(input);
+    input.clear();
+}
+
+std::optional<stream_event> event_splitter::next()
+{
+    const std::size_t end = event_end(buffer_);
+    if (end == std::string_view::npos)
+    {
+        return std::nullopt;
+    }
+    stream_event event{buffer_.substr(0, end), std::nullopt};
+    event.id = id_of(event.text);
+    buffer_.erase(0, end);
+    return event;
+}
+
+} // namespace hickorygap
--- /dev/null
+++ b/src/connection/h1/http_call.cpp
@@ -0,0 +1,96 @@
+#include "connection/h1/http_call.hpp"
+
+#include "common/error.hpp"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace hickorygap
+{
+
+http_call::http_call(
+    event_loop& loop, const numeric_address& server, const std::string& target,
+    duration time_limit, done_function on_done)
+    : loop_{loop}
+    , on_done_{std::move(on_done)}
+    , reader_{Poco::Net::HTTPRequest::HTTP_GET}
+{
+    auto connection = stream_connection::connect(loop, server, *this);
+    if (!connection.ok())
+    {
+        loop_.after(
+            duration{0},
+            [this, status = connection.status()] { finish(status); });
+        return;
+    }
+    connection_ = *std::move(connection);
+    connection_->write(fmt::format(
+        "GET {} HTTP/1.1\r\nHost: {}\r\nConnection: close\r\n\r\n", target,
+        format_address(server.host, server.port)));
+    timer_ = loop_.after(
+        time_limit,
+        [this]
+        {
+            finish(make_error(
+                error_kind::deadline_exceeded,
+                "the server has not answered in time; it is asked again"));
+        });
+}
+
+http_call::~http_call()
+{
+    loop_.cancel(timer_);
+}
+
+void http_call::on_input()
+{
+    reader_.read(connection_->input());
+    finish_response();
+}
+
+void http_call::on_end(connection_end end)
+{
+    if (end == connection_end::finished)
+    {
+        reader_.finish();
+        finish_response();
+    }
+    finish(make_error(
+        error_kind::unreachable,
+        "the connection ended before the answer was complete; the server is "
+        "asked again"));
+}
+
+void http_call::finish_response()
+{
+    if (reader_.current() == response_reader::state::complete)
+    {
+        finish(result{
+            static_cast<int>(reader_.head().getStatus()),
+            std::move(reader_.body())});
+    }
+    else if (reader_.current() == response_reader::state::broken)
+    {
+        finish(make_error(
+            error_kind::invalid_request,
+            "the server's bytes are no HTTP response; check its address"));
+    }
+}
+
+void http_call::finish(absl::StatusOr<result> outcome)
+{
+    if (done_)
+    {
+        return;
+    }
+    done_ = true;
+    loop_.cancel(timer_);
+    if (connection_)
+    {
+        connection_->close();
+    }
+    on_done_(std::move(outcome));
+}
+
+} // namespace hickorygap
--- /dev/null
+++ b/src/connection/h1/http_endpoint.hpp
@@ -0,0 +1,68 @@
+#ifndef HICKORYGAP_CONNECTION_H1_HTTP_ENDPOINT_HPP
+#define HICKORYGAP_CONNECTION_H1_HTTP_ENDPOINT_HPP
+
+#include "connection/event/listener.hpp"
+#include "connection/event/stream_connection.hpp"
+#include "connection/h1/request_reader.hpp"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/status/status.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace hickorygap
+{
+
+// A whole answer to a small call.
+struct http_answer
+{
+    Poco::Net::HTTPResponse::HTTPStatus status =
+        Poco::Net::HTTPResponse::HTTP_OK;
+    std::vector<std::pair<std::string, std::string>> fields;
+    std::string content_type = "application/json";
+    std::string body;
+};
+
+// Text of an answer as it is sent.
+std::string encode_answer(const http_answer& answer, bool close);
+
+// Sends the answer to one call; does nothing when the caller has left.
+using http_responder = std::function<void(const http_answer&)>;
+
+// Serves whole requests with whole answers: readiness, metrics and the
+// operators' calls. Not for callers' traffic.
+class http_endpoint
+{
+public:
+    using handler = std::function<void(received_request, http_responder)>;
+
+    http_endpoint(
+        event_loop& loop, const request_limits& limits, handler on_request);
+    ~http_endpoint();
+
+    // Error: unreachable, when the address can't be bound.
+    absl::Status open(const numeric_address& address);
+    void close();
+
+private:
+    class session;
+
+    void accept(const Poco::Net::StreamSocket& socket);
+    void remove(std::uint64_t id);
+
+    event_loop& loop_;
+    request_limits limits_;
+    handler on_request_;
+    listener listener_;
+    absl::flat_hash_map<std::uint64_t, std::shared_ptr<session>> sessions_;
+    std::uint64_t last_session_ = 0;
+};
+
+} // namespace hickorygap
+
+#endif
--- /dev/null
+++ b/src/connection/h1/message_framing.hpp
@@ -0,0 +1,107 @@
+#ifndef HICKORYGAP_CONNECTION_H1_MESSAGE_FRAMING_HPP
+#define HICKORYGAP_CONNECTION_H1_MESSAGE_FRAMING_HPP
+
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace hickorygap
+{
+
+// How the end of a body is found.
+enum class body_kind
+{
+    none,
+    length,
+    chunked,
+
+    // The body ends with the connection; responses only.
+    until_close
+};
+
+struct body_framing
+{
+    body_kind kind = body_kind::none;
+
+    // Bytes of a body of kind length.
+    std::uint64_t length = 0;
+};
+
+// Position just after the empty line that ends a head, or nothing while it
+// has not arrived.
+std::optional<std::size_t> find_head_end(std::string_view input);
+
+// Whether a head, with its final empty line, is well formed: CRLF line ends, a
+// start line, header names that are tokens directly followed by a colon, no
+// folded lines and no control characters. A head that other programs might
+// split differently fails here.
+bool is_strict_head(std::string_view head);
+
+// Parses a head that is_strict_head accepts. False when the start line is no
+// HTTP/1.0 or HTTP/1.1 request, or a field exceeds the parser's limits.
+bool parse_head(std::string_view head, Poco::Net::HTTPRequest& request);
+bool parse_head(std::string_view head, Poco::Net::HTTPResponse& response);
+
+// Framing of a request's body; nothing when it is in doubt: several lengths, a
+// length beside an encoding, or an encoding other than one `chunked`.
+std::optional<body_framing>
+request_framing(const Poco::Net::HTTPRequest& request);
+
+// Framing of the body of a response to a request with that method.
+std::optional<body_framing> response_framing(
+    const Poco::Net::HTTPResponse& response, std::string_view method);
+
+// Removes the framing from the bytes of one body.
+class body_decoder
+{
+public:
+    enum class state
+    {
+        incomplete,
+        complete,
+        broken
+    };
+
+    body_decoder() = default;
+    explicit body_decoder(body_framing framing);
+
+    // Moves the body's bytes from the front of the input to the end of the
+    // output. Bytes after the end of the body stay in the input.
+    state decode(std::string& input, std::string& output);
+
+    // The connection ended in order.
+    state finish();
+
+    state current() const
+    {
+        return state_;
+    }
+
+private:
+    enum class chunk_part
+    {
+        size_line,
+        data,
+        data_end,
+        trailer
+    };
+
+    void decode_length(std::string& input, std::string& output);
+    void decode_chunked(std::string& input, std::string& output);
+    bool read_line(std::string& input, std::string& line);
+
+    body_framing framing_;
+    state state_ = state::complete;
+    std::uint64_t remaining_ = 0;
+    chunk_part part_ = chunk_part::size_line;
+    std::size_t trailer_bytes_ = 0;
+};
+
+} // namespace hickorygap
+
+#endif
--- /dev/null
+++ b/src/connection/h1/request_reader.cpp
@@ -0,0 +1,88 @@
+#include "connection/h1/request_reader.hpp"
+
+#include <Poco/String.h>
+
+#include <utility>
+
+namespace hickorygap
+{
+
+request_reader::state
+request_reader::fail(Poco::Net::HTTPResponse::HTTPStatus status)
+{
+    failure_ = status;
+    failed_ = true;
+    return state::failed;
+}
+
+request_reader::state
+request_reader::read(std::string& input, const request_limits& limits)
+{
+    using Poco::Net::HTTPResponse;
+    if (failed_)
+    {
+        return state::failed;
+    }
+    if (!head_)
+    {
+        // An empty line between requests is allowed, RFC 9112 section 2.2.
+        while (input.starts_with("\r\n"))
+        {
+            input.erase(0, 2);
+        }
+        const auto end = find_head_end(input);
+        if (end.value_or(input.size()) > limits.header_bytes)
+        {
+            return fail(HTTPResponse::HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE);
+        }
+        if (!end)
+        {
+            return state::incomplete;
+        }
+        const std::string_view head{input.data(), *end};
+        auto parsed = std::make_unique<Poco::Net::HTTPRequest>();
+        if (!is_strict_head(head) || !parse_head(head, *parsed))
+        {
+            return fail(HTTPResponse::HTTP_BAD_REQUEST);
+        }
+        const auto framing = request_framing(*parsed);
+        if (!framing)
+        {
+            return fail(HTTPResponse::HTTP_BAD_REQUEST);
+        }
+        if (framing->length > limits.body_bytes)
+        {
+            return fail(HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE);
+        }
+        input.erase(0, *end);
+        head_ = std::move(parsed);
+        decoder_ = body_decoder{*framing};
+        continue_requested_ =
+            Poco::icompare(
+                head_->get("Expect", std::string{}), "100-continue") == 0;
+    }
+    const body_decoder::state body = decoder_.decode(input, body_);
+    if (body == body_decoder::state::broken)
+    {
+        return fail(HTTPResponse::HTTP_BAD_REQUEST);
+    }
+    if (body_.size() > limits.body_bytes)
+    {
+        return fail(HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE);
+    }
+    return body == body_decoder::state::complete ? state::complete
+                                                 : state::incomplete;
+}
+
+received_request request_reader::take()
+{
+    continue_requested_ = false;
+    return {std::move(head_), std::exchange(body_, {})};
+}
+
+bool request_reader::take_continue_request()
+{
+    return std::exchange(continue_requested_, false);
+}
+
+} // namespace hickorygap
--- /dev/null
+++ b/src/connection/h1/response_reader.cpp
@@ -0,0 +1,93 @@
+#include "connection/h1/response_reader.hpp"
+
+namespace hickorygap
+{
+
+namespace
+{
+
+// Longest head of a response, in bytes; larger than any that a backend server
+// of ours sends.
+constexpr std::size_t max_response_head = std::size_t{64} * 1024;
+
+constexpr int first_final_status = 200;
+
+} // namespace
+
+response_reader::response_reader(std::string_view method)
+    : method_{method}
+{
+}
+
+response_reader::state response_reader::read(std::string& input)
+{
+    while (state_ == state::head_incomplete)
+    {
+        const auto end = find_head_end(input);
+        if (!end)
+        {
+            if (input.size() > max_response_head)
+            {
+                state_ = state::broken;
+            }
+            return state_;
+        }
+        const std::string_view head{input.data(), *end};
+        head_.clear();
+        if (!is_strict_head(head) || !parse_head(head, head_))
+        {
+            state_ = state::broken;
+            return state_;
+        }
+        input.erase(0, *end);
+        if (head_.getStatus() < first_final_status)
+        {
+            // An interim response; the final one follows.
+            continue;
+        }
+        const auto framing = response_framing(head_, method_);
+        if (!framing)
+        {
+            state_ = state::broken;
+            return state_;
+        }
+        framing_ = *framing;
+        decoder_ = body_decoder{framing_};
+        state_ = state::body_incomplete;
+    }
+    if (state_ == state::body_incomplete)
+    {
+        const body_decoder::state body = decoder_.decode(input, body_);
+        if (body == body_decoder::state::complete)
+        {
+            state_ = state::complete;
+        }
+        else if (body == body_decoder::state::broken)
+        {
+            state_ = state::broken;
+        }
+    }
+    return state_;
+}
+
+response_reader::state response_reader::finish()
+{
+    if (state_ == state::body_incomplete)
+    {
+        state_ = decoder_.finish() == body_decoder::state::complete
+                     ? state::complete
+                     : state::broken;
+    }
+    else if (state_ == state::head_incomplete)
+    {
+        state_ = state::broken;
+    }
+    return state_;
+}
+
+bool response_reader::keeps_connection() const
+{
+    return framing_.kind != body_kind::until_close && head_.getKeepAlive();
+}
+
+} // namespace hickorygap
--- /dev/null
+++ b/src/connection/h1/response_reader.hpp
@@ -0,0 +1,68 @@
+#ifndef HICKORYGAP_CONNECTION_H1_RESPONSE_READER_HPP
+#define HICKORYGAP_CONNECTION_H1_RESPONSE_READER_HPP
+
+#include "connection/h1/message_framing.hpp"
+
+#include <Poco/Net/HTTPResponse.h>
+
+#include <string>
+#include <string_view>
+
+namespace hickorygap
+{
+
+// Reads one response from a connection.
+class response_reader
+{
+public:
+    enum class state
+    {
+        head_incomplete,
+        body_incomplete,
+        complete,
+
+        // The bytes are no response; the connection is of no more use.
+        broken
+    };
+
+    // method: that of the request, which decides whether a body follows.
+    explicit response_reader(std::string_view method);
+
+    // Takes bytes from the front of the input. Bytes after the response stay.
+    state read(std::string& input);
+
+    // The connection ended in order.
+    state finish();
+
+    state current() const
+    {
+        return state_;
+    }
+
+    // Valid once the head is complete.
+    const Poco::Net::HTTPResponse& head() const
+    {
+        return head_;
+    }
+
+    // Bytes of the body that arrived and were not taken yet.
+    std::string& body()
+    {
+        return body_;
+    }
+
+    // Whether the connection can carry another request after this response.
+    bool keeps_connection() const;
+
+private:
+    std::string method_;
+    Poco::Net::HTTPResponse head_;
+    body_framing framing_;
+    body_decoder decoder_;
+    std::string body_;
+    state state_ = state::head_incomplete;
+};
+
+} // namespace hickorygap
+
+#endif
--- /dev/null
+++ b/src/connection/link/link_connection.hpp
@@ -0,0 +1,94 @@
+#ifndef HICKORYGAP_CONNECTION_LINK_LINK_CONNECTION_HPP
+#define HICKORYGAP_CONNECTION_LINK_LINK_CONNECTION_HPP
+
+#include "connection/event/stream_connection.hpp"
+#include "messages/codec.hpp"
+
+#include <memory>
+
+namespace hickorygap
+{
+
+class link_connection;
+
+// Receives what happens on one link.
+class link_observer
+{
+public:
+    link_observer() = default;
+    link_observer(const link_observer&) = delete;
+    link_observer& operator=(const link_observer&) = delete;
+    virtual ~link_observer() = default;
+
+    virtual void on_link_ready(link_connection& link) = 0;
+
+    // The observer may close the link but must not destroy it here.
+    virtual void
+    on_message(link_connection& link, wire::envelope_msg message) = 0;
+
+    // Called once, and not after close().
+    virtual void on_link_end(link_connection& link) = 0;
+};
+
+// Envelopes between two instances over TCP: each is preceded by its length in
+// 4 bytes, least significant first.
+class link_connection final : public connection_observer
+{
+public:
+    // Dials; nullptr when the system refuses at once.
+    static std::unique_ptr<link_connection> dial(
+        event_loop& loop, const numeric_address& address, instance_id self,
+        link_observer& observer);
+
+    // Takes over an accepted socket.
+    static std::unique_ptr<link_connection> accepted(
+        event_loop& loop, const Poco::Net::StreamSocket& socket,
+        instance_id self, link_observer& observer);
+
+    void send(const wire::payloadUnion& payload);
+
+    // Encoded form of a message, to send it over several links.
+    static std::string
+    encode_frame(instance_id self, const wire::payloadUnion& payload);
+    void send_frame(std::string_view frame);
+
+    void close();
+    bool is_open() const
+    {
+        return connection_ && connection_->is_open();
+    }
+    bool is_ready() const
+    {
+        return is_open() && connection_->is_connected();
+    }
+    std::size_t pending_output() const
+    {
+        return connection_->pending_output();
+    }
+    time_point last_input() const
+    {
+        return connection_->last_input();
+    }
+
+    // Instance that the peer says it is; zero before its first message.
+    instance_id peer() const
+    {
+        return peer_;
+    }
+
+    void on_connected() override;
+    void on_input() override;
+    void on_end(connection_end end) override;
+
+private:
+    link_connection(instance_id self, link_observer& observer);
+
+    instance_id self_;
+    link_observer& observer_;
+    std::unique_ptr<stream_connection> connection_;
+    instance_id peer_ = 0;
+};
+
+} // namespace hickorygap
+
+#endif
--- /dev/null
+++ b/tests/connection/h1/message_framing_test.cpp
@@ -0,0 +1,180 @@
+#include "connection/h1/event_splitter.hpp"
+#include "connection/h1/request_reader.hpp"
+#include "connection/h1/response_reader.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <tuple>
+
+using namespace hickorygap;
+using Poco::Net::HTTPResponse;
+
+namespace
+{
+
+// Feeds a text in pieces of the given size and returns the last state.
+request_reader::state
+feed(request_reader& reader, const std::string& text, std::size_t piece)
+{
+    std::string input;
+    auto state = request_reader::state::incomplete;
+    for (std::size_t i = 0; i < text.size(); i += piece)
+    {
+        input += text.substr(i, piece);
+        state = reader.read(input, {});
+        if (state != request_reader::state::incomplete)
+        {
+            break;
+        }
+    }
+    return state;
+}
+
+} // namespace
+
+// Guards against requests that another program would split differently: the
+// rest of such a request must never be taken for a second one.
+TEST_CASE("a request whose framing is in doubt is refused")
+{
+    const auto [text, status] =
+        GENERATE(table<std::string, HTTPResponse::HTTPStatus>({
+            {"POST / HTTP/1.1\r\nContent-Length: 0\r\nContent-Length: 30\r\n"
+             "\r\nGET /x HTTP/1.1\r\n\r\n",
+             HTTPResponse::HTTP_BAD_REQUEST},
+            {"POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: "
+             "chunked\r\n\r\n0\r\n\r\n",
+             HTTPResponse::HTTP_BAD_REQUEST},
+            {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+             "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+             HTTPResponse::HTTP_BAD_REQUEST},
+            {"POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+             HTTPResponse::HTTP_BAD_REQUEST},
+            {"POST / HTTP/1.1\r\nContent-Length: +3\r\n\r\nabc",
+             HTTPResponse::HTTP_BAD_REQUEST},
+            {"POST / HTTP/1.1\r\nContent-Length : 3\r\n\r\nabc",
+             HTTPResponse::HTTP_BAD_REQUEST},
+            {"GET / HTTP/1.1\r\nA: b\r\n folded\r\n\r\n",
+             HTTPResponse::HTTP_BAD_REQUEST},
+            {"GET / HTTP/1.1\r\nA: b\nB: c\r\n\r\n",
+             HTTPResponse::HTTP_BAD_REQUEST},
+            {"GET /a b HTTP/1.1\r\n\r\n", HTTPResponse::HTTP_BAD_REQUEST},
+            {"GET / HTTP/2.0\r\n\r\n", HTTPResponse::HTTP_BAD_REQUEST},
+            {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+             HTTPResponse::HTTP_BAD_REQUEST},
+            {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+             "3\r\nabcX\r\n0\r\n\r\n",
+             HTTPResponse::HTTP_BAD_REQUEST},
+            {"POST / HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n",
+             HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE},
+            {"GET / HTTP/1.1\r\nA: " + std::string(20000, 'x') + "\r\n\r\n",
+             HTTPResponse::HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE},
+        }));
+    CAPTURE(text);
+    const auto piece = GENERATE(std::size_t{1}, std::size_t{100000});
+    request_reader reader;
+    CHECK(feed(reader, text, piece) == request_reader::state::failed);
+    CHECK(reader.failure() == status);
+    // A second look at more bytes must not find a request.
+    std::string more = "GET /smuggled HTTP/1.1\r\n\r\n";
+    CHECK(reader.read(more, {}) == request_reader::state::failed);
+}
+
+// Guards against a body that changes on its way, whatever the division of the
+// bytes, and against the loss of the next request's first bytes.
+TEST_CASE("a request is read whole and leaves the next one")
+{
+    const auto [text, body] = GENERATE(table<std::string, std::string>({
+        {"GET /a HTTP/1.1\r\nHost: h\r\n\r\n", ""},
+        {"POST /a HTTP/1.1\r\nContent-Length: 5\r\n\r\nhello", "hello"},
+        {"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "5;x=y\r\nhello\r\n1\r\n!\r\n0\r\nT: v\r\n\r\n",
+         "hello!"},
+        {"\r\nGET /a HTTP/1.1\r\n\r\n", ""},
+    }));
+    CAPTURE(text);
+    const auto piece = GENERATE(
+        std::size_t{1}, std::size_t{2}, std::size_t{7}, std::size_t{1000});
+    request_reader reader;
+    REQUIRE(feed(reader, text, piece) == request_reader::state::complete);
+    const received_request request = reader.take();
+    CHECK(request.head->getURI() == "/a");
+    CHECK(request.body == body);
+    std::string next = "GET /b HTTP/1.1\r\n\r\n";
+    REQUIRE(reader.read(next, {}) == request_reader::state::complete);
+    CHECK(reader.take().head->getURI() == "/b");
+}
+
+// Guards against an answer that ended early and is taken for a whole one.
+TEST_CASE("an answer is complete only at its stated end")
+{
+    using state = response_reader::state;
+    const auto [text, before_end, after_end] =
+        GENERATE(table<std::string, state, state>({
+            {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+             state::complete, state::complete},
+            {"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nhello",
+             state::body_incomplete, state::broken},
+            {"HTTP/1.1 200 OK\r\n\r\nhello", state::body_incomplete,
+             state::complete},
+            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+             "5\r\nhello\r\n",
+             state::body_incomplete, state::broken},
+            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+             "5\r\nhello\r\n0\r\n\r\n",
+             state::complete, state::complete},
+            {"HTTP/1.1 204 No Content\r\n\r\n", state::complete,
+             state::complete},
+            {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+             "Content-Length: 0\r\n\r\n",
+             state::complete, state::complete},
+            {"HTTP/1.1 200 OK\r\nContent-Len", state::head_incomplete,
+             state::broken},
+            {"\x01\x02garbage\r\n\r\n", state::broken, state::broken},
+        }));
+    CAPTURE(text);
+    response_reader reader{"POST"};
+    std::string input = text;
+    CHECK(reader.read(input) == before_end);
+    CHECK(reader.finish() == after_end);
+}
+
+// Guards against a second answer on the same connection that is taken for a
+// part of the first.
+TEST_CASE("bytes after an answer stay in the input")
+{
+    response_reader reader{"GET"};
+    std::string input =
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n";
+    CHECK(reader.read(input) == response_reader::state::complete);
+    CHECK(reader.body() == "ok");
+    CHECK(input == "HTTP/1.1 200 OK\r\n");
+}
+
+// Guards against half an event that reaches a caller.
+TEST_CASE("only whole events are taken from a stream")
+{
+    const auto piece =
+        GENERATE(std::size_t{1}, std::size_t{5}, std::size_t{99});
+    const std::string text =
+        "id: 7\ndata: a\n\nid:8\r\ndata: b\r\n\r\ndata: c\n\nid: 10\nda";
+    event_splitter splitter;
+    std::vector<stream_event> events;
+    for (std::size_t i = 0; i < text.size(); i += piece)
+    {
+        std::string part = text.substr(i, piece);
+        splitter.add(part);
+        while (auto event = splitter.next())
+        {
+            events.push_back(*event);
+        }
+    }
+    REQUIRE(events.size() == 3);
+    CHECK(events[0].id == 7U);
+    CHECK(events[1].id == 8U);
+    CHECK_FALSE(events[2].id);
+    CHECK(
+        events[0].text + events[1].text + events[2].text ==
+        "id: 7\ndata: a\n\nid:8\r\ndata: b\r\n\r\ndata: c\n\n");
+    CHECK(splitter.remainder() == "id: 10\nda");
+}
