Add routing configurations, the table of backend servers and their choice

Cause: routes by host and prefix, limits and keys per configuration, and backend servers that come from a list are needed beside tickets that name every server.

Ruled out for now: an owner per service. Each router computes the same rendezvous order, so prefixes meet on one engine without messages.

--- /dev/null
+++ b/src/request/dispatch/backend_table.cpp
@@ -0,0 +1,254 @@
+#include "request/dispatch/backend_table.hpp"
+
+#include "common/hashing.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hickorygap
+{
+
+namespace
+{
+
+// Weight of a new sample in the moving averages. About the last ten samples
+// count.
+constexpr double average_weight = 0.1;
+
+// A server is avoided after so many failures in a row; a single one also
+// happens at healthy servers.
+constexpr std::uint32_t failures_before_avoidance = 2;
+
+// First time of avoidance; it doubles with each further failure. A crashed
+// server is back after some seconds.
+constexpr duration first_avoidance = std::chrono::milliseconds{500};
+constexpr duration longest_avoidance = std::chrono::seconds{4};
+
+// An address that another server has taken over is not used until the list
+// has caught up; the list lags by about a second.
+constexpr duration replaced_avoidance = std::chrono::seconds{10};
+
+// Time after which half of a report's weight is gone.
+constexpr double report_half_life_s = 1.0;
+
+void average(double& value, double sample)
+{
+    value += average_weight * (sample - value);
+}
+
+} // namespace
+
+void backend_table::replace(std::span<const listed_backend> list)
+{
+    known_ = true;
+    listed_.clear();
+    for (const listed_backend& entry : list)
+    {
+        const backend_server_id id = hash_name(entry.id);
+        listed_[id] = true;
+        auto& record = records_[id];
+        if (!record)
+        {
+            record = std::make_unique<backend_record>();
+            record->id = id;
+        }
+        record->listed = entry;
+    }
+    std::vector<backend_server_id> missing;
+    for (const auto& [id, record] : records_)
+    {
+        if (!listed_.contains(id))
+        {
+            record->listed.leaving = true;
+            missing.push_back(id);
+        }
+    }
+    for (const backend_server_id id : missing)
+    {
+        drop_if_unlisted(id);
+    }
+}
+
+void backend_table::drop_if_unlisted(backend_server_id id)
+{
+    const auto found = records_.find(id);
+    if (found != records_.end() && !listed_.contains(id) &&
+        found->second->in_flight == 0)
+    {
+        records_.erase(found);
+    }
+}
+
+const backend_record* backend_table::find(backend_server_id id) const
+{
+    const auto found = records_.find(id);
+    return found == records_.end() ? nullptr : found->second.get();
+}
+
+std::vector<const backend_record*>
+backend_table::serving(std::string_view service) const
+{
+    std::vector<const backend_record*> result;
+    for (const auto& [id, record] : records_)
+    {
+        if (!record->listed.leaving && record->listed.service == service)
+        {
+            result.push_back(record.get());
+        }
+    }
+    // The map's order differs between processes.
+    std::ranges::sort(result, {}, &backend_record::id);
+    return result;
+}
+
+void backend_table::on_sent(backend_server_id id, time_point now)
+{
+    const auto found = records_.find(id);
+    if (found == records_.end())
+    {
+        return;
+    }
+    backend_record& record = *found->second;
+    ++record.in_flight;
+    if (!record.unanswered_since)
+    {
+        record.unanswered_since = now;
+    }
+}
+
+void backend_table::on_bytes(backend_server_id id, time_point now)
+{
+    const auto found = records_.find(id);
+    if (found != records_.end())
+    {
+        found->second->unanswered_since = now;
+    }
+}
+
+void backend_table::on_first_byte(backend_server_id id, duration after)
+{
+    const auto found = records_.find(id);
+    if (found == records_.end())
+    {
+        return;
+    }
+    constexpr double microseconds_per_ms = 1000.0;
+    const double sample =
+        static_cast<double>(after.count()) / microseconds_per_ms;
+    double& value = found->second->first_byte_ms;
+    if (value == 0)
+    {
+        value = sample;
+    }
+    else
+    {
+        average(value, sample);
+    }
+}
+
+void backend_table::on_load(
+    backend_server_id id, const reported_load& load, time_point now)
+{
+    const auto found = records_.find(id);
+    if (found != records_.end())
+    {
+        found->second->report = load;
+        found->second->reported_at = now;
+        found->second->in_flight_at_report = found->second->in_flight;
+    }
+}
+
+void backend_table::count_failure(backend_record& record, time_point now)
+{
+    ++record.consecutive_failures;
+    if (record.consecutive_failures < failures_before_avoidance)
+    {
+        return;
+    }
+    const auto doublings =
+        std::min(record.consecutive_failures - failures_before_avoidance, 3U);
+    record.avoided_until =
+        now + std::min(first_avoidance * (1U << doublings), longest_avoidance);
+}
+
+void backend_table::on_end(
+    backend_server_id id, dispatch_outcome outcome, time_point now)
+{
+    const auto found = records_.find(id);
+    if (found == records_.end())
+    {
+        return;
+    }
+    backend_record& record = *found->second;
+    record.in_flight -= std::min(record.in_flight, 1U);
+    if (record.in_flight == 0)
+    {
+        record.unanswered_since.reset();
+    }
+    switch (outcome)
+    {
+    case dispatch_outcome::answered:
+        average(record.failure_share, 0);
+        record.consecutive_failures = 0;
+        break;
+    case dispatch_outcome::server_error:
+        // An answer of the application, so the server itself is up.
+        average(record.failure_share, 1);
+        record.consecutive_failures = 0;
+        break;
+    case dispatch_outcome::broken:
+    case dispatch_outcome::silent:
+        average(record.failure_share, 1);
+        count_failure(record, now);
+        break;
+    case dispatch_outcome::rejected:
+    case dispatch_outcome::withdrawn:
+        break;
+    }
+    drop_if_unlisted(id);
+}
+
+void backend_table::on_unreachable(backend_server_id id, time_point now)
+{
+    const auto found = records_.find(id);
+    if (found != records_.end())
+    {
+        // Nothing listens there, which a healthy server never shows.
+        found->second->consecutive_failures = std::max(
+            found->second->consecutive_failures, failures_before_avoidance);
+        count_failure(*found->second, now);
+    }
+}
+
+void backend_table::on_replaced(backend_server_id id, time_point now)
+{
+    const auto found = records_.find(id);
+    if (found != records_.end())
+    {
+        found->second->avoided_until = now + replaced_avoidance;
+    }
+}
+
+double estimated_load(const backend_record& record, time_point now)
+{
+    const auto own = static_cast<double>(record.in_flight);
+    if (!record.report)
+    {
+        return own;
+    }
+    const double others = std::max(
+        0.0,
+        static_cast<double>(record.report->running + record.report->waiting) -
+            static_cast<double>(record.in_flight_at_report));
+    const double age =
+        std::chrono::duration<double>(now - record.reported_at).count();
+    return own + others * std::exp2(-age / report_half_life_s);
+}
+
+duration silence_of(const backend_record& record, time_point now)
+{
+    return record.unanswered_since ? now - *record.unanswered_since
+                                   : duration{0};
+}
+
+} // namespace hickorygap
--- /dev/null
+++ b/src/request/dispatch/backend_table.hpp
@@ -0,0 +1,136 @@
+#ifndef HICKORYGAP_REQUEST_DISPATCH_BACKEND_TABLE_HPP
+#define HICKORYGAP_REQUEST_DISPATCH_BACKEND_TABLE_HPP
+
+#include "common/ids.hpp"
+#include "common/time.hpp"
+#include "request/dialect/request_dialect.hpp"
+#include "request/dispatch/listed_backend.hpp"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hickorygap
+{
+
+// How a request at a backend server ended, as far as it tells about the
+// server.
+enum class dispatch_outcome
+{
+    // A complete answer other than a failure of the server.
+    answered,
+
+    // The server was full and has not run the request.
+    rejected,
+
+    // The server answered that it failed.
+    server_error,
+
+    // No complete answer: refused, reset, cut short, or bytes that are none.
+    broken,
+
+    // No answer in time.
+    silent,
+
+    // The caller left, or the router gave up for a reason of its own.
+    withdrawn
+};
+
+// What this router knows of one backend server.
+struct backend_record
+{
+    listed_backend listed;
+    backend_server_id id = 0;
+
+    // Requests of this router that it holds.
+    std::uint32_t in_flight = 0;
+
+    // Its last report, when that arrived, and in_flight at that time.
+    std::optional<reported_load> report;
+    time_point reported_at;
+    std::uint32_t in_flight_at_report = 0;
+
+    // Moving average of the time to the first byte of an answer, in ms; zero
+    // before the first one.
+    double first_byte_ms = 0;
+
+    // Moving average of the share of requests that failed, 0 to 1.
+    double failure_share = 0;
+
+    // Failures since the last answer.
+    std::uint32_t consecutive_failures = 0;
+
+    // It gets no requests before, unless no other server can take them.
+    time_point avoided_until;
+
+    // Something was sent to it at this time and nothing has arrived since.
+    std::optional<time_point> unanswered_since;
+};
+
+// The backend servers that the list names, with what the traffic of this
+// router tells about each. Pure: all times are passed in.
+class backend_table
+{
+public:
+    // Takes a complete list: servers that it lacks are forgotten once they
+    // hold no request of this router.
+    void replace(std::span<const listed_backend> list);
+
+    // nullptr for an unknown server.
+    const backend_record* find(backend_server_id id) const;
+
+    // Servers of a service that take new requests.
+    std::vector<const backend_record*> serving(std::string_view service) const;
+
+    std::size_t size() const
+    {
+        return records_.size();
+    }
+
+    // Whether a list was ever taken.
+    bool is_known() const
+    {
+        return known_;
+    }
+
+    // Each request that is sent to a server is reported with on_sent, and
+    // its end with on_end. on_bytes: something arrived from the server.
+    void on_sent(backend_server_id id, time_point now);
+    void on_bytes(backend_server_id id, time_point now);
+    void on_first_byte(backend_server_id id, duration after);
+    void
+    on_load(backend_server_id id, const reported_load& load, time_point now);
+    void on_end(backend_server_id id, dispatch_outcome outcome, time_point now);
+
+    // A connection to the server could not be established.
+    void on_unreachable(backend_server_id id, time_point now);
+
+    // The server's address belongs to another one by now.
+    void on_replaced(backend_server_id id, time_point now);
+
+private:
+    void count_failure(backend_record& record, time_point now);
+    void drop_if_unlisted(backend_server_id id);
+
+    absl::flat_hash_map<backend_server_id, std::unique_ptr<backend_record>>
+        records_;
+    absl::flat_hash_map<backend_server_id, bool> listed_;
+    bool known_ = false;
+};
+
+// Estimate of the requests that a server holds: its last report, corrected by
+// what this router has sent and seen end since.
+double estimated_load(const backend_record& record, time_point now);
+
+// Time for which the server has answered nothing although it holds requests.
+duration silence_of(const backend_record& record, time_point now);
+
+} // namespace hickorygap
+
+#endif
--- /dev/null
+++ b/src/request/dispatch/dispatch_policy.cpp
@@ -0,0 +1,212 @@
+#include "request/dispatch/dispatch_policy.hpp"
+
+#include "common/hashing.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <vector>
+
+namespace hickorygap
+{
+
+namespace
+{
+
+// A server may hold so many times the mean load of its service, and a few
+// requests more, before affinity gives way. The fleet's promise is twice the
+// mean and three; the rest is for what this router can't see.
+constexpr double affinity_load_factor = 1.4;
+constexpr double affinity_load_slack = 2.0;
+
+// Silence of an engine after which it gets no new requests. A sound one emits
+// an event at least every 300 ms.
+constexpr duration engine_silence = std::chrono::milliseconds{800};
+
+// Silence of a plain server after which it gets no new requests.
+constexpr duration plain_silence = std::chrono::milliseconds{250};
+
+// A server whose share of failures is higher than the lowest of its service
+// by so much is avoided.
+constexpr double failure_margin = 0.25;
+
+// Load and time are compared after adding these, so that idle and unknown
+// servers have a cost.
+constexpr double base_load = 1.0;
+constexpr double unknown_first_byte_ms = 20.0;
+
+// A server in the router's own failure domain costs so much less, because
+// traffic between domains is slower and is paid for.
+constexpr double own_domain_factor = 0.9;
+
+bool is_excluded(const dispatch_query& query, const backend_record& record)
+{
+    return std::ranges::find(query.excluded, record.id) != query.excluded.end();
+}
+
+// Sound servers that may be chosen; all that may be chosen when none is sound.
+struct candidate_set
+{
+    std::vector<const backend_record*> records;
+    bool sound = true;
+    double mean_load = 0;
+};
+
+candidate_set candidates_of(
+    std::span<const backend_record* const> serving, const dispatch_query& query,
+    duration longest_silence, time_point now)
+{
+    candidate_set result;
+    double lowest_failure = 1;
+    double total = 0;
+    for (const backend_record* record : serving)
+    {
+        lowest_failure = std::min(lowest_failure, record->failure_share);
+        total += estimated_load(*record, now);
+    }
+    result.mean_load =
+        serving.empty() ? 0 : total / static_cast<double>(serving.size());
+    std::vector<const backend_record*> others;
+    for (const backend_record* record : serving)
+    {
+        if (is_excluded(query, *record))
+        {
+            continue;
+        }
+        const bool sound =
+            record->avoided_until <= now &&
+            silence_of(*record, now) <= longest_silence &&
+            record->failure_share <= lowest_failure + failure_margin;
+        (sound ? result.records : others).push_back(record);
+    }
+    if (result.records.empty())
+    {
+        result.sound = false;
+        result.records = std::move(others);
+    }
+    return result;
+}
+
+// The one that is avoided for the shortest time.
+dispatch_choice last_resort(const candidate_set& candidates, time_point now)
+{
+    dispatch_choice choice;
+    choice.reason = dispatch_reason::last_resort;
+    choice.mean_load = candidates.mean_load;
+    const auto first = std::ranges::min_element(
+        candidates.records, {}, &backend_record::avoided_until);
+    if (first != candidates.records.end())
+    {
+        choice.backend = *first;
+        choice.load = estimated_load(**first, now);
+    }
+    return choice;
+}
+
+} // namespace
+
+std::string_view dispatch_reason_name(dispatch_reason reason)
+{
+    switch (reason)
+    {
+    case dispatch_reason::preferred:
+        return "preferred";
+    case dispatch_reason::spilled:
+        return "spilled";
+    case dispatch_reason::last_resort:
+        return "last_resort";
+    }
+    return "unknown";
+}
+
+dispatch_choice prefix_affinity_policy::choose(
+    std::span<const backend_record* const> serving, const dispatch_query& query,
+    time_point now)
+{
+    const candidate_set candidates =
+        candidates_of(serving, query, engine_silence, now);
+    if (!candidates.sound)
+    {
+        return last_resort(candidates, now);
+    }
+    const double bound =
+        affinity_load_factor * candidates.mean_load + affinity_load_slack;
+    dispatch_choice choice;
+    choice.mean_load = candidates.mean_load;
+    std::uint64_t best_score = 0;
+    const backend_record* least = nullptr;
+    double least_load = std::numeric_limits<double>::max();
+    std::uint64_t first_score = 0;
+    for (const backend_record* record : candidates.records)
+    {
+        const double load = estimated_load(*record, now);
+        const std::uint64_t score =
+            rendezvous_score(query.affinity_key, record->id);
+        first_score = std::max(first_score, score);
+        if (load < least_load)
+        {
+            least_load = load;
+            least = record;
+        }
+        if (query.affinity_key != 0 && load <= bound &&
+            (choice.backend == nullptr || score > best_score))
+        {
+            choice.backend = record;
+            choice.load = load;
+            best_score = score;
+        }
+    }
+    if (choice.backend == nullptr)
+    {
+        choice.backend = least;
+        choice.load = least_load;
+    }
+    if (query.affinity_key != 0 && best_score != first_score)
+    {
+        choice.reason = dispatch_reason::spilled;
+    }
+    return choice;
+}
+
+least_cost_policy::least_cost_policy(std::uint64_t seed)
+    : random_{seed}
+{
+}
+
+dispatch_choice least_cost_policy::choose(
+    std::span<const backend_record* const> serving, const dispatch_query& query,
+    time_point now)
+{
+    const candidate_set candidates =
+        candidates_of(serving, query, plain_silence, now);
+    if (!candidates.sound)
+    {
+        return last_resort(candidates, now);
+    }
+    dispatch_choice choice;
+    choice.mean_load = candidates.mean_load;
+    double lowest = std::numeric_limits<double>::max();
+    for (const backend_record* record : candidates.records)
+    {
+        const double load = estimated_load(*record, now);
+        const double time = record->first_byte_ms > 0 ? record->first_byte_ms
+                                                      : unknown_first_byte_ms;
+        const double domain =
+            record->listed.failure_domain == query.failure_domain
+                ? own_domain_factor
+                : 1.0;
+        // Ties are broken at random, so that routers don't move together.
+        constexpr double tie_spread = 0.05;
+        const double cost =
+            (load + base_load) * time * domain * (1.0 + record->failure_share) *
+            (1.0 + tie_spread * std::uniform_real_distribution<>{}(random_));
+        if (cost < lowest)
+        {
+            lowest = cost;
+            choice.backend = record;
+            choice.load = load;
+        }
+    }
+    return choice;
+}
+
+} // namespace hickorygap
--- /dev/null
+++ b/src/request/dispatch/dispatch_policy.hpp
@@ -0,0 +1,95 @@
+#ifndef HICKORYGAP_REQUEST_DISPATCH_DISPATCH_POLICY_HPP
+#define HICKORYGAP_REQUEST_DISPATCH_DISPATCH_POLICY_HPP
+
+#include "common/random.hpp"
+#include "request/dispatch/backend_table.hpp"
+
+#include <span>
+#include <string_view>
+
+namespace hickorygap
+{
+
+// What a choice of a backend server depends on.
+struct dispatch_query
+{
+    // Requests with the same key profit from the same server; zero for none.
+    std::uint64_t affinity_key = 0;
+
+    // Failure domain of this router.
+    std::string_view failure_domain;
+
+    // Servers that must not be chosen, because this request was sent to them
+    // before.
+    std::span<const backend_server_id> excluded;
+};
+
+// Why a server was chosen; for the decision log.
+enum class dispatch_reason
+{
+    // First choice by affinity, or the least loaded where there is none.
+    preferred,
+
+    // The first choice was too loaded or not sound.
+    spilled,
+
+    // All servers are avoided; the one whose time ends first was taken.
+    last_resort
+};
+
+std::string_view dispatch_reason_name(dispatch_reason reason);
+
+struct dispatch_choice
+{
+    // nullptr: no server can take the request.
+    const backend_record* backend = nullptr;
+    dispatch_reason reason = dispatch_reason::preferred;
+    double load = 0;
+    double mean_load = 0;
+};
+
+// Chooses a backend server for a request.
+class dispatch_policy
+{
+public:
+    dispatch_policy() = default;
+    dispatch_policy(const dispatch_policy&) = delete;
+    dispatch_policy& operator=(const dispatch_policy&) = delete;
+    virtual ~dispatch_policy() = default;
+
+    virtual dispatch_choice choose(
+        std::span<const backend_record* const> serving,
+        const dispatch_query& query, time_point now) = 0;
+};
+
+// Sends requests that share a prompt part to the same server while that is
+// sound and not loaded over the bound, then to the next one in an order that
+// all routers compute alike. Answers a few popular prompts among many servers:
+// each prompt's prefix is cached on one server, and on further ones only as
+// far as the load requires it.
+class prefix_affinity_policy final : public dispatch_policy
+{
+public:
+    dispatch_choice choose(
+        std::span<const backend_record* const> serving,
+        const dispatch_query& query, time_point now) override;
+};
+
+// Sends each request where it is expected to end first, by load, speed and
+// share of failures. Answers short requests to a few servers of unequal speed.
+class least_cost_policy final : public dispatch_policy
+{
+public:
+    explicit least_cost_policy(std::uint64_t seed);
+
+    dispatch_choice choose(
+        std::span<const backend_record* const> serving,
+        const dispatch_query& query, time_point now) override;
+
+private:
+    random_engine random_;
+};
+
+} // namespace hickorygap
+
+#endif
--- /dev/null
+++ b/src/version/routing/configuration_format.hpp
@@ -0,0 +1,31 @@
+#ifndef HICKORYGAP_VERSION_ROUTING_CONFIGURATION_FORMAT_HPP
+#define HICKORYGAP_VERSION_ROUTING_CONFIGURATION_FORMAT_HPP
+
+#include "version/routing/routing_configuration.hpp"
+
+#include <absl/status/statusor.h>
+
+#include <memory>
+#include <string_view>
+
+namespace hickorygap
+{
+
+// Reads the documents that operators file.
+class configuration_format
+{
+public:
+    configuration_format() = default;
+    configuration_format(const configuration_format&) = delete;
+    configuration_format& operator=(const configuration_format&) = delete;
+    virtual ~configuration_format() = default;
+
+    // Error: ticket_invalid, when the document can't be read in full or its
+    // content is invalid; the message says what to correct.
+    virtual absl::StatusOr<std::shared_ptr<const routing_configuration>>
+    decode(std::string_view document) const = 0;
+};
+
+} // namespace hickorygap
+
+#endif
--- /dev/null
+++ b/tests/request/dispatch/dispatch_policy_test.cpp
@@ -0,0 +1,238 @@
+#include "common/hashing.hpp"
+#include "request/dispatch/dispatch_policy.hpp"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+using namespace hickorygap;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+std::vector<listed_backend> make_list(int count)
+{
+    std::vector<listed_backend> list;
+    for (int i = 0; i < count; ++i)
+    {
+        list.push_back(
+            {fmt::format("b{}", i),
+             "reports",
+             fmt::format("domain-{}", i % 3),
+             {"10.0.0.1", static_cast<std::uint16_t>(8000 + i)},
+             16,
+             false});
+    }
+    return list;
+}
+
+// Policies with a table of servers and a clock.
+struct fixture
+{
+    explicit fixture(int servers = 6)
+    {
+        table.replace(make_list(servers));
+    }
+
+    dispatch_choice choose(dispatch_policy& policy, std::uint64_t key = 0)
+    {
+        const auto serving = table.serving("reports");
+        return policy.choose(serving, {key, "domain-0", excluded}, now);
+    }
+
+    backend_table table;
+    std::vector<backend_server_id> excluded;
+    time_point now{1h};
+};
+
+constexpr std::uint64_t key = 0x5c1e07a2;
+
+} // namespace
+
+// Load: many requests about a few popular prompts, seen by several routers.
+// Guards against routers that send the same prompt to different engines.
+TEST_CASE("requests about one prompt go to one engine on every router")
+{
+    fixture first;
+    fixture second;
+    prefix_affinity_policy policy;
+    std::map<backend_server_id, int> used;
+    for (std::uint64_t prompt = 1; prompt <= 200; ++prompt)
+    {
+        const auto choice = first.choose(policy, prompt);
+        REQUIRE(choice.backend != nullptr);
+        CHECK(choice.reason == dispatch_reason::preferred);
+        CHECK(second.choose(policy, prompt).backend->id == choice.backend->id);
+        ++used[choice.backend->id];
+    }
+    CHECK(used.size() == 6);
+}
+
+// Load: one key gets a large part of the traffic. Guards against an engine
+// that is loaded over the fleet's bound of twice the mean and three.
+TEST_CASE("a hot prompt spills before its engine is over the bound")
+{
+    fixture f;
+    prefix_affinity_policy policy;
+    std::uint32_t most = 0;
+    for (int i = 1; i <= 300; ++i)
+    {
+        const auto choice = f.choose(policy, key);
+        REQUIRE(choice.backend != nullptr);
+        f.table.on_sent(choice.backend->id, f.now);
+        f.table.on_bytes(choice.backend->id, f.now);
+        most = std::max(most, choice.backend->in_flight);
+        CHECK(most <= 2.0 * i / 6 + 3);
+    }
+    // More engines share it only as far as the bound demands.
+    const auto serving = f.table.serving("reports");
+    CHECK(
+        std::ranges::max(serving, {}, &backend_record::in_flight)->in_flight >
+        50);
+}
+
+// Guards against new work for engines that crashed, hang, fail, leave, or
+// already failed this request, while others are sound.
+TEST_CASE("an unsound engine gives way to the next one")
+{
+    using harm = std::function<void(fixture&, const backend_record&)>;
+    const auto [label, break_it] = GENERATE(table<std::string, harm>({
+        {"refuses connections", [](fixture& f, const backend_record& b)
+         { f.table.on_unreachable(b.id, f.now); }},
+        {"broke off twice",
+         [](fixture& f, const backend_record& b)
+         {
+             for (int i = 0; i < 2; ++i)
+             {
+                 f.table.on_sent(b.id, f.now);
+                 f.table.on_end(b.id, dispatch_outcome::broken, f.now);
+             }
+         }},
+        {"hangs",
+         [](fixture& f, const backend_record& b)
+         {
+             f.table.on_sent(b.id, f.now);
+             f.now = f.now + 1s;
+         }},
+        {"fails many",
+         [](fixture& f, const backend_record& b)
+         {
+             for (int i = 0; i < 10; ++i)
+             {
+                 f.table.on_sent(b.id, f.now);
+                 f.table.on_end(b.id, dispatch_outcome::server_error, f.now);
+             }
+         }},
+        {"leaves",
+         [](fixture& f, const backend_record& b)
+         {
+             auto list = make_list(6);
+             std::ranges::find(list, b.listed.id, &listed_backend::id)
+                 ->leaving = true;
+             f.table.replace(list);
+         }},
+        {"is gone from the list",
+         [](fixture& f, const backend_record& b)
+         {
+             auto list = make_list(6);
+             std::erase_if(
+                 list, [&](const listed_backend& item)
+                 { return hash_name(item.id) == b.id; });
+             f.table.replace(list);
+         }},
+        {"was replaced at its address", [](fixture& f, const backend_record& b)
+         { f.table.on_replaced(b.id, f.now); }},
+        {"was tried", [](fixture& f, const backend_record& b)
+         { f.excluded.push_back(b.id); }},
+    }));
+    CAPTURE(label);
+    const bool affinity = GENERATE(true, false);
+    prefix_affinity_policy by_prefix;
+    least_cost_policy by_cost{1};
+    dispatch_policy& policy =
+        affinity ? static_cast<dispatch_policy&>(by_prefix) : by_cost;
+    fixture f;
+    const backend_server_id before = f.choose(policy, key).backend->id;
+    break_it(f, *f.table.find(before));
+    for (int i = 0; i < 20; ++i)
+    {
+        const auto choice = f.choose(policy, key);
+        REQUIRE(choice.backend != nullptr);
+        CHECK(choice.backend->id != before);
+    }
+}
+
+// Guards against refusals while a server might answer, and against a request
+// that is sent to a server twice.
+TEST_CASE("the least bad server is the last resort")
+{
+    fixture f{2};
+    prefix_affinity_policy policy;
+    const auto serving = f.table.serving("reports");
+    f.table.on_unreachable(serving[0]->id, f.now);
+    f.now = f.now + 100ms;
+    f.table.on_unreachable(serving[1]->id, f.now);
+    const auto choice = f.choose(policy, key);
+    REQUIRE(choice.backend != nullptr);
+    CHECK(choice.backend->id == serving[0]->id);
+    CHECK(choice.reason == dispatch_reason::last_resort);
+    f.excluded = {serving[0]->id, serving[1]->id};
+    CHECK(f.choose(policy, key).backend == nullptr);
+}
+
+// Load: short calls to three servers, one of which has turned slow.
+// Guards against calls that queue at the slow one.
+TEST_CASE("short calls avoid a slow server")
+{
+    fixture f{3};
+    least_cost_policy policy{1};
+    const auto serving = f.table.serving("reports");
+    for (const backend_record* record : serving)
+    {
+        f.table.on_first_byte(record->id, record == serving[0] ? 100ms : 20ms);
+    }
+    std::map<backend_server_id, int> used;
+    for (int i = 0; i < 300; ++i)
+    {
+        const auto choice = f.choose(policy);
+        ++used[choice.backend->id];
+        f.table.on_sent(choice.backend->id, f.now);
+        f.table.on_end(choice.backend->id, dispatch_outcome::answered, f.now);
+    }
+    CHECK(used[serving[0]->id] < 30);
+}
+
+// Guards against an estimate that forgets what other routers have placed, or
+// keeps an old report for ever.
+TEST_CASE("the load is the last report corrected by the own requests")
+{
+    fixture f{1};
+    const backend_record& record = *f.table.serving("reports").front();
+    f.table.on_sent(record.id, f.now);
+    f.table.on_load(record.id, {5, 2, 16}, f.now);
+    CHECK(estimated_load(record, f.now) == Approx(7));
+    f.table.on_sent(record.id, f.now);
+    CHECK(estimated_load(record, f.now) == Approx(8));
+    f.table.on_end(record.id, dispatch_outcome::answered, f.now);
+    CHECK(estimated_load(record, f.now) == Approx(7));
+    CHECK(estimated_load(record, f.now + 10s) == Approx(1).margin(0.1));
+}
+
+// Guards against a record that is dropped while a request still refers to it.
+TEST_CASE("a server that left the list is forgotten after its last request")
+{
+    fixture f{1};
+    const backend_server_id id = f.table.serving("reports").front()->id;
+    f.table.on_sent(id, f.now);
+    f.table.replace({});
+    REQUIRE(f.table.find(id) != nullptr);
+    CHECK(f.table.serving("reports").empty());
+    f.table.on_end(id, dispatch_outcome::answered, f.now);
+    CHECK(f.table.find(id) == nullptr);
+}
--- /dev/null
+++ b/tests/version/routing/routing_configuration_test.cpp
@@ -0,0 +1,124 @@
+#include "common/error.hpp"
+#include "version/routing/routing_configuration.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <functional>
+#include <string>
+#include <utility>
+
+using namespace hickorygap;
+
+namespace
+{
+
+route make_route(
+    std::string name, std::string prefix,
+    std::vector<weighted_service> targets = {{"reports", 1}})
+{
+    route result;
+    result.name = std::move(name);
+    result.host = "Site.example";
+    result.path_prefix = std::move(prefix);
+    result.targets = std::move(targets);
+    result.timeout = std::chrono::seconds{1};
+    return result;
+}
+
+routing_configuration_builder valid_builder()
+{
+    routing_configuration_builder builder{7};
+    routed_service service;
+    service.name = "reports";
+    builder.add_service(service).add_route(make_route("all", "/a/"));
+    builder.add_organisation({"diarroi", {"key-1", "key-2"}, 1});
+    return builder;
+}
+
+} // namespace
+
+// Guards against a configuration that is accepted although it can't be served
+// as a whole.
+TEST_CASE("an invalid configuration is refused and the object is named")
+{
+    using change = std::function<void(routing_configuration_builder&)>;
+    const auto [label, named, break_it] =
+        GENERATE(table<std::string, std::string, change>({
+            {"unknown service", "unknown service \"booking\"",
+             [](routing_configuration_builder& b) {
+                 b.add_route(make_route("r", "/b/", {{"booking", 1}}));
+             }},
+            {"same host and prefix", "share host and prefix",
+             [](routing_configuration_builder& b)
+             { b.add_route(make_route("r", "/a/")); }},
+            {"no weight", "weights of route \"r\"",
+             [](routing_configuration_builder& b) {
+                 b.add_route(make_route("r", "/b/", {{"reports", 0}}));
+             }},
+            {"no service", "weights of route \"r\"",
+             [](routing_configuration_builder& b)
+             { b.add_route(make_route("r", "/b/", {})); }},
+            {"no timeout", "timeout of route \"r\"",
+             [](routing_configuration_builder& b)
+             {
+                 route added = make_route("r", "/b/");
+                 added.timeout = duration{0};
+                 b.add_route(added);
+             }},
+            {"no slash", "slash",
+             [](routing_configuration_builder& b)
+             { b.add_route(make_route("r", "/b")); }},
+            {"shared key", "share an API key",
+             [](routing_configuration_builder& b) {
+                 b.add_organisation({"other", {"key-2"}, {}});
+             }},
+            {"service twice", "service \"reports\"",
+             [](routing_configuration_builder& b)
+             {
+                 routed_service service;
+                 service.name = "reports";
+                 b.add_service(service);
+             }},
+        }));
+    CAPTURE(label);
+    auto builder = valid_builder();
+    break_it(builder);
+    const auto result = builder.build();
+    REQUIRE_FALSE(result.ok());
+    CHECK(kind_of(result.status()) == error_kind::ticket_invalid);
+    CHECK_THAT(std::string{result.status().message()}, Catch::Contains(named));
+}
+
+// Guards against a request that reaches another route's service.
+TEST_CASE("the longest prefix of the host decides")
+{
+    auto builder = valid_builder();
+    builder.add_route(make_route("deep", "/a/b/"))
+        .add_route(make_route("root", "/"));
+    const auto built = builder.build();
+    REQUIRE(built.ok());
+    const auto [host, path, name] =
+        GENERATE(table<std::string, std::string, std::string>({
+            {"site.example", "/a/x", "all"},
+            {"SITE.example:8080", "/a/b/c", "deep"},
+            {"site.example", "/a/bc", "all"},
+            {"site.example", "/a", "root"},
+            {"site.example", "/ab/", "root"},
+            {"other.example", "/a/x", ""},
+        }));
+    CAPTURE(host, path);
+    const route* found = (*built)->find_route(host, path);
+    CHECK((found == nullptr ? "" : found->name) == name);
+}
+
+// Guards against a key that opens another organisation's account.
+TEST_CASE("keys belong to their organisation")
+{
+    const auto built = valid_builder().build();
+    REQUIRE(built.ok());
+    CHECK((*built)->requires_key());
+    REQUIRE((*built)->find_organisation("key-2") != nullptr);
+    CHECK((*built)->find_organisation("key-2")->name == "diarroi");
+    CHECK((*built)->find_organisation("key-3") == nullptr);
+    CHECK((*built)->find_organisation("") == nullptr);
+}
