Replicate the routing configuration in a group that maintains itself

Cause: the platform names three seeds and no voters, replaces machines at new addresses and loses disks; voters that are changed only by tickets can't follow that.

Change: routing_voter founds the group by its seeds, takes joining instances as learners, gives them a vote when they hold everything, replaces a voter that stays silent when another instance can take its place, and replaces the disk of a voter in one step. It accepts nothing while fewer voters exist than twice the disks that may be lost and one. storage_writer is shared with voter.

Ruled out: demoting a voter that lost its disk, as tickets do: with two disks lost the group would shrink to three voters, and the loss of one more disk would leave no majority.

--- a/src/process/consensus/raft_node.cpp
+++ b/src/process/consensus/raft_node.cpp
@@ -158,7 +158,8 @@
     {
         return make_error(
             error_kind::invalid_request,
-            "only one voter can be added or removed at a time");
+            "only one voter can be added, removed or given another disk at a "
+            "time");
     }
     append_local(
         wire::entry_kind::voters,
@@ -988,6 +989,14 @@
            found->second.match >= commit_ && commit_ >= term_start_index_;
 }
 
+std::optional<time_point> raft_node::last_contact(instance_id instance) const
+{
+    const auto found = followers_.find(instance);
+    return found == followers_.end()
+               ? std::nullopt
+               : std::optional{found->second.last_contact};
+}
+
 bool raft_node::may_change_voters() const
 {
     return is_leader() && configuration_index_ <= commit_ &&
--- a/src/process/consensus/raft_node.hpp
+++ b/src/process/consensus/raft_node.hpp
@@ -192,6 +192,11 @@
     disk_id disk_of(instance_id instance) const;
     bool is_caught_up(instance_id instance) const;
 
+    // For the leader: when the instance last answered in this term, or the
+    // start of its replication; nothing for an instance that is not in the
+    // voter list, or is this one.
+    std::optional<time_point> last_contact(instance_id instance) const;
+
 private:
     // What the leader knows of one follower.
     struct progress
--- a/src/process/consensus/voter_list.cpp
+++ b/src/process/consensus/voter_list.cpp
@@ -97,13 +97,24 @@
 std::size_t
 count_changed_voters(const voter_list& left, const voter_list& right)
 {
+    // A voter with another disk counts once: the old disk is lost for good
+    // and can no longer vote, so a majority before and one after the change
+    // still share a voter.
     const auto missing_in = [](const voter_list& from, const voter_list& other)
     {
         return static_cast<std::size_t>(std::ranges::count_if(
             from.voters, [&](const voter_identity& voter)
-            { return std::ranges::count(other.voters, voter) == 0; }));
+            { return other.find_voter(voter.instance) == nullptr; }));
     };
-    return missing_in(left, right) + missing_in(right, left);
+    const auto with_new_disk = std::ranges::count_if(
+        left.voters,
+        [&](const voter_identity& voter)
+        {
+            const voter_identity* same = right.find_voter(voter.instance);
+            return same != nullptr && same->disk != voter.disk;
+        });
+    return missing_in(left, right) + missing_in(right, left) +
+           static_cast<std::size_t>(with_new_disk);
 }
 
 } // namespace hickorygap
--- a/src/process/consensus/voter_list.hpp
+++ b/src/process/consensus/voter_list.hpp
@@ -64,8 +64,8 @@
 // Entries without a disk get disk 0, which matches no disk.
 voter_list from_wire(const wire::voters_entry_msg& message);
 
-// Number of voters by which two lists differ, counting each voter that stands
-// in only one of them.
+// Number of voters by which two lists differ: those whose instance stands in
+// only one of them, and those that stand in both with different disks.
 std::size_t
 count_changed_voters(const voter_list& left, const voter_list& right);
 
--- a/src/process/replicated_state/voter.cpp
+++ b/src/process/replicated_state/voter.cpp
@@ -36,7 +36,7 @@
     std::shared_ptr<const ticket_validator> validator, stored_state stored,
     time_point now)
     : options_{std::move(options)}
-    , storage_{std::move(storage)}
+    , writer_{std::move(storage), options_.storage_retry}
     , state_{options_.calls, std::move(validator)}
     , raft_{options_.raft, std::move(stored), now}
     , now_{now}
@@ -243,36 +243,15 @@
 
 absl::Status voter::flush()
 {
-    // A voter that elects itself alone writes again after its first sync.
-    while (raft_.has_writes() || unsynced_)
-    {
-        if (raft_.has_writes())
-        {
-            storage_->write(raft_.take_writes());
-            unsynced_ = true;
-        }
-        if (!storage_status_.ok() && now_ < next_storage_attempt_)
-        {
-            return storage_status_;
-        }
-        storage_status_ = storage_->sync();
-        if (!storage_status_.ok())
-        {
-            next_storage_attempt_ = now_ + options_.storage_retry;
-            raft_.on_storage_failed(now_);
-            if (absl::Status status = advance(); !status.ok())
-            {
-                return status;
-            }
-            return storage_status_;
-        }
-        unsynced_ = false;
-        raft_.on_synced(now_);
-    }
+    const absl::Status written = writer_.write(raft_, now_);
     if (absl::Status status = advance(); !status.ok())
     {
         return status;
     }
+    if (!written.ok())
+    {
+        return written;
+    }
     maybe_compact();
     return absl::OkStatus();
 }
@@ -374,7 +353,7 @@
     {
         status.voters = *raft_.configuration();
     }
-    status.storage = storage_status_;
+    status.storage = writer_.status();
     return status;
 }
 
--- a/src/process/replicated_state/voter.hpp
+++ b/src/process/replicated_state/voter.hpp
@@ -2,6 +2,7 @@
 #define HICKORYGAP_PROCESS_REPLICATED_STATE_VOTER_HPP
 
 #include "process/consensus/raft_node.hpp"
+#include "process/consensus/storage_writer.hpp"
 #include "process/replicated_state/state_machine.hpp"
 
 #include <absl/status/status.h>
@@ -182,7 +183,7 @@
     void end_lost_calls();
 
     voter_options options_;
-    std::unique_ptr<log_storage> storage_;
+    storage_writer writer_;
     state_machine state_;
     raft_node raft_;
     time_point now_;
@@ -201,10 +202,7 @@
         pending_indexes_;
     std::map<std::uint64_t, waiting_answer> waiting_;
 
-    bool unsynced_ = false;
-    absl::Status storage_status_;
     absl::Status state_status_;
-    time_point next_storage_attempt_;
     std::uint64_t reported_tickets_ = 0;
     std::vector<outgoing_message> outgoing_;
 };
--- /dev/null
+++ b/src/process/routing_store/routing_voter.cpp
@@ -0,0 +1,271 @@
+#include "process/routing_store/routing_voter.hpp"
+
+#include "common/logging.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace hickorygap
+{
+
+absl::StatusOr<std::unique_ptr<routing_voter>> routing_voter::open(
+    routing_voter_options options, std::unique_ptr<log_storage> storage,
+    time_point now)
+{
+    auto stored = storage->load();
+    if (!stored.ok())
+    {
+        return stored.status();
+    }
+    const snapshot_ptr snapshot = stored->snapshot;
+    std::unique_ptr<routing_voter> opened{new routing_voter{
+        std::move(options), std::move(storage), *std::move(stored), now}};
+    if (snapshot)
+    {
+        if (absl::Status status = opened->state_.restore(snapshot->data);
+            !status.ok())
+        {
+            return status;
+        }
+        opened->applied_index_ = snapshot->index;
+    }
+    return opened;
+}
+
+routing_voter::routing_voter(
+    routing_voter_options options, std::unique_ptr<log_storage> storage,
+    stored_state stored, time_point now)
+    : options_{std::move(options)}
+    , writer_{std::move(storage), options_.storage_retry}
+    , raft_{options_.raft, std::move(stored), now}
+    , now_{now}
+{
+}
+
+void routing_voter::tick(time_point now)
+{
+    now_ = now;
+    raft_.tick(now);
+    std::erase_if(
+        joining_, [&](const auto& item)
+        { return now - item.second > options_.join_expiry; });
+    if (raft_.is_leader())
+    {
+        maintain_group();
+    }
+}
+
+void routing_voter::receive(
+    instance_id from, const wire::payloadUnion& payload, time_point now)
+{
+    now_ = now;
+    if (message_in<wire::group_join_msg>(payload) != nullptr)
+    {
+        joining_[from] = now;
+        return;
+    }
+    raft_.receive(from, payload, now);
+}
+
+std::size_t routing_voter::wanted_voters() const
+{
+    return std::size_t{2} * options_.lost_disks + 1;
+}
+
+absl::StatusOr<std::uint64_t>
+routing_voter::file(const filed_configuration& configuration, time_point now)
+{
+    now_ = now;
+    if (!raft_.is_leader())
+    {
+        return make_error(
+            error_kind::not_leader,
+            "this voter is not the leader; ask the leader");
+    }
+    if (raft_.configuration()->voters.size() < wanted_voters())
+    {
+        return make_error(
+            error_kind::no_quorum,
+            "the group is still gathering its voters; try again in a second");
+    }
+    auto index = raft_.propose(
+        wire::entry_kind::routing,
+        routing_register::encode_entry(configuration), now);
+    if (index.ok())
+    {
+        pending_[*index] = raft_.term();
+    }
+    return index;
+}
+
+absl::StatusOr<std::uint64_t> routing_voter::start_read(time_point now)
+{
+    now_ = now;
+    return raft_.read_index(now);
+}
+
+absl::Status routing_voter::flush()
+{
+    absl::Status written = writer_.write(raft_, now_);
+    if (absl::Status status = advance(); !status.ok())
+    {
+        return status;
+    }
+    if (written.ok() &&
+        applied_index_ >= raft_.snapshot_index() + options_.snapshot_interval)
+    {
+        raft_.compact(applied_index_, state_.snapshot());
+    }
+    return written;
+}
+
+absl::Status routing_voter::advance()
+{
+    if (!state_status_.ok())
+    {
+        return state_status_;
+    }
+    const committed_batch batch = raft_.take_committed();
+    if (batch.snapshot)
+    {
+        state_status_ = state_.restore(batch.snapshot->data);
+        applied_index_ = batch.snapshot->index;
+        // What became of filings that the snapshot covers is not known.
+        while (!pending_.empty() && pending_.begin()->first <= applied_index_)
+        {
+            filings_.push_back({pending_.begin()->first, false});
+            pending_.erase(pending_.begin());
+        }
+    }
+    for (const wire::log_entry_msg& entry : batch.entries)
+    {
+        if (!state_status_.ok())
+        {
+            break;
+        }
+        applied_index_ = entry.index;
+        if (entry.kind == wire::entry_kind::routing)
+        {
+            const auto changed = state_.apply(entry.data);
+            state_status_ = changed.status();
+        }
+        const auto pending = pending_.extract(entry.index);
+        if (!pending.empty())
+        {
+            // Another leader's entry may stand at this index by now.
+            filings_.push_back({entry.index, pending.mapped() == entry.term});
+        }
+    }
+    for (const read_outcome& read : raft_.take_reads())
+    {
+        reads_.push_back({read.read, read.confirmed});
+    }
+    if (!state_status_.ok())
+    {
+        log(log_level::error, subsystem::consensus,
+            "log_unusable index={} error=\"{}\"", applied_index_,
+            std::string{state_status_.message()});
+    }
+    return state_status_;
+}
+
+std::vector<outgoing_message> routing_voter::take_outgoing()
+{
+    return raft_.take_outgoing();
+}
+
+std::vector<store_outcome> routing_voter::take_filings()
+{
+    return std::exchange(filings_, {});
+}
+
+std::vector<store_outcome> routing_voter::take_reads()
+{
+    return std::exchange(reads_, {});
+}
+
+// Upkeep of the group.
+
+bool routing_voter::is_silent(instance_id instance) const
+{
+    const auto contact = raft_.last_contact(instance);
+    return contact && now_ - *contact > options_.replace_after;
+}
+
+void routing_voter::maintain_group()
+{
+    if (!raft_.may_change_voters() || applied_index_ != raft_.commit_index())
+    {
+        return;
+    }
+    const auto next = next_list();
+    if (!next)
+    {
+        return;
+    }
+    const absl::Status status = raft_.propose_voters(*next, now_);
+    log(status.ok() ? log_level::info : log_level::warning,
+        subsystem::consensus, "group_change voters={} learners={} outcome={}",
+        next->voters.size(), next->learners.size(),
+        status.ok() ? "proposed" : "refused");
+}
+
+// The next step towards the wanted group, if one can be taken now.
+std::optional<voter_list> routing_voter::next_list() const
+{
+    const voter_list& list = *raft_.configuration();
+
+    // A voter whose disk was lost votes again once the new disk holds
+    // everything that was committed.
+    for (const voter_identity& voter : list.voters)
+    {
+        const disk_id disk = raft_.disk_of(voter.instance);
+        if (disk != 0 && disk != voter.disk &&
+            raft_.is_caught_up(voter.instance))
+        {
+            return list.with_voter({voter.instance, disk});
+        }
+    }
+
+    const bool has_silent_voter = std::ranges::any_of(
+        list.voters, [this](const voter_identity& voter)
+        { return is_silent(voter.instance); });
+    const bool needs_voter =
+        list.voters.size() < wanted_voters() ||
+        (has_silent_voter && list.voters.size() == wanted_voters());
+    for (const instance_id learner : list.learners)
+    {
+        if (needs_voter && !is_silent(learner) && raft_.is_caught_up(learner))
+        {
+            return list.with_voter({learner, raft_.disk_of(learner)});
+        }
+    }
+
+    if (list.voters.size() > wanted_voters())
+    {
+        for (const voter_identity& voter : list.voters)
+        {
+            if (is_silent(voter.instance))
+            {
+                return list.without(voter.instance);
+            }
+        }
+    }
+    for (const instance_id learner : list.learners)
+    {
+        if (is_silent(learner) && !joining_.contains(learner))
+        {
+            return list.without(learner);
+        }
+    }
+    for (const auto& [instance, asked] : joining_)
+    {
+        if (list.find_voter(instance) == nullptr && !list.has_learner(instance))
+        {
+            return list.with_learner(instance);
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace hickorygap
--- /dev/null
+++ b/tests/process/routing_store/routing_cluster.hpp
@@ -0,0 +1,266 @@
+#ifndef HICKORYGAP_TESTS_PROCESS_ROUTING_STORE_ROUTING_CLUSTER_HPP
+#define HICKORYGAP_TESTS_PROCESS_ROUTING_STORE_ROUTING_CLUSTER_HPP
+
+#include "process/routing_store/routing_voter.hpp"
+#include "support/faulty_network.hpp"
+#include "support/memory_log_storage.hpp"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace hickorygap::test
+{
+
+// Voters of one fleet on a faulty network, in simulated time. Instances 1 to 3
+// are the seeds; all others join. Remembers what was acknowledged.
+class routing_cluster
+{
+public:
+    explicit routing_cluster(std::uint64_t seed)
+        : seed_{seed}
+        , network_{seed}
+    {
+    }
+
+    // Starts an instance with its present disk, or with an empty one.
+    void start(instance_id id, bool bootstrap = false)
+    {
+        member& self = members_[id];
+        if (!self.disk)
+        {
+            self.disk = std::make_shared<memory_disk>();
+        }
+        routing_voter_options options;
+        options.lost_disks = 2;
+        options.raft.self = id;
+        options.raft.seed = ++seed_;
+        if (bootstrap && id <= 3)
+        {
+            options.raft.initial_voters = {1, 2, 3};
+        }
+        auto opened = routing_voter::open(
+            options, std::make_unique<memory_log_storage>(self.disk), now_);
+        if (opened.ok())
+        {
+            self.voter = *std::move(opened);
+        }
+    }
+
+    void start_all(instance_id count)
+    {
+        for (instance_id id = 1; id <= count; ++id)
+        {
+            start(id, true);
+        }
+    }
+
+    void kill(instance_id id)
+    {
+        members_[id].voter.reset();
+    }
+
+    void wipe(instance_id id)
+    {
+        kill(id);
+        members_[id].disk.reset();
+    }
+
+    // Lets 20 ms pass for all running instances.
+    void step()
+    {
+        now_ = now_ + std::chrono::milliseconds{20};
+        for (const auto& item : network_.take_due(now_))
+        {
+            member& to = members_[item.to];
+            if (to.voter)
+            {
+                to.voter->receive(item.from, item.payload, now_);
+            }
+        }
+        for (auto& [id, self] : members_)
+        {
+            if (!self.voter)
+            {
+                continue;
+            }
+            self.voter->tick(now_);
+            if (self.voter->wants_to_join())
+            {
+                for (instance_id seed = 1; seed <= 3; ++seed)
+                {
+                    network_.send(
+                        id, make_outgoing(seed, wire::group_join_msg{}), now_);
+                }
+            }
+            static_cast<void>(self.voter->flush());
+            for (const outgoing_message& message : self.voter->take_outgoing())
+            {
+                network_.send(id, message, now_);
+            }
+            for (const store_outcome& outcome : self.voter->take_filings())
+            {
+                const auto filing = self.filings.extract(outcome.number);
+                if (outcome.confirmed && !filing.empty())
+                {
+                    acknowledged_ = std::max(acknowledged_, filing.mapped());
+                }
+            }
+            for (const store_outcome& outcome : self.voter->take_reads())
+            {
+                const auto read = self.reads.extract(outcome.number);
+                if (outcome.confirmed && !read.empty() &&
+                    self.voter->current().version < read.mapped())
+                {
+                    stale_read_ = true;
+                }
+            }
+        }
+    }
+
+    void run(int steps)
+    {
+        for (int i = 0; i < steps; ++i)
+        {
+            step();
+        }
+    }
+
+    // Files the next version at the instance; nothing when it can't take it.
+    bool file(instance_id id)
+    {
+        member& self = members_[id];
+        if (!self.voter)
+        {
+            return false;
+        }
+        const auto number = self.voter->file({last_version_ + 1, {1}}, now_);
+        if (number.ok())
+        {
+            self.filings[*number] = ++last_version_;
+        }
+        return number.ok();
+    }
+
+    void read(instance_id id)
+    {
+        member& self = members_[id];
+        if (!self.voter)
+        {
+            return;
+        }
+        const auto number = self.voter->start_read(now_);
+        if (number.ok())
+        {
+            self.reads[*number] = acknowledged_;
+        }
+    }
+
+    // Files at the leader and waits until that is acknowledged.
+    bool file_and_wait(int steps = 400)
+    {
+        const auto before = acknowledged_;
+        for (int i = 0; i < steps && acknowledged_ == before; ++i)
+        {
+            if (i % 25 == 0)
+            {
+                if (const auto id = leader())
+                {
+                    file(*id);
+                }
+            }
+            step();
+        }
+        return acknowledged_ > before;
+    }
+
+    // The leader with the highest term, if any.
+    std::optional<instance_id> leader() const
+    {
+        std::optional<instance_id> found;
+        std::uint64_t term = 0;
+        for (const auto& [id, self] : members_)
+        {
+            if (self.voter && self.voter->raft().is_leader() &&
+                self.voter->raft().term() >= term)
+            {
+                term = self.voter->raft().term();
+                found = id;
+            }
+        }
+        return found;
+    }
+
+    // Voters by the leader's account; empty without a leader.
+    std::set<instance_id> voters() const
+    {
+        std::set<instance_id> result;
+        if (const auto id = leader())
+        {
+            for (const auto& voter :
+                 members_.at(*id).voter->raft().configuration()->voters)
+            {
+                result.insert(voter.instance);
+            }
+        }
+        return result;
+    }
+
+    // Voters that answer with the disk that the group knows.
+    std::size_t votes() const
+    {
+        std::size_t count = 0;
+        for (const auto& [id, self] : members_)
+        {
+            count += self.voter && self.voter->raft().is_voter() ? 1 : 0;
+        }
+        return count;
+    }
+
+    configuration_version version_at(instance_id id) const
+    {
+        return members_.at(id).voter->current().version;
+    }
+    configuration_version acknowledged() const
+    {
+        return acknowledged_;
+    }
+    bool stale_read() const
+    {
+        return stale_read_;
+    }
+    memory_disk& disk(instance_id id)
+    {
+        return *members_.at(id).disk;
+    }
+    faulty_network& network()
+    {
+        return network_;
+    }
+
+private:
+    struct member
+    {
+        std::shared_ptr<memory_disk> disk;
+        std::unique_ptr<routing_voter> voter;
+
+        // Versions by the number of the filing, and what was acknowledged at
+        // the start of each read.
+        std::map<std::uint64_t, configuration_version> filings;
+        std::map<std::uint64_t, configuration_version> reads;
+    };
+
+    std::uint64_t seed_;
+    faulty_network network_;
+    std::map<instance_id, member> members_;
+    time_point now_{std::chrono::hours{1}};
+    configuration_version last_version_ = 0;
+    configuration_version acknowledged_ = 0;
+    bool stale_read_ = false;
+};
+
+} // namespace hickorygap::test
+
+#endif
