--- a/src/process/commands/command_line.cpp
+++ b/src/process/commands/command_line.cpp
@@ -2,6 +2,7 @@
 
 #include "common/error.hpp"
 #include "common/json.hpp"
+#include "process/commands/fleet_commands.hpp"
 #include "process/commands/operator_commands.hpp"
 #include "process/commands/serve_command.hpp"
 #include "process/commands/settings_command.hpp"
@@ -46,6 +47,9 @@
     "usage: hickorygap <command> [flags]\n"
     "\n"
     "  serve --settings F              runs an instance\n"
+    "  route --settings F              runs a router of a fleet that keeps\n"
+    "                                  routers and voters apart\n"
+    "  vote --settings F               runs a voter of such a fleet\n"
     "  check-settings F                checks a settings file, prints all\n"
     "                                  effective values\n"
     "  ticket file F|-                 files a change ticket\n"
@@ -168,6 +172,8 @@
 {
     static const std::vector<command> all{
         {{"serve"}, 0, serve},
+        {{"route"}, 0, run_router},
+        {{"vote"}, 0, run_voter},
         {{"check-settings"}, 1, check_settings},
         {{"ticket", "file"}, 1, ticket_file},
         {{"ticket", "show"}, 1, ticket_show},
@@ -280,15 +286,16 @@
     return unknown_command(options.words, streams.error);
 }
 
-int run_command_line(int argc, char** argv)
+int run_command_line(int argc, char** argv, const fleet_dialects& dialects)
 {
     const std::vector<std::string> arguments{argv + 1, argv + argc};
-    const auto options = parse_command_line(arguments);
+    auto options = parse_command_line(arguments);
     if (!options.ok())
     {
         std::cerr << "hickorygap: " << options.status().message() << "\n";
         return static_cast<int>(exit_code::usage);
     }
+    options->dialects = &dialects;
     const exit_code code =
         run_command(*options, {std::cin, std::cout, std::cerr});
     std::cout.flush();
--- a/src/process/commands/command_line.hpp
+++ b/src/process/commands/command_line.hpp
@@ -20,6 +20,8 @@
     unreachable = 3
 };
 
+struct fleet_dialects;
+
 // What the command line asks for.
 struct command_options
 {
@@ -42,6 +44,9 @@
     std::string from;
     std::string to;
     std::string limit;
+
+    // For `route` and `vote`; those commands fail without.
+    const fleet_dialects* dialects = nullptr;
 };
 
 // Streams of a command; tests pass their own.
@@ -60,8 +65,9 @@
 // Runs one subcommand.
 exit_code run_command(const command_options& options, command_streams streams);
 
-// The program: parses, runs, and returns the exit code.
-int run_command_line(int argc, char** argv);
+// The program: parses, runs, and returns the exit code. The dialects must
+// outlive the call.
+int run_command_line(int argc, char** argv, const fleet_dialects& dialects);
 
 } // namespace hickorygap
 
--- /dev/null
+++ b/src/process/commands/fleet_commands.cpp
@@ -0,0 +1,175 @@
+#include "process/commands/fleet_commands.hpp"
+
+#include "common/buffered_log_sink.hpp"
+#include "common/status_text.hpp"
+#include "process/fleet_process/process_signals.hpp"
+
+#include <unistd.h>
+
+#include <memory>
+#include <ostream>
+
+namespace hickorygap
+{
+
+namespace
+{
+
+// Log lines are written this often, so that a burst of them costs one call.
+constexpr duration log_interval = std::chrono::milliseconds{200};
+
+// Size of the request that a metrics collector sends, in bytes.
+constexpr request_limits metrics_limits{4096, 0};
+
+// What the two kinds of process share: loop, log, signals, settings, metrics.
+class fleet_program
+{
+public:
+    fleet_program(const command_options& options, command_streams streams)
+        : options_{options}
+        , streams_{streams}
+        , sink_{STDOUT_FILENO}
+    {
+    }
+
+    ~fleet_program()
+    {
+        set_log_sink(nullptr);
+    }
+
+    // Runs a node of type Node until it stops the loop.
+    template <typename Node, typename Dialects>
+    exit_code run(std::string_view role, const Dialects& dialects)
+    {
+        const auto settings = load_fleet_settings(options_.settings_file);
+        if (!settings.ok())
+        {
+            streams_.error << "hickorygap: " << settings.status().message()
+                           << "\n";
+            return exit_code::refused;
+        }
+        set_log_sink(&sink_);
+        if (const absl::Status status = loop_.open(); !status.ok())
+        {
+            return report(status);
+        }
+        Node node{loop_, *settings, dialects};
+        process_signals signals{
+            loop_, [&node] { node.shut_down(); },
+            [this, &node] { reload(node); }};
+        for (const absl::Status& status :
+             {signals.open(), node.open(), open_metrics(*settings, node)})
+        {
+            if (!status.ok())
+            {
+                return report(status);
+            }
+        }
+        log(log_level::info, subsystem::process,
+            "started role={} name={} host={} failure_domain={} bootstrap={}",
+            role, settings->instance.name, settings->instance.host,
+            settings->instance.failure_domain, settings->storage.bootstrap);
+        write_logs();
+        loop_.run();
+        log(log_level::info, subsystem::process, "stopped role={} name={}",
+            role, settings->instance.name);
+        sink_.flush();
+        return exit_code::done;
+    }
+
+private:
+    exit_code report(const absl::Status& status)
+    {
+        log(log_level::error, subsystem::process, "not_started reason=\"{}\"",
+            message_of(status));
+        sink_.flush();
+        return exit_code::refused;
+    }
+
+    template <typename Node>
+    void reload(Node& node)
+    {
+        const auto settings = load_fleet_settings(options_.settings_file);
+        if (!settings.ok())
+        {
+            log(log_level::error, subsystem::process,
+                "settings_not_reloaded reason=\"{}\"",
+                message_of(settings.status()));
+            return;
+        }
+        log(log_level::info, subsystem::process, "settings_reloaded seeds={}",
+            settings->peers.seeds.size());
+        node.reload(*settings);
+    }
+
+    template <typename Node>
+    absl::Status open_metrics(const fleet_settings& settings, Node& node)
+    {
+        if (settings.metrics.port == 0)
+        {
+            return absl::OkStatus();
+        }
+        metrics_ = std::make_unique<http_endpoint>(
+            loop_, metrics_limits,
+            [&node](
+                const received_request& /*request*/,
+                const http_responder& respond)
+            {
+                http_answer answer;
+                answer.content_type = "text/plain; version=0.0.4";
+                answer.body = node.metrics().prometheus_text();
+                respond(answer);
+            });
+        return metrics_->open({settings.instance.host, settings.metrics.port});
+    }
+
+    void write_logs()
+    {
+        sink_.flush();
+        loop_.after(log_interval, [this] { write_logs(); });
+    }
+
+    const command_options& options_;
+    command_streams streams_;
+    buffered_log_sink sink_;
+    event_loop loop_;
+    std::unique_ptr<http_endpoint> metrics_;
+};
+
+bool has_settings(
+    const command_options& options, command_streams streams,
+    std::string_view command)
+{
+    if (options.settings_file.empty() || options.dialects == nullptr)
+    {
+        streams.error << "hickorygap: " << command
+                      << " needs --settings F with the settings file of this "
+                         "instance\n";
+        return false;
+    }
+    return true;
+}
+
+} // namespace
+
+exit_code run_router(const command_options& options, command_streams streams)
+{
+    if (!has_settings(options, streams, "route"))
+    {
+        return exit_code::usage;
+    }
+    return fleet_program{options, streams}.run<gateway>(
+        "router", options.dialects->router);
+}
+
+exit_code run_voter(const command_options& options, command_streams streams)
+{
+    if (!has_settings(options, streams, "vote"))
+    {
+        return exit_code::usage;
+    }
+    return fleet_program{options, streams}.run<voter_node>(
+        "voter", options.dialects->voter);
+}
+
+} // namespace hickorygap
--- /dev/null
+++ b/src/process/commands/fleet_commands.hpp
@@ -0,0 +1,25 @@
+#ifndef HICKORYGAP_PROCESS_COMMANDS_FLEET_COMMANDS_HPP
+#define HICKORYGAP_PROCESS_COMMANDS_FLEET_COMMANDS_HPP
+
+#include "process/commands/command_line.hpp"
+#include "process/gateway/gateway.hpp"
+#include "process/voter_node/voter_node.hpp"
+
+namespace hickorygap
+{
+
+// Formats in which a fleet's neighbours speak.
+struct fleet_dialects
+{
+    gateway_dialects router;
+    voter_dialects voter;
+};
+
+// Run a router and a voter until a signal ends them. Settings are read again
+// at SIGHUP.
+exit_code run_router(const command_options& options, command_streams streams);
+exit_code run_voter(const command_options& options, command_streams streams);
+
+} // namespace hickorygap
+
+#endif
--- /dev/null
+++ b/src/process/fleet_process/backend_list_reader.cpp
@@ -0,0 +1,116 @@
+#include "process/fleet_process/backend_list_reader.hpp"
+
+#include "common/error.hpp"
+#include "common/logging.hpp"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace hickorygap
+{
+
+namespace
+{
+
+// A page is read within some ms; a silent server is asked again.
+constexpr duration page_time_limit = std::chrono::milliseconds{800};
+
+// A list that never ends is given up.
+constexpr std::size_t max_pages = 200;
+
+constexpr int status_ok = 200;
+constexpr int status_too_many_requests = 429;
+
+} // namespace
+
+backend_list_reader::backend_list_reader(
+    event_loop& loop, const backend_list_format& format, numeric_address server)
+    : loop_{loop}
+    , format_{format}
+    , server_{std::move(server)}
+{
+}
+
+void backend_list_reader::read(done_function on_done)
+{
+    if (is_reading())
+    {
+        return;
+    }
+    on_done_ = std::move(on_done);
+    gathered_.clear();
+    page_count_ = 0;
+    request_page({});
+}
+
+void backend_list_reader::request_page(std::string_view page)
+{
+    ++page_count_;
+    call_ = std::make_unique<http_call>(
+        loop_, server_, format_.page_target(page), page_time_limit,
+        [this](absl::StatusOr<http_call::result> result)
+        {
+            // The call must not be destroyed from within its own callback.
+            loop_.defer([this, outcome = std::move(result)]() mutable
+                        { on_page(std::move(outcome)); });
+        });
+}
+
+void backend_list_reader::on_page(absl::StatusOr<http_call::result> result)
+{
+    if (!result.ok())
+    {
+        finish(result.status());
+        return;
+    }
+    if (result->status != status_ok)
+    {
+        const bool refused = result->status == status_too_many_requests;
+        finish(make_error(
+            refused ? error_kind::overloaded : error_kind::unreachable,
+            fmt::format(
+                "the list of backend servers answered {}; it is read again",
+                result->status)));
+        return;
+    }
+    auto page = format_.decode_page(result->body);
+    if (!page.ok())
+    {
+        finish(page.status());
+        return;
+    }
+    if (page->unreadable > 0)
+    {
+        log(log_level::warning, subsystem::routing,
+            "list_entries_skipped count={}", page->unreadable);
+    }
+    std::move(
+        page->backends.begin(), page->backends.end(),
+        std::back_inserter(gathered_));
+    if (page->next_page.empty())
+    {
+        pages_ = page_count_;
+        finish(std::move(gathered_));
+    }
+    else if (page_count_ >= max_pages)
+    {
+        finish(make_error(
+            error_kind::invalid_request,
+            "the list of backend servers has no end; check its server"));
+    }
+    else
+    {
+        request_page(page->next_page);
+    }
+}
+
+void backend_list_reader::finish(
+    absl::StatusOr<std::vector<listed_backend>> outcome)
+{
+    call_.reset();
+    const done_function done = std::exchange(on_done_, nullptr);
+    done(std::move(outcome));
+}
+
+} // namespace hickorygap
--- /dev/null
+++ b/src/process/fleet_process/backend_list_reader.hpp
@@ -0,0 +1,59 @@
+#ifndef HICKORYGAP_PROCESS_FLEET_PROCESS_BACKEND_LIST_READER_HPP
+#define HICKORYGAP_PROCESS_FLEET_PROCESS_BACKEND_LIST_READER_HPP
+
+#include "connection/h1/http_call.hpp"
+#include "request/dispatch/listed_backend.hpp"
+
+#include <functional>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+namespace hickorygap
+{
+
+// Reads the whole list of backend servers, page by page.
+class backend_list_reader
+{
+public:
+    using done_function =
+        std::function<void(absl::StatusOr<std::vector<listed_backend>>)>;
+
+    backend_list_reader(
+        event_loop& loop, const backend_list_format& format,
+        numeric_address server);
+
+    // Starts to read unless a read is under way. on_done is called once.
+    // Errors: those of http_call; overloaded when the server refuses the
+    // rate of calls; invalid_request.
+    void read(done_function on_done);
+
+    bool is_reading() const
+    {
+        return on_done_ != nullptr;
+    }
+
+    // Calls that the last complete read took.
+    std::size_t pages() const
+    {
+        return pages_;
+    }
+
+private:
+    void request_page(std::string_view page);
+    void on_page(absl::StatusOr<http_call::result> result);
+    void finish(absl::StatusOr<std::vector<listed_backend>> outcome);
+
+    event_loop& loop_;
+    const backend_list_format& format_;
+    numeric_address server_;
+    done_function on_done_;
+    std::unique_ptr<http_call> call_;
+    std::vector<listed_backend> gathered_;
+    std::size_t page_count_ = 0;
+    std::size_t pages_ = 1;
+};
+
+} // namespace hickorygap
+
+#endif
--- /dev/null
+++ b/src/process/fleet_settings/fleet_settings.cpp
@@ -0,0 +1,243 @@
+#include "process/fleet_settings/fleet_settings.hpp"
+
+#include "common/error.hpp"
+#include "common/json.hpp"
+
+#include <arpa/inet.h>
+#include <fmt/format.h>
+
+#include <array>
+#include <fstream>
+#include <iterator>
+
+namespace hickorygap
+{
+
+namespace
+{
+
+constexpr std::uint64_t highest_port = 65535;
+
+// Ranges of the numbers, with their units for messages.
+const number_range<std::uint64_t> port_range{0, highest_port, ""};
+const number_range<std::uint64_t> disk_range{0, 10, "disks"};
+const number_range<double> rate_range{0.01, 1e6, "calls per second"};
+const number_range<double> ratio_range{0, 10, "repeats per request"};
+const number_range<double> slack_range{0, 1e6, "repeats"};
+const number_range<double> seconds_range{0.1, 3600, "s"};
+
+duration seconds(double value)
+{
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>{value});
+}
+
+// Reads "host:port"; an empty text leaves the address empty.
+void read_address(
+    json_object_reader& reader, std::string_view key, numeric_address& output)
+{
+    std::string text;
+    reader.read(key, text);
+    if (text.empty())
+    {
+        return;
+    }
+    const auto address = parse_address(text);
+    if (!address.ok())
+    {
+        reader.fail(
+            key, {address.status().message().data(),
+                  address.status().message().size()});
+        return;
+    }
+    output = *address;
+}
+
+void read_port(
+    json_object_reader& reader, std::string_view key, std::uint16_t& output)
+{
+    std::uint64_t port = output;
+    reader.read(key, port, port_range);
+    output = static_cast<std::uint16_t>(port);
+}
+
+void read_seeds(json_object_reader& reader, std::vector<std::string>& output)
+{
+    const auto seeds = reader.take_array("seeds");
+    if (!seeds)
+    {
+        return;
+    }
+    for (const auto& item : *seeds)
+    {
+        const auto text = json_string(item);
+        if (!text.ok())
+        {
+            reader.fail("seeds", "must be a list of addresses");
+            return;
+        }
+        const auto address = parse_address(*text);
+        const std::string host = address.ok() ? address->host : *text;
+        if (instance_at(host) == 0)
+        {
+            reader.fail(
+                "seeds", fmt::format(
+                             "names \"{}\"; it must be an IPv4 number, with "
+                             "or without a port",
+                             *text));
+            return;
+        }
+        output.push_back(host);
+    }
+}
+
+// Reads one object of the file with a function and checks its keys.
+template <typename Function>
+void read_section(
+    json_object_reader& file, std::string_view key, Function function)
+{
+    const auto object = file.take_object(key);
+    if (!object)
+    {
+        return;
+    }
+    json_object_reader reader{*object, fmt::format("{}.", key)};
+    function(reader);
+    file.fail(reader.finish(error_kind::settings_invalid));
+}
+
+} // namespace
+
+instance_id instance_at(std::string_view host)
+{
+    in_addr address{};
+    return ::inet_pton(AF_INET, std::string{host}.c_str(), &address) == 1
+               ? ntohl(address.s_addr)
+               : 0;
+}
+
+std::string host_of(instance_id instance)
+{
+    in_addr address{};
+    address.s_addr = htonl(instance);
+    std::array<char, INET_ADDRSTRLEN> text{};
+    ::inet_ntop(AF_INET, &address, text.data(), text.size());
+    return text.data();
+}
+
+absl::StatusOr<fleet_settings> parse_fleet_settings(std::string_view text)
+{
+    const auto object = parse_json_object(text, error_kind::settings_invalid);
+    if (!object.ok())
+    {
+        return object.status();
+    }
+    fleet_settings result;
+    json_object_reader file{**object, ""};
+    read_section(
+        file, "instance",
+        [&](json_object_reader& reader)
+        {
+            reader.read("name", result.instance.name);
+            reader.read("host", result.instance.host);
+            reader.read("failure_domain", result.instance.failure_domain);
+            if (instance_at(result.instance.host) == 0)
+            {
+                reader.fail("host", "must be the IPv4 number of this machine");
+            }
+        });
+    read_section(
+        file, "callers",
+        [&](json_object_reader& reader)
+        { read_address(reader, "address", result.callers); });
+    read_section(
+        file, "readiness",
+        [&](json_object_reader& reader)
+        { read_address(reader, "address", result.readiness); });
+    read_section(
+        file, "operators",
+        [&](json_object_reader& reader)
+        { read_address(reader, "address", result.operators); });
+    read_section(
+        file, "peers",
+        [&](json_object_reader& reader)
+        {
+            read_port(reader, "port", result.peers.port);
+            read_seeds(reader, result.peers.seeds);
+        });
+    read_section(
+        file, "metrics",
+        [&](json_object_reader& reader)
+        { read_port(reader, "port", result.metrics.port); });
+    read_section(
+        file, "storage",
+        [&](json_object_reader& reader)
+        {
+            std::uint64_t lost_disks = 0;
+            reader.read("folder", result.storage.folder);
+            reader.read("bootstrap", result.storage.bootstrap);
+            reader.read("lost_disks", lost_disks, disk_range);
+            result.storage.lost_disks = static_cast<std::uint32_t>(lost_disks);
+        });
+    read_section(
+        file, "backend_list",
+        [&](json_object_reader& reader)
+        {
+            read_address(reader, "address", result.backend_list.address);
+            reader.read(
+                "calls_per_second", result.backend_list.calls_per_second,
+                rate_range);
+        });
+    read_section(
+        file, "retry",
+        [&](json_object_reader& reader)
+        {
+            double window =
+                std::chrono::duration<double>(result.retry.window).count();
+            reader.read("ratio", result.retry.ratio, ratio_range);
+            reader.read("slack", result.retry.slack, slack_range);
+            reader.read("window_s", window, seconds_range);
+            result.retry.window = seconds(window);
+        });
+    read_section(
+        file, "shutdown",
+        [&](json_object_reader& reader)
+        {
+            double limit =
+                std::chrono::duration<double>(result.shutdown.limit).count();
+            reader.read("limit_s", limit, seconds_range);
+            result.shutdown.limit = seconds(limit);
+        });
+    if (absl::Status status = file.finish(error_kind::settings_invalid);
+        !status.ok())
+    {
+        return status;
+    }
+    if (result.instance.host.empty())
+    {
+        return make_error(
+            error_kind::settings_invalid,
+            "instance.host is missing; set it to the IPv4 number of this "
+            "machine");
+    }
+    return result;
+}
+
+absl::StatusOr<fleet_settings> load_fleet_settings(const std::string& path)
+{
+    std::ifstream file{path, std::ios::binary};
+    if (!file)
+    {
+        return make_error(
+            error_kind::settings_invalid,
+            fmt::format(
+                "can't open the settings file {}; check the path and the "
+                "permissions",
+                path));
+    }
+    const std::string text{
+        std::istreambuf_iterator<char>{file}, std::istreambuf_iterator<char>{}};
+    return parse_fleet_settings(text);
+}
+
+} // namespace hickorygap
--- /dev/null
+++ b/src/process/gateway/backend_pool.cpp
@@ -0,0 +1,258 @@
+#include "process/gateway/backend_pool.hpp"
+
+#include "common/logging.hpp"
+#include "common/status_text.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace hickorygap
+{
+
+namespace
+{
+
+// A connection inside a region stands after some ms; a server that is silent
+// for so long is down or its queue of connections is full.
+constexpr duration dial_limit = std::chrono::milliseconds{250};
+
+// Idle connections are kept for so long when the server has named no limit.
+constexpr duration default_idle_limit = std::chrono::seconds{4};
+
+// A server's limit is kept to with this margin, because it counts from its
+// own clock and its closing takes a while to arrive.
+constexpr duration idle_margin = std::chrono::milliseconds{700};
+
+// A request that may run only once is not sent over a connection that was
+// idle for longer than this.
+constexpr duration fresh_limit = std::chrono::milliseconds{600};
+
+constexpr duration sweep_interval = std::chrono::milliseconds{500};
+
+// Connections to one server when its service has no limit.
+constexpr std::uint32_t default_connection_limit = 64;
+
+} // namespace
+
+backend_connection::backend_connection(
+    backend_pool& pool, backend_server_id backend)
+    : pool_{pool}
+    , backend_{backend}
+{
+}
+
+void backend_connection::send(
+    std::string_view request, std::string_view method,
+    backend_receiver& receiver)
+{
+    ++requests_;
+    reader_.emplace(method);
+    receiver_ = &receiver;
+    connection_->write(request);
+}
+
+void backend_connection::set_reading(bool reading)
+{
+    connection_->set_reading(reading);
+}
+
+void backend_connection::cancel_dial_timer()
+{
+    pool_.loop_.cancel(dial_timer_);
+}
+
+void backend_connection::on_connected()
+{
+    cancel_dial_timer();
+}
+
+void backend_connection::on_input()
+{
+    if (receiver_ == nullptr)
+    {
+        // Bytes that belong to no request: a second answer, or a farewell.
+        log(log_level::info, subsystem::http,
+            "surplus_bytes backend={:016x} count={}", backend_,
+            connection_->input().size());
+        pool_.abandon(*this);
+        return;
+    }
+    pool_.table_.on_bytes(backend_, pool_.loop_.now());
+    reader_->read(connection_->input());
+    receiver_->on_response();
+}
+
+void backend_connection::on_end(connection_end end)
+{
+    cancel_dial_timer();
+    backend_receiver* receiver = std::exchange(receiver_, nullptr);
+    if (receiver != nullptr)
+    {
+        if (end == connection_end::refused)
+        {
+            pool_.table_.on_unreachable(backend_, pool_.loop_.now());
+        }
+        // A response that ends with its connection is complete only after an
+        // orderly end.
+        if (end == connection_end::finished &&
+            reader_->finish() == response_reader::state::complete)
+        {
+            receiver_ = receiver;
+            receiver->on_response();
+            return;
+        }
+    }
+    pool_.remove(*this);
+    if (receiver != nullptr)
+    {
+        receiver->on_connection_lost(end);
+    }
+}
+
+backend_pool::backend_pool(event_loop& loop, backend_table& table)
+    : loop_{loop}
+    , table_{table}
+{
+    close_idle();
+}
+
+backend_pool::~backend_pool()
+{
+    loop_.cancel(sweep_timer_);
+}
+
+void backend_pool::set_connection_limit(
+    std::string_view service, std::uint32_t limit)
+{
+    limits_.insert_or_assign(std::string{service}, std::max(limit, 1U));
+}
+
+backend_connection*
+backend_pool::acquire(const backend_record& backend, bool fresh)
+{
+    server_connections& server = servers_[backend.id];
+    while (!server.idle.empty())
+    {
+        // The one that was used last is the least likely to be closed soon.
+        backend_connection* kept = server.idle.back();
+        const duration idle = loop_.now() - kept->idle_since_;
+        if (fresh && idle > fresh_limit)
+        {
+            break;
+        }
+        server.idle.pop_back();
+        if (idle <= kept->idle_limit_)
+        {
+            return kept;
+        }
+        abandon(*kept);
+    }
+    const auto limit = limits_.find(backend.listed.service);
+    if (server.all.size() >=
+        (limit == limits_.end() ? default_connection_limit : limit->second))
+    {
+        if (server.idle.empty())
+        {
+            return nullptr;
+        }
+        abandon(*server.idle.front());
+    }
+    auto added = std::make_unique<backend_connection>(*this, backend.id);
+    auto connection =
+        stream_connection::connect(loop_, backend.listed.address, *added);
+    if (!connection.ok())
+    {
+        log(log_level::warning, subsystem::network,
+            "backend_not_dialled backend={} error=\"{}\"", backend.listed.id,
+            message_of(connection.status()));
+        return nullptr;
+    }
+    ++opened_;
+    added->connection_ = *std::move(connection);
+    backend_connection* result = added.get();
+    added->dial_timer_ = loop_.after(
+        dial_limit,
+        [result]
+        {
+            result->connection_->close();
+            result->on_end(connection_end::refused);
+        });
+    server.all.push_back(std::move(added));
+    return result;
+}
+
+void backend_pool::release(
+    backend_connection& connection, std::optional<duration> idle_timeout)
+{
+    connection.receiver_ = nullptr;
+    const bool usable =
+        connection.connection_->is_open() &&
+        connection.connection_->input().empty() &&
+        connection.reader_->current() == response_reader::state::complete &&
+        connection.reader_->keeps_connection();
+    const duration limit =
+        idle_timeout ? *idle_timeout - idle_margin : default_idle_limit;
+    if (!usable || limit <= duration{0})
+    {
+        abandon(connection);
+        return;
+    }
+    connection.idle_since_ = loop_.now();
+    connection.idle_limit_ = limit;
+    connection.connection_->set_reading(true);
+    servers_[connection.backend_].idle.push_back(&connection);
+}
+
+void backend_pool::abandon(backend_connection& connection)
+{
+    connection.receiver_ = nullptr;
+    connection.cancel_dial_timer();
+    connection.connection_->close();
+    remove(connection);
+}
+
+// Forgets a connection that is closed; its memory is freed after the present
+// handlers.
+void backend_pool::remove(backend_connection& connection)
+{
+    const auto found = servers_.find(connection.backend_);
+    if (found == servers_.end())
+    {
+        return;
+    }
+    server_connections& server = found->second;
+    std::erase(server.idle, &connection);
+    const auto position = std::ranges::find(
+        server.all, &connection, &std::unique_ptr<backend_connection>::get);
+    if (position != server.all.end())
+    {
+        loop_.defer([owned = std::shared_ptr<backend_connection>{
+                         std::move(*position)}] {});
+        server.all.erase(position);
+    }
+}
+
+void backend_pool::close_idle()
+{
+    sweep_timer_ = loop_.after(sweep_interval, [this] { close_idle(); });
+    std::vector<backend_connection*> expired;
+    for (const auto& [id, server] : servers_)
+    {
+        for (backend_connection* connection : server.idle)
+        {
+            if (loop_.now() - connection->idle_since_ >=
+                connection->idle_limit_)
+            {
+                expired.push_back(connection);
+            }
+        }
+    }
+    for (backend_connection* connection : expired)
+    {
+        abandon(*connection);
+    }
+    absl::erase_if(
+        servers_, [](const auto& item) { return item.second.all.empty(); });
+}
+
+} // namespace hickorygap
--- /dev/null
+++ b/src/process/gateway/exchange.hpp
@@ -0,0 +1,150 @@
+#ifndef HICKORYGAP_PROCESS_GATEWAY_EXCHANGE_HPP
+#define HICKORYGAP_PROCESS_GATEWAY_EXCHANGE_HPP
+
+#include "connection/h1/event_splitter.hpp"
+#include "connection/h1/request_reader.hpp"
+#include "process/gateway/gateway_context.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hickorygap
+{
+
+// The caller's side of one exchange.
+class exchange_caller
+{
+public:
+    exchange_caller() = default;
+    exchange_caller(const exchange_caller&) = delete;
+    exchange_caller& operator=(const exchange_caller&) = delete;
+    virtual ~exchange_caller() = default;
+
+    // Bytes of the answer, as they are sent.
+    virtual void send(std::string_view bytes) = 0;
+
+    // Bytes that the caller has not taken yet.
+    virtual std::size_t pending() const = 0;
+
+    // Whether the answer must announce the end of the connection.
+    virtual bool closes_after_answer() const = 0;
+
+    // The answer is complete.
+    virtual void on_answered() = 0;
+
+    // The answer can't be completed; the connection must end so that it does
+    // not look complete.
+    virtual void on_broken() = 0;
+};
+
+// One request of a caller, from its arrival to its final answer: finds the
+// route, chooses backend servers, relays the answer, and decides what is sent
+// again.
+class exchange final : public backend_receiver
+{
+public:
+    exchange(
+        gateway_context& context, exchange_caller& caller,
+        received_request request);
+    ~exchange() override;
+
+    // Handles the request; the answer may be sent at once.
+    void start();
+
+    // The caller has left.
+    void cancel();
+
+    // The caller takes bytes again.
+    void on_caller_drained();
+
+    void on_response() override;
+    void on_connection_lost(connection_end end) override;
+
+private:
+    // What the router has told the caller so far.
+    enum class phase
+    {
+        // Nothing; any answer is possible.
+        open,
+
+        // Head and some events of a stream.
+        streaming,
+        ended
+    };
+
+    bool find_route();
+    void choose_service();
+    void dispatch();
+    void set_deadline();
+    void on_deadline();
+    void watch_attempt();
+    void on_attempt_silent();
+
+    void read_head();
+    bool is_rejected() const;
+    void relay_whole_answer();
+    void relay_events();
+    void send_stream_head();
+    void finish_stream();
+
+    void attempt_failed(dispatch_outcome outcome, bool may_have_run);
+    bool may_send_again() const;
+    void give_up(dispatch_outcome outcome);
+    void end_attempt(dispatch_outcome outcome);
+    void release_connection();
+    void refuse(
+        Poco::Net::HTTPResponse::HTTPStatus status, std::string_view reason,
+        std::optional<duration> retry_after = std::nullopt);
+    void finish(int status, std::string_view outcome);
+    void log_end(int status, std::string_view outcome) const;
+
+    std::optional<duration> time_left() const;
+    bool is_repeatable() const;
+    std::uint64_t affinity_key() const;
+
+    gateway_context& context_;
+    exchange_caller& caller_;
+    received_request request_;
+    std::shared_ptr<const routing_configuration> configuration_;
+    const route* route_ = nullptr;
+    const routed_organisation* organisation_ = nullptr;
+    caller_call call_;
+    std::string service_;
+
+    time_point arrived_;
+    std::optional<time_point> caller_deadline_;
+    timer_id deadline_timer_ = 0;
+    timer_id attempt_timer_ = 0;
+
+    phase phase_ = phase::open;
+
+    // The present attempt.
+    backend_connection* connection_ = nullptr;
+    backend_server_id backend_ = 0;
+    std::string backend_name_;
+    time_point sent_at_;
+    bool head_read_ = false;
+    bool relays_events_ = false;
+    backend_answer answer_;
+
+    // All attempts.
+    std::vector<backend_server_id> tried_;
+    std::uint32_t sends_ = 0;
+    std::uint32_t refused_connections_ = 0;
+
+    // Some attempt may have run, or may run still.
+    bool may_have_run_ = false;
+
+    event_splitter splitter_;
+    std::optional<std::uint64_t> last_event_;
+    std::uint64_t events_ = 0;
+    std::optional<duration> first_event_after_;
+};
+
+} // namespace hickorygap
+
+#endif
--- /dev/null
+++ b/src/process/gateway/fleet_follower.hpp
@@ -0,0 +1,115 @@
+#ifndef HICKORYGAP_PROCESS_GATEWAY_FLEET_FOLLOWER_HPP
+#define HICKORYGAP_PROCESS_GATEWAY_FLEET_FOLLOWER_HPP
+
+#include "common/random.hpp"
+#include "connection/link/link_connection.hpp"
+#include "process/fleet_process/backend_list_reader.hpp"
+#include "process/fleet_process/backend_list_replica.hpp"
+#include "process/fleet_settings/fleet_settings.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace hickorygap
+{
+
+// Receives what a router learns from the voters.
+class fleet_observer
+{
+public:
+    fleet_observer() = default;
+    fleet_observer(const fleet_observer&) = delete;
+    fleet_observer& operator=(const fleet_observer&) = delete;
+    virtual ~fleet_observer() = default;
+
+    // A newer configuration; false when it can't be used, so that it is asked
+    // for again later.
+    virtual bool on_configuration(
+        configuration_version version,
+        std::span<const std::uint8_t> document) = 0;
+    virtual void on_backend_list(std::span<const listed_backend> list) = 0;
+
+    // Number of routers in the fleet, this one included.
+    virtual void on_router_count(std::uint32_t routers) = 0;
+};
+
+// Keeps a router's links to all voters, and through them its configuration and
+// its list of backend servers up to date. Reads the list itself while no
+// leader is heard.
+class fleet_follower final : public link_observer
+{
+public:
+    fleet_follower(
+        event_loop& loop, const fleet_settings& settings,
+        const backend_list_format& list_format, fleet_observer& observer);
+    ~fleet_follower() override;
+
+    void start();
+
+    // Seeds of changed settings.
+    void set_seeds(std::span<const std::string> seeds);
+
+    // Time since a leader was heard.
+    duration leader_silence() const;
+
+    void on_link_ready(link_connection& link) override;
+    void on_message(link_connection& link, wire::envelope_msg message) override;
+    void on_link_end(link_connection& link) override;
+
+private:
+    struct voter_link
+    {
+        std::unique_ptr<link_connection> link;
+        time_point dialled_at;
+        time_point next_dial;
+
+        // From the last notice.
+        configuration_version version = 0;
+        std::uint32_t routers = 0;
+        time_point heard_at;
+    };
+
+    void tick();
+    void dial(instance_id voter, voter_link& item);
+    void send_status(voter_link& item);
+    void on_notice(link_connection& link, const wire::voter_notice_msg& notice);
+    void on_routing(link_connection& link, const wire::routing_push_msg& push);
+    void
+    on_backends(link_connection& link, const wire::backends_push_msg& push);
+    void pull_configuration();
+    void update_voters(std::span<const instance_id> voters);
+    void count_routers();
+    void read_list_alone();
+    duration lone_read_interval() const;
+
+    event_loop& loop_;
+    instance_id self_;
+    std::uint16_t port_;
+    double list_calls_per_second_;
+    fleet_observer& observer_;
+    random_engine random_;
+    std::vector<instance_id> seeds_;
+    std::map<instance_id, voter_link> voters_;
+    timer_id timer_ = 0;
+
+    configuration_version version_ = 0;
+    configuration_version pulled_version_ = 0;
+    time_point pulled_at_;
+    instance_id pulled_from_ = 0;
+
+    backend_list_replica backends_;
+    backend_list_reader list_reader_;
+    time_point leader_heard_at_;
+    time_point backends_pulled_at_;
+    time_point next_lone_read_;
+    time_point next_status_;
+    std::uint32_t routers_ = 0;
+};
+
+} // namespace hickorygap
+
+#endif
--- /dev/null
+++ b/src/process/gateway/gateway.cpp
@@ -0,0 +1,183 @@
+#include "process/gateway/gateway.hpp"
+
+#include "common/compression.hpp"
+#include "common/logging.hpp"
+#include "common/status_text.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace hickorygap
+{
+
+namespace
+{
+
+// Largest configuration document, in bytes.
+constexpr std::size_t max_document = std::size_t{4} * 1024 * 1024;
+
+// Largest request to the readiness address, in bytes.
+constexpr request_limits readiness_limits{4096, 0};
+
+// From the signal to the closing of the port: the balancer asks each second
+// and takes an instance out after two misses.
+constexpr duration balancer_lag = std::chrono::milliseconds{2600};
+
+// Before the platform ends the process by force, connections are closed in
+// order.
+constexpr duration shutdown_margin = std::chrono::milliseconds{300};
+
+constexpr duration shutdown_check = std::chrono::milliseconds{100};
+
+} // namespace
+
+gateway::gateway(
+    event_loop& loop, fleet_settings settings, gateway_dialects dialects)
+    : loop_{loop}
+    , settings_{std::move(settings)}
+    , dialects_{dialects}
+    , context_{loop, settings_, *dialects.requests}
+    , follower_{loop, settings_, *dialects.backend_list, *this}
+    , callers_{
+          loop, [this](const Poco::Net::StreamSocket& socket)
+          { accept(socket); }}
+    , readiness_{
+          loop, readiness_limits,
+          [this](const received_request& /*request*/,
+                 const http_responder& respond) { answer_readiness(respond); }}
+{
+}
+
+gateway::~gateway() = default;
+
+absl::Status gateway::open()
+{
+    if (absl::Status status = readiness_.open(settings_.readiness);
+        !status.ok())
+    {
+        return status;
+    }
+    if (absl::Status status = callers_.open(settings_.callers); !status.ok())
+    {
+        return status;
+    }
+    follower_.start();
+    return absl::OkStatus();
+}
+
+void gateway::reload(const fleet_settings& settings)
+{
+    follower_.set_seeds(settings.peers.seeds);
+}
+
+bool gateway::is_ready() const
+{
+    return !draining_ && context_.configuration() != nullptr;
+}
+
+void gateway::answer_readiness(const http_responder& respond) const
+{
+    http_answer answer;
+    if (!is_ready())
+    {
+        answer.status = Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE;
+        answer.body = draining_
+                          ? R"({"ready":false,"reason":"draining"})"
+                          : R"({"ready":false,"reason":"no configuration"})";
+    }
+    else
+    {
+        answer.body = R"({"ready":true})";
+    }
+    respond(answer);
+}
+
+void gateway::accept(const Poco::Net::StreamSocket& socket)
+{
+    const std::uint64_t id = ++last_session_;
+    auto session = std::make_unique<caller_session>(
+        context_, socket,
+        [this, id] { loop_.defer([this, id] { sessions_.erase(id); }); });
+    if (draining_)
+    {
+        session->close_after_answer();
+    }
+    sessions_.emplace(id, std::move(session));
+}
+
+bool gateway::on_configuration(
+    configuration_version version, std::span<const std::uint8_t> document)
+{
+    const auto text = decompress(document, max_document);
+    auto decoded =
+        text.ok()
+            ? dialects_.configurations->decode(*text)
+            : absl::StatusOr<std::shared_ptr<const routing_configuration>>{
+                  text.status()};
+    if (!decoded.ok())
+    {
+        log(log_level::error, subsystem::configuration,
+            "configuration_unusable version={} error=\"{}\"", version,
+            message_of(decoded.status()));
+        return false;
+    }
+    if (!context_.configuration())
+    {
+        log(log_level::info, subsystem::process, "ready version={}", version);
+    }
+    context_.set_configuration(*std::move(decoded));
+    return true;
+}
+
+void gateway::on_backend_list(std::span<const listed_backend> list)
+{
+    context_.table().replace(list);
+}
+
+void gateway::on_router_count(std::uint32_t routers)
+{
+    context_.set_router_count(routers);
+}
+
+void gateway::shut_down()
+{
+    if (std::exchange(draining_, true))
+    {
+        return;
+    }
+    draining_since_ = loop_.now();
+    log(log_level::info, subsystem::process, "draining sessions={}",
+        sessions_.size());
+    for (auto& [id, session] : sessions_)
+    {
+        session->close_after_answer();
+    }
+    watch_shut_down();
+}
+
+void gateway::watch_shut_down()
+{
+    const duration waited = loop_.now() - draining_since_;
+    if (waited >= balancer_lag)
+    {
+        if (!std::exchange(closed_, true))
+        {
+            callers_.close();
+        }
+        for (auto& [id, session] : sessions_)
+        {
+            session->close_if_idle();
+        }
+    }
+    const bool done = closed_ && sessions_.empty();
+    if (done || waited >= settings_.shutdown.limit - shutdown_margin)
+    {
+        log(log_level::info, subsystem::process, "drained sessions_cut={}",
+            sessions_.size());
+        loop_.stop();
+        return;
+    }
+    loop_.after(shutdown_check, [this] { watch_shut_down(); });
+}
+
+} // namespace hickorygap
--- /dev/null
+++ b/src/process/gateway/gateway.hpp
@@ -0,0 +1,80 @@
+#ifndef HICKORYGAP_PROCESS_GATEWAY_GATEWAY_HPP
+#define HICKORYGAP_PROCESS_GATEWAY_GATEWAY_HPP
+
+#include "connection/event/listener.hpp"
+#include "connection/h1/http_endpoint.hpp"
+#include "process/gateway/caller_session.hpp"
+#include "process/gateway/fleet_follower.hpp"
+#include "process/gateway/gateway_context.hpp"
+#include "version/routing/configuration_format.hpp"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/status/status.h>
+
+#include <cstdint>
+#include <memory>
+
+namespace hickorygap
+{
+
+// Formats in which a router's neighbours speak. All must outlive the router.
+struct gateway_dialects
+{
+    const request_dialect* requests = nullptr;
+    const configuration_format* configurations = nullptr;
+    const backend_list_format* backend_list = nullptr;
+};
+
+// One router process: accepts callers and relays their requests.
+class gateway final : public fleet_observer
+{
+public:
+    gateway(
+        event_loop& loop, fleet_settings settings, gateway_dialects dialects);
+    ~gateway() override;
+
+    // Error: unreachable, when a port can't be bound.
+    absl::Status open();
+
+    // Reads changed settings; only the seeds can change while it runs.
+    void reload(const fleet_settings& settings);
+
+    // Ends in order: not ready at once, then no new connections, and the end
+    // of the loop when the last request has its answer or time is up.
+    void shut_down();
+
+    metrics_registry& metrics()
+    {
+        return context_.metrics();
+    }
+
+    bool on_configuration(
+        configuration_version version,
+        std::span<const std::uint8_t> document) override;
+    void on_backend_list(std::span<const listed_backend> list) override;
+    void on_router_count(std::uint32_t routers) override;
+
+private:
+    void accept(const Poco::Net::StreamSocket& socket);
+    void answer_readiness(const http_responder& respond) const;
+    bool is_ready() const;
+    void watch_shut_down();
+
+    event_loop& loop_;
+    fleet_settings settings_;
+    gateway_dialects dialects_;
+    gateway_context context_;
+    fleet_follower follower_;
+    listener callers_;
+    http_endpoint readiness_;
+    absl::flat_hash_map<std::uint64_t, std::unique_ptr<caller_session>>
+        sessions_;
+    std::uint64_t last_session_ = 0;
+    bool draining_ = false;
+    bool closed_ = false;
+    time_point draining_since_;
+};
+
+} // namespace hickorygap
+
+#endif
--- /dev/null
+++ b/src/process/gateway/gateway_context.hpp
@@ -0,0 +1,93 @@
+#ifndef HICKORYGAP_PROCESS_GATEWAY_GATEWAY_CONTEXT_HPP
+#define HICKORYGAP_PROCESS_GATEWAY_GATEWAY_CONTEXT_HPP
+
+#include "common/random.hpp"
+#include "common/text.hpp"
+#include "process/fleet_settings/fleet_settings.hpp"
+#include "process/gateway/backend_pool.hpp"
+#include "process/metrics/metrics_registry.hpp"
+#include "request/dialect/request_dialect.hpp"
+#include "request/dispatch/dispatch_policy.hpp"
+#include "request/dispatch/retry_allowance.hpp"
+#include "version/routing/routing_configuration.hpp"
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace hickorygap
+{
+
+// What all requests of a router share. Belongs to the thread of its loop.
+class gateway_context
+{
+public:
+    gateway_context(
+        event_loop& loop, const fleet_settings& settings,
+        const request_dialect& dialect);
+
+    // nullptr before the first configuration.
+    std::shared_ptr<const routing_configuration> configuration() const
+    {
+        return configuration_;
+    }
+    void
+    set_configuration(std::shared_ptr<const routing_configuration> applied);
+
+    void set_router_count(std::uint32_t routers);
+
+    // The fleet's limit on repeats for a service, as this router's part.
+    retry_allowance& allowance(std::string_view service);
+
+    // The way in which backend servers of the route are chosen.
+    dispatch_policy& policy_for(const route& matched);
+
+    event_loop& loop()
+    {
+        return loop_;
+    }
+    const fleet_settings& settings() const
+    {
+        return settings_;
+    }
+    const request_dialect& dialect() const
+    {
+        return dialect_;
+    }
+    backend_table& table()
+    {
+        return table_;
+    }
+    backend_pool& pool()
+    {
+        return pool_;
+    }
+    metrics_registry& metrics()
+    {
+        return metrics_;
+    }
+    random_engine& random()
+    {
+        return random_;
+    }
+
+private:
+    void update_connection_limits();
+
+    event_loop& loop_;
+    const fleet_settings& settings_;
+    const request_dialect& dialect_;
+    random_engine random_;
+    backend_table table_;
+    backend_pool pool_;
+    metrics_registry metrics_;
+    prefix_affinity_policy affinity_policy_;
+    least_cost_policy cost_policy_;
+    name_map<std::unique_ptr<retry_allowance>> allowances_;
+    std::shared_ptr<const routing_configuration> configuration_;
+    std::uint32_t routers_ = 1;
+};
+
+} // namespace hickorygap
+
+#endif
--- /dev/null
+++ b/src/process/voter_node/voter_links.hpp
@@ -0,0 +1,79 @@
+#ifndef HICKORYGAP_PROCESS_VOTER_NODE_VOTER_LINKS_HPP
+#define HICKORYGAP_PROCESS_VOTER_NODE_VOTER_LINKS_HPP
+
+#include "connection/event/listener.hpp"
+#include "connection/link/link_connection.hpp"
+
+#include <absl/status/status.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace hickorygap
+{
+
+// Links of a voter: it dials the other voters and sends to each over the link
+// that it dialled; routers and other voters dial it. Messages may get lost.
+class voter_links final : public link_observer
+{
+public:
+    // Message that arrived, and the link for an answer to its sender.
+    using message_function = std::function<void(
+        instance_id, const wire::payloadUnion&, link_connection&)>;
+
+    voter_links(
+        event_loop& loop, instance_id self, std::uint16_t port,
+        message_function on_message);
+
+    // Error: unreachable, when the port can't be bound.
+    absl::Status open(const std::string& host);
+
+    // Sends to another voter, dialling it if needed.
+    void send(instance_id to, const wire::payloadUnion& payload);
+
+    // Sends to all routers that reported lately.
+    void send_to_routers(const wire::payloadUnion& payload);
+
+    // The peer at the other end is a router, which reported now.
+    void mark_router(link_connection& link);
+
+    // Routers that reported lately.
+    std::uint32_t routers() const;
+
+    void on_link_ready(link_connection& link) override;
+    void on_message(link_connection& link, wire::envelope_msg message) override;
+    void on_link_end(link_connection& link) override;
+
+private:
+    struct outgoing_link
+    {
+        std::unique_ptr<link_connection> link;
+        time_point dialled_at;
+    };
+
+    struct incoming_link
+    {
+        std::unique_ptr<link_connection> link;
+        bool is_router = false;
+        time_point reported_at;
+    };
+
+    void accept(const Poco::Net::StreamSocket& socket);
+    void destroy_later(std::unique_ptr<link_connection> link);
+    bool is_live_router(const incoming_link& item) const;
+
+    event_loop& loop_;
+    instance_id self_;
+    std::uint16_t port_;
+    message_function on_message_;
+    listener listener_;
+    std::map<instance_id, outgoing_link> outgoing_;
+    std::map<const link_connection*, incoming_link> incoming_;
+};
+
+} // namespace hickorygap
+
+#endif
--- /dev/null
+++ b/src/process/voter_node/voter_node.cpp
@@ -0,0 +1,538 @@
+#include "process/voter_node/voter_node.hpp"
+
+#include "common/compression.hpp"
+#include "common/error.hpp"
+#include "common/json.hpp"
+#include "common/logging.hpp"
+#include "common/random.hpp"
+#include "common/status_text.hpp"
+#include "process/consensus/file_log_storage.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace hickorygap
+{
+
+namespace
+{
+
+using Poco::Net::HTTPResponse;
+
+// Turn of the consensus clock; a fraction of its heartbeat.
+constexpr duration tick_interval = std::chrono::milliseconds{50};
+
+constexpr duration raft_heartbeat = std::chrono::milliseconds{150};
+
+// The leader is missed after one to two of these. Longer than the pauses that
+// a small share of a processor causes.
+constexpr duration election_timeout = std::chrono::milliseconds{900};
+
+// Routers hear from each voter at least so often; they count on it to notice
+// a voter that has vanished.
+constexpr duration notice_interval = std::chrono::seconds{1};
+
+// Interval at which the leader reads the list of backend servers. A server
+// that leaves may get new requests for 3 s after the list shows it.
+constexpr duration list_interval = std::chrono::seconds{1};
+
+constexpr duration join_interval = std::chrono::milliseconds{250};
+
+// A filing or read that is not decided by then gets no clear answer.
+constexpr duration call_limit = std::chrono::seconds{3};
+
+// Time for open filings when the process ends.
+constexpr duration farewell = std::chrono::milliseconds{300};
+
+// Largest document that operators may file, and largest head, in bytes.
+constexpr std::size_t max_document = std::size_t{4} * 1024 * 1024;
+constexpr std::size_t max_head = std::size_t{16} * 1024;
+
+http_answer error_answer(HTTPResponse::HTTPStatus status, std::string_view text)
+{
+    http_answer answer;
+    answer.status = status;
+    answer.body = fmt::format("{{\"error\":{}}}", json_quote(text));
+    if (status == HTTPResponse::HTTP_SERVICE_UNAVAILABLE)
+    {
+        answer.fields.emplace_back("Retry-After", "0.3");
+    }
+    return answer;
+}
+
+http_answer unavailable(std::string_view text)
+{
+    return error_answer(HTTPResponse::HTTP_SERVICE_UNAVAILABLE, text);
+}
+
+http_answer accepted(configuration_version version)
+{
+    http_answer answer;
+    answer.body = fmt::format("{{\"version\":{}}}", version);
+    return answer;
+}
+
+routing_voter_options
+voter_options(const fleet_settings& settings, instance_id self)
+{
+    routing_voter_options options;
+    options.lost_disks = settings.storage.lost_disks;
+    options.raft.self = self;
+    options.raft.heartbeat_interval = raft_heartbeat;
+    options.raft.election_timeout = election_timeout;
+    options.raft.seed = random_seed();
+    if (settings.storage.bootstrap)
+    {
+        for (const std::string& seed : settings.peers.seeds)
+        {
+            options.raft.initial_voters.push_back(instance_at(seed));
+        }
+        if (std::ranges::find(options.raft.initial_voters, self) ==
+            options.raft.initial_voters.end())
+        {
+            options.raft.initial_voters.clear();
+        }
+    }
+    return options;
+}
+
+} // namespace
+
+voter_node::voter_node(
+    event_loop& loop, fleet_settings settings, voter_dialects dialects)
+    : loop_{loop}
+    , settings_{std::move(settings)}
+    , dialects_{dialects}
+    , self_{instance_at(settings_.instance.host)}
+    , links_{
+          loop, self_, settings_.peers.port,
+          [this](
+              instance_id from, const wire::payloadUnion& payload,
+              link_connection& link) { on_message(from, payload, link); }}
+    , operators_{
+          loop, {max_head, max_document},
+          [this](received_request request, const http_responder& respond)
+          { serve(std::move(request), respond); }}
+    , list_reader_{loop, *dialects_.backend_list, settings_.backend_list.address}
+{
+}
+
+voter_node::~voter_node() = default;
+
+absl::Status voter_node::open()
+{
+    auto opened = routing_voter::open(
+        voter_options(settings_, self_),
+        std::make_unique<file_log_storage>(settings_.storage.folder),
+        loop_.now());
+    if (!opened.ok())
+    {
+        return opened.status();
+    }
+    voter_ = *std::move(opened);
+    if (absl::Status status = links_.open(settings_.instance.host);
+        !status.ok())
+    {
+        return status;
+    }
+    if (absl::Status status = operators_.open(settings_.operators);
+        !status.ok())
+    {
+        return status;
+    }
+    tick();
+    return absl::OkStatus();
+}
+
+void voter_node::reload(const fleet_settings& settings)
+{
+    settings_.peers.seeds = settings.peers.seeds;
+}
+
+void voter_node::shut_down()
+{
+    operators_.close();
+    loop_.after(
+        filings_.empty() ? duration{0} : farewell, [this] { loop_.stop(); });
+}
+
+void voter_node::tick()
+{
+    loop_.after(tick_interval, [this] { tick(); });
+    voter_->tick(loop_.now());
+    settle();
+    ask_to_join();
+    expire_calls();
+    if (voter_->raft().is_leader() && loop_.now() >= next_list_read_)
+    {
+        next_list_read_ = loop_.now() + list_interval;
+        read_backend_list();
+    }
+    if (loop_.now() >= next_notice_)
+    {
+        notify_routers();
+    }
+}
+
+void voter_node::settle_soon()
+{
+    if (!std::exchange(settle_due_, true))
+    {
+        loop_.defer([this] { settle(); });
+    }
+}
+
+void voter_node::settle()
+{
+    settle_due_ = false;
+    const absl::Status status = voter_->flush();
+    if (kind_of(status) == error_kind::storage_damaged)
+    {
+        failure_ = status;
+        loop_.stop();
+        return;
+    }
+    for (const outgoing_message& message : voter_->take_outgoing())
+    {
+        links_.send(message.destination, message.payload);
+    }
+    finish_filings();
+    finish_reads();
+    note_leadership();
+    if (voter_->current().version != notified_version_)
+    {
+        log(log_level::info, subsystem::configuration,
+            "configuration_committed version={} previous={} term={}",
+            voter_->current().version, notified_version_,
+            voter_->raft().term());
+        notify_routers();
+    }
+}
+
+void voter_node::note_leadership()
+{
+    const bool leads = voter_->raft().is_leader();
+    if (leads == was_leader_)
+    {
+        return;
+    }
+    was_leader_ = leads;
+    log(log_level::info, subsystem::consensus,
+        "leadership_changed leads={} term={}", leads, voter_->raft().term());
+    if (leads)
+    {
+        publisher_.start_epoch(voter_->raft().term());
+        next_list_read_ = loop_.now();
+    }
+    notify_routers();
+}
+
+void voter_node::on_message(
+    instance_id from, const wire::payloadUnion& payload, link_connection& link)
+{
+    if (message_in<wire::router_status_msg>(payload) != nullptr)
+    {
+        links_.mark_router(link);
+        link.send(notice());
+        return;
+    }
+    if (const auto* pull = message_in<wire::routing_pull_msg>(payload))
+    {
+        const filed_configuration& current = voter_->current();
+        if (current.version > pull->version)
+        {
+            wire::routing_push_msg push;
+            push.version = current.version;
+            push.document = current.document;
+            link.send(make_payload(std::move(push)));
+        }
+        return;
+    }
+    if (message_in<wire::backends_pull_msg>(payload) != nullptr)
+    {
+        if (auto list = publisher_.complete())
+        {
+            link.send(make_payload(*std::move(list)));
+        }
+        return;
+    }
+    voter_->receive(from, payload, loop_.now());
+    settle_soon();
+}
+
+// Operators.
+
+void voter_node::serve(received_request request, const http_responder& respond)
+{
+    switch (dialects_.operators->action_of(*request.head))
+    {
+    case operator_action::file_configuration:
+        file(request, respond);
+        return;
+    case operator_action::read_configuration:
+        read(request, respond);
+        return;
+    case operator_action::unknown:
+        respond(error_answer(
+            HTTPResponse::HTTP_NOT_FOUND,
+            "no call of this name; check method and path"));
+        return;
+    }
+}
+
+// Sends the caller to the leader; false when this voter leads.
+bool voter_node::redirect(
+    const received_request& request, const http_responder& respond) const
+{
+    if (voter_->raft().is_leader())
+    {
+        return false;
+    }
+    const instance_id leader = voter_->raft().leader();
+    if (leader == 0 || leader == self_)
+    {
+        respond(unavailable("no leader is known now; try again"));
+        return true;
+    }
+    http_answer answer;
+    answer.status = HTTPResponse::HTTP_TEMPORARY_REDIRECT;
+    answer.fields.emplace_back(
+        "Location", fmt::format(
+                        "http://{}:{}{}", host_of(leader),
+                        settings_.operators.port, request.head->getURI()));
+    respond(answer);
+    return true;
+}
+
+void voter_node::file(
+    const received_request& request, const http_responder& respond)
+{
+    const auto decoded = dialects_.configurations->decode(request.body);
+    if (!decoded.ok())
+    {
+        log(log_level::info, subsystem::configuration,
+            "configuration_refused bytes={} reason=\"{}\"", request.body.size(),
+            message_of(decoded.status()));
+        respond(error_answer(
+            HTTPResponse::HTTP_BAD_REQUEST, message_of(decoded.status())));
+        return;
+    }
+    const configuration_version version = (*decoded)->version();
+    if (version <= voter_->current().version)
+    {
+        // What is committed stays, so this needs no further agreement.
+        respond(accepted(version));
+        return;
+    }
+    if (redirect(request, respond))
+    {
+        return;
+    }
+    const auto number =
+        voter_->file({version, compress(request.body)}, loop_.now());
+    if (!number.ok())
+    {
+        log(log_level::info, subsystem::configuration,
+            "configuration_postponed version={} reason=\"{}\"", version,
+            message_of(number.status()));
+        respond(unavailable(message_of(number.status())));
+        return;
+    }
+    filings_[*number] = {respond, version, loop_.now()};
+    settle_soon();
+}
+
+void voter_node::read(
+    const received_request& request, const http_responder& respond)
+{
+    if (redirect(request, respond))
+    {
+        return;
+    }
+    const auto number = voter_->start_read(loop_.now());
+    if (!number.ok())
+    {
+        respond(unavailable(message_of(number.status())));
+        return;
+    }
+    reads_[*number] = {respond, 0, loop_.now()};
+    settle_soon();
+}
+
+void voter_node::finish_filings()
+{
+    for (const store_outcome& outcome : voter_->take_filings())
+    {
+        auto call = filings_.extract(outcome.number);
+        if (call.empty())
+        {
+            continue;
+        }
+        log(log_level::info, subsystem::configuration,
+            "configuration_filed version={} confirmed={} took_ms={}",
+            call.mapped().version, outcome.confirmed,
+            (loop_.now() - call.mapped().since) / std::chrono::milliseconds{1});
+        call.mapped().respond(
+            outcome.confirmed
+                ? accepted(call.mapped().version)
+                : unavailable("leadership changed; file it again unchanged"));
+    }
+}
+
+void voter_node::finish_reads()
+{
+    for (const store_outcome& outcome : voter_->take_reads())
+    {
+        auto call = reads_.extract(outcome.number);
+        if (call.empty())
+        {
+            continue;
+        }
+        if (outcome.confirmed)
+        {
+            respond_with_configuration(call.mapped().respond);
+        }
+        else
+        {
+            call.mapped().respond(
+                unavailable("leadership changed; read again"));
+        }
+    }
+}
+
+void voter_node::respond_with_configuration(const http_responder& respond) const
+{
+    const filed_configuration& current = voter_->current();
+    if (current.version == 0)
+    {
+        respond(error_answer(
+            HTTPResponse::HTTP_NOT_FOUND, "no configuration was filed yet"));
+        return;
+    }
+    auto document = decompress(current.document, max_document);
+    if (!document.ok())
+    {
+        log(log_level::error, subsystem::configuration,
+            "document_unreadable version={} error=\"{}\"", current.version,
+            message_of(document.status()));
+        respond(unavailable(message_of(document.status())));
+        return;
+    }
+    http_answer answer;
+    answer.body = *std::move(document);
+    respond(answer);
+}
+
+void voter_node::expire_calls()
+{
+    for (auto* calls : {&filings_, &reads_})
+    {
+        std::erase_if(
+            *calls,
+            [this](const auto& item)
+            {
+                if (loop_.now() - item.second.since < call_limit)
+                {
+                    return false;
+                }
+                item.second.respond(unavailable(
+                    "no majority of the voters answered in time; try again"));
+                return true;
+            });
+    }
+}
+
+// Routers.
+
+wire::payloadUnion voter_node::notice() const
+{
+    wire::voter_notice_msg message;
+    message.version = voter_->current().version;
+    message.leads = voter_->raft().holds_lease(loop_.now());
+    message.has_quorum = message.leads || voter_->raft().leader() != 0;
+    if (const voter_list* list = voter_->raft().configuration())
+    {
+        for (const voter_identity& voter : list->voters)
+        {
+            message.voters.push_back(voter.instance);
+        }
+    }
+    message.routers = links_.routers();
+    if (message.leads)
+    {
+        message.backends_epoch = publisher_.version().epoch;
+        message.backends_sequence = publisher_.version().sequence;
+    }
+    return make_payload(std::move(message));
+}
+
+void voter_node::notify_routers()
+{
+    notified_version_ = voter_->current().version;
+    next_notice_ = loop_.now() + notice_interval;
+    links_.send_to_routers(notice());
+}
+
+void voter_node::read_backend_list()
+{
+    list_reader_.read(
+        [this](absl::StatusOr<std::vector<listed_backend>> list)
+        {
+            if (list.ok() != list_was_read_)
+            {
+                list_was_read_ = list.ok();
+                log(list.ok() ? log_level::info : log_level::warning,
+                    subsystem::routing, "backend_list_{} error=\"{}\"",
+                    list.ok() ? "regained" : "lost", message_of(list.status()));
+            }
+            if (!list.ok() || !voter_->raft().is_leader())
+            {
+                return;
+            }
+            if (auto change = publisher_.publish(*list))
+            {
+                log(log_level::info, subsystem::routing,
+                    "backend_list_changed epoch={} sequence={} changed={} "
+                    "removed={} size={}",
+                    change->epoch, change->sequence, change->changed.size(),
+                    change->removed.size(), list->size());
+                links_.send_to_routers(make_payload(*std::move(change)));
+            }
+        });
+}
+
+void voter_node::ask_to_join()
+{
+    if (!voter_->wants_to_join() || loop_.now() < next_join_)
+    {
+        return;
+    }
+    next_join_ = loop_.now() + join_interval;
+    std::vector<instance_id> targets;
+    for (const std::string& seed : settings_.peers.seeds)
+    {
+        targets.push_back(instance_at(seed));
+    }
+    if (const voter_list* list = voter_->raft().configuration())
+    {
+        for (const voter_identity& voter : list->voters)
+        {
+            targets.push_back(voter.instance);
+        }
+    }
+    std::ranges::sort(targets);
+    targets.erase(std::unique(targets.begin(), targets.end()), targets.end());
+    wire::group_join_msg join;
+    join.disk = voter_->raft().disk();
+    for (const instance_id target : targets)
+    {
+        if (target != self_)
+        {
+            links_.send(target, make_payload(join));
+        }
+    }
+}
+
+} // namespace hickorygap
--- /dev/null
+++ b/tests/process/fleet_settings/fleet_settings_test.cpp
@@ -0,0 +1,74 @@
+#include "common/error.hpp"
+#include "process/fleet_settings/fleet_settings.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace hickorygap;
+using namespace std::chrono_literals;
+
+// Guards against a value that is read into the wrong member or unit.
+TEST_CASE("a rendered settings file is read")
+{
+    const auto result = parse_fleet_settings(R"(// rendered
+        {"instance": {"name": "core-1", "host": "10.1.0.22",
+                      "failure_domain": "thess-a"},
+         "callers": {"address": ""},
+         "readiness": {"address": ""},
+         "operators": {"address": "10.1.0.22:8229"},
+         "peers": {"port": 7340, "seeds": ["10.1.0.22:8229", "10.2.0.39"]},
+         "metrics": {"port": 7341},
+         "storage": {"folder": "/data/x", "bootstrap": true, "lost_disks": 2},
+         "backend_list": {"address": "10.200.0.61:8223",
+                          "calls_per_second": 44.5},
+         "retry": {"ratio": 0.2, "slack": 56, "window_s": 10},
+         "shutdown": {"limit_s": 8}})");
+    INFO(std::string{result.status().message()});
+    REQUIRE(result.ok());
+    CHECK(result->instance.failure_domain == "thess-a");
+    CHECK(result->callers.port == 0);
+    CHECK(result->operators == numeric_address{"10.1.0.22", 8229});
+    CHECK(
+        result->peers.seeds ==
+        std::vector<std::string>{"10.1.0.22", "10.2.0.39"});
+    CHECK(result->storage.bootstrap);
+    CHECK(result->storage.lost_disks == 2);
+    CHECK(result->backend_list.calls_per_second == 44.5);
+    CHECK(result->retry.window == 10s);
+    CHECK(result->shutdown.limit == 8s);
+}
+
+// Guards against a mistake that is found only when the process misbehaves.
+TEST_CASE("a mistake in the settings is named with its key")
+{
+    const auto [text, named] = GENERATE(table<std::string, std::string>({
+        {R"({})", "instance.host"},
+        {R"({"instance": {"host": "here"}})", "instance.host"},
+        {R"({"instance": {"host": "10.0.0.1", "nam": "x"}})", "name"},
+        {R"({"instance": {"host": "10.0.0.1"}, "callers": {"address": "x"}})",
+         "callers.address"},
+        {R"({"instance": {"host": "10.0.0.1"}, "peers": {"seeds": ["a:1"]}})",
+         "peers.seeds"},
+        {R"({"instance": {"host": "10.0.0.1"}, "peers": {"port": 99999}})",
+         "peers.port"},
+        {R"({"instance": {"host": "10.0.0.1"}, "retry": {"ratio": -1}})",
+         "retry.ratio"},
+        {R"({"instance": {"host": "10.0.0.1"}, "shutdown": {"limit_s": "8"}})",
+         "shutdown.limit_s"},
+        {R"({"instance": )", ""},
+    }));
+    CAPTURE(text);
+    const auto result = parse_fleet_settings(text);
+    REQUIRE_FALSE(result.ok());
+    CHECK(kind_of(result.status()) == error_kind::settings_invalid);
+    CHECK_THAT(std::string{result.status().message()}, Catch::Contains(named));
+}
+
+// Guards against an id that does not lead back to the machine.
+TEST_CASE("an instance's id is its address")
+{
+    CHECK(host_of(instance_at("10.1.0.22")) == "10.1.0.22");
+    CHECK(instance_at("10.1.0.22") == 0x0A010016);
+    CHECK(instance_at("name") == 0);
+}
--- /dev/null
+++ b/tests/process/gateway/exchange_test.cpp
@@ -0,0 +1,381 @@
+#include "process/gateway/gateway_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace hickorygap;
+using namespace hickorygap::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+using connection = backend_double::connection;
+
+const std::string sealed = "Request-Id: a1\r\nReply-Seal: s\r\n";
+
+std::string answer(
+    std::string_view status, std::string_view body,
+    std::string_view fields = sealed)
+{
+    return fmt::format(
+        "HTTP/1.1 {}\r\n{}Content-Length: {}\r\n\r\n{}", status, fields,
+        body.size(), body);
+}
+
+const std::string rejection =
+    answer("503 Service Unavailable", "", "Not-Run: 1\r\n");
+
+std::string event(int id)
+{
+    return fmt::format("id: {}\ndata: piece {}\n\n", id, id);
+}
+
+std::string chunk(std::string_view bytes)
+{
+    return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
+}
+
+const std::string stream_head =
+    "HTTP/1.1 200 OK\r\n" + sealed +
+    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+// Status of the first answer that a caller received.
+std::string status_of(const caller_double& caller)
+{
+    constexpr std::size_t start = 9;
+    constexpr std::size_t length = 3;
+    return caller.received().size() < start + length
+               ? std::string{}
+               : caller.received().substr(start, length);
+}
+
+bool is_answered(const caller_double& caller)
+{
+    return !status_of(caller).empty() || caller.ended();
+}
+
+} // namespace
+
+// Guards against answers that are crossed, cut, unsigned or altered and still
+// reach a caller as a success.
+TEST_CASE("only the whole, signed answer to the own request is a success")
+{
+    const auto [label, bytes, closes] =
+        GENERATE(table<std::string, std::string, bool>({
+            {"of another request",
+             answer("200 OK", "x", "Request-Id: a2\r\nReply-Seal: s\r\n"),
+             false},
+            {"unsigned", answer("200 OK", "x", "Request-Id: a1\r\n"), false},
+            {"cut short", answer("200 OK", "hello").substr(0, 70), true},
+            {"no answer", "garbage garbage\r\n\r\n", false},
+            {"encoded",
+             answer("200 OK", "x", sealed + "Content-Encoding: gzip\r\n"),
+             false},
+            {"nothing", "", true},
+        }));
+    CAPTURE(label);
+    gateway_fixture fixture{
+        gateway_fixture::make_route(call_kind::non_repeatable)};
+    const auto script =
+        [&, text = bytes, end = closes](connection& to, const received_request&)
+    {
+        to.write(text);
+        if (end)
+        {
+            to.close();
+        }
+    };
+    backend_double& first = fixture.add_backend(script);
+    backend_double& second = fixture.add_backend(script);
+    const caller_double& caller = fixture.call(gateway_fixture::request_text());
+    REQUIRE(fixture.run_until([&] { return is_answered(caller); }));
+    // It may have run, so it is neither sent again nor called "not run".
+    CHECK(status_of(caller) == "502");
+    CHECK(first.requests().size() + second.requests().size() == 1);
+    CHECK_FALSE(caller.ended());
+}
+
+// Guards against a repeatable request that fails although another server can
+// answer it, and against a repeat of one that is not repeatable.
+TEST_CASE("what may be sent again follows from the kind and the proof")
+{
+    struct row
+    {
+        std::string label;
+        call_kind kind;
+        std::uint32_t attempts;
+        std::string first_answer;
+        std::string status;
+        std::size_t sends;
+    };
+    const std::string failed = answer("500 Internal Server Error", "no");
+    const std::string misdirected =
+        answer("421 Misdirected Request", "", "Instance-Id: i-9\r\n");
+    const auto tested = GENERATE_COPY(
+        row{"repeatable, failed", call_kind::repeatable, 2, failed, "200", 2},
+        row{"repeatable, one attempt", call_kind::repeatable, 1, failed, "500",
+            1},
+        row{"repeatable, garbage", call_kind::repeatable, 2, "x\r\n\r\n", "200",
+            2},
+        row{"repeatable, full", call_kind::repeatable, 2, rejection, "200", 2},
+        row{"not repeatable, failed", call_kind::non_repeatable, 2, failed,
+            "500", 1},
+        row{"not repeatable, full", call_kind::non_repeatable, 2, rejection,
+            "200", 2},
+        row{"not repeatable, full, one attempt", call_kind::non_repeatable, 1,
+            rejection, "503", 1},
+        row{"not repeatable, other server", call_kind::non_repeatable, 2,
+            misdirected, "200", 2});
+    CAPTURE(tested.label);
+    gateway_fixture fixture{
+        gateway_fixture::make_route(tested.kind, tested.attempts)};
+    std::size_t sends = 0;
+    for (int i = 0; i < 2; ++i)
+    {
+        fixture.add_backend(
+            [&](connection& to, const received_request& request)
+            {
+                CHECK(request.body == "body");
+                to.write(
+                    ++sends == 1 ? tested.first_answer
+                                 : answer("200 OK", "fine"));
+            });
+    }
+    const caller_double& caller =
+        fixture.call(gateway_fixture::request_text("", "body"));
+    REQUIRE(fixture.run_until([&] { return is_answered(caller); }));
+    fixture.run_for(20ms);
+    CHECK(status_of(caller) == tested.status);
+    CHECK(sends == tested.sends);
+    if (tested.status == "503")
+    {
+        CHECK_THAT(caller.received(), Catch::Contains("Retry-After: 0."));
+    }
+}
+
+// Guards against a failure that the router can know of before it sends
+// anything.
+TEST_CASE("a server that is gone costs no attempt")
+{
+    gateway_fixture fixture{
+        gateway_fixture::make_route(call_kind::non_repeatable, 1)};
+    for (int i = 0; i < 3; ++i)
+    {
+        fixture.add_dead_backend();
+    }
+    fixture.add_backend([](connection& to, const received_request&)
+                        { to.write(answer("200 OK", "fine")); });
+    for (int i = 0; i < 5; ++i)
+    {
+        const caller_double& caller =
+            fixture.call(gateway_fixture::request_text());
+        REQUIRE(fixture.run_until([&] { return is_answered(caller); }));
+        CHECK(status_of(caller) == "200");
+    }
+}
+
+// Guards against a refusal that leaves the caller without an answer, and
+// against wrong rights.
+TEST_CASE("requests that no server may get are answered at once")
+{
+    const auto [label, text, status] =
+        GENERATE(table<std::string, std::string, std::string>({
+            {"no route",
+             "GET /b/ HTTP/1.1\r\nHost: h.example\r\nRequest-Id: a1\r\n"
+             "Authorization: Bearer key-1\r\n\r\n",
+             "404"},
+            {"other host",
+             "GET /a/ HTTP/1.1\r\nHost: x.example\r\nRequest-Id: a1\r\n"
+             "Authorization: Bearer key-1\r\n\r\n",
+             "404"},
+            {"unknown key",
+             "GET /a/ HTTP/1.1\r\nHost: h.example\r\nRequest-Id: a1\r\n"
+             "Authorization: Bearer key-2\r\n\r\n",
+             "401"},
+            {"no key",
+             "GET /a/ HTTP/1.1\r\nHost: h.example\r\nRequest-Id: a1\r\n\r\n",
+             "401"},
+            {"no identifier",
+             "GET /a/ HTTP/1.1\r\nHost: h.example\r\n"
+             "Authorization: Bearer key-1\r\n\r\n",
+             "400"},
+            {"two lengths",
+             "POST /a/ HTTP/1.1\r\nContent-Length: 0\r\nContent-Length: 30\r\n"
+             "\r\nGET /a/smuggled HTTP/1.1\r\nHost: h.example\r\n\r\n",
+             "400"},
+            {"no server", gateway_fixture::request_text(), "503"},
+        }));
+    CAPTURE(label);
+    gateway_fixture fixture{gateway_fixture::make_route(call_kind::repeatable)};
+    const caller_double& caller = fixture.call(text);
+    REQUIRE(fixture.run_until([&] { return is_answered(caller); }));
+    CHECK(status_of(caller) == status);
+    // Only framing in doubt ends the connection, and only after one answer.
+    fixture.run_for(20ms);
+    CHECK(caller.ended() == (label == "two lengths"));
+    CHECK(caller.received().find("HTTP/1.1", 1) == std::string::npos);
+}
+
+// Guards against work that goes on for a caller that has left.
+TEST_CASE("a caller that leaves ends the work for it")
+{
+    gateway_fixture fixture{
+        gateway_fixture::make_route(call_kind::streaming, 1)};
+    backend_double& backend =
+        fixture.add_backend([](connection& to, const received_request&)
+                            { to.write(stream_head + chunk(event(1))); });
+    caller_double& caller = fixture.call(gateway_fixture::request_text());
+    REQUIRE(fixture.run_until([&] { return is_answered(caller); }));
+    caller.leave();
+    CHECK(fixture.run_until([&] { return backend.ended() == 1; }));
+    CHECK(fixture.run_until([&] { return fixture.sessions() == 0; }));
+}
+
+// Guards against a request that is held past its route's time.
+TEST_CASE("a request without an answer ends at its route's time")
+{
+    const auto [kind, status] = GENERATE(table<call_kind, std::string>(
+        {{call_kind::non_repeatable, "504"}, {call_kind::streaming, "504"}}));
+    gateway_fixture fixture{gateway_fixture::make_route(kind, 1)};
+    backend_double& backend =
+        fixture.add_backend([](connection&, const received_request&) {});
+    const time_point start = boot_now();
+    const caller_double& caller = fixture.call(gateway_fixture::request_text());
+    REQUIRE(fixture.run_until([&] { return is_answered(caller); }));
+    CHECK(status_of(caller) == status);
+    CHECK(boot_now() - start >= 390ms);
+    CHECK(boot_now() - start < 600ms);
+    CHECK(fixture.run_until([&] { return backend.ended() == 1; }));
+}
+
+// Guards against a repeatable request that waits for a silent server while
+// another one would answer.
+TEST_CASE("a repeatable request is taken from a silent server")
+{
+    gateway_fixture fixture{gateway_fixture::make_route(call_kind::repeatable)};
+    std::size_t sends = 0;
+    for (int i = 0; i < 2; ++i)
+    {
+        fixture.add_backend(
+            [&](connection& to, const received_request&)
+            {
+                if (++sends == 2)
+                {
+                    to.write(answer("200 OK", "fine"));
+                }
+            });
+    }
+    const caller_double& caller = fixture.call(gateway_fixture::request_text());
+    REQUIRE(fixture.run_until([&] { return is_answered(caller); }));
+    CHECK(status_of(caller) == "200");
+    CHECK(sends == 2);
+}
+
+// Guards against lost, repeated or joined events, and against a broken stream
+// that looks complete.
+TEST_CASE("a broken stream goes on only where the route allows it")
+{
+    const bool resumable = GENERATE(true, false);
+    const std::string cut = GENERATE(as<std::string>{}, "", "id: 3\nda");
+    route routed = gateway_fixture::make_route(call_kind::streaming, 2);
+    routed.resumable = resumable;
+    gateway_fixture fixture{routed};
+    std::size_t sends = 0;
+    std::string resumed_after;
+    for (int i = 0; i < 2; ++i)
+    {
+        fixture.add_backend(
+            [&](connection& to, const received_request& request)
+            {
+                if (++sends == 1)
+                {
+                    to.write(
+                        stream_head + chunk(event(1) + event(2)) +
+                        (cut.empty() ? "" : chunk(cut)));
+                    to.close();
+                    return;
+                }
+                resumed_after = request.head->get("Last-Event-Id", "");
+                to.write(
+                    stream_head + chunk(event(3) + event(4)) + "0\r\n\r\n");
+            });
+    }
+    const caller_double& caller = fixture.call(gateway_fixture::request_text());
+    const std::string end = "0\r\n\r\n";
+    REQUIRE(fixture.run_until(
+        [&] { return caller.ended() || caller.received().ends_with(end); }));
+    const std::string first_part = chunk(event(1) + event(2));
+    CHECK_THAT(caller.received(), Catch::Contains(first_part));
+    CHECK(caller.received().ends_with(end) == resumable);
+    CHECK(caller.ended() != resumable);
+    CHECK_THAT(caller.received(), !Catch::Contains("id: 3\nda\r"));
+    if (resumable)
+    {
+        CHECK(resumed_after == "2");
+        CHECK(caller.received().ends_with(
+            first_part + chunk(event(3) + event(4)) + end));
+        CHECK(caller.received().find("HTTP/1.1", 1) == std::string::npos);
+    }
+}
+
+// Guards against a stream that fails before its first event and is cut
+// although a whole answer can still be given.
+TEST_CASE("a stream that breaks before its first event gets an answer")
+{
+    gateway_fixture fixture{
+        gateway_fixture::make_route(call_kind::streaming, 2)};
+    fixture.add_backend(
+        [](connection& to, const received_request&)
+        {
+            to.write(stream_head);
+            to.close();
+        });
+    const caller_double& caller = fixture.call(gateway_fixture::request_text());
+    REQUIRE(fixture.run_until([&] { return is_answered(caller); }));
+    CHECK(status_of(caller) == "502");
+    CHECK_FALSE(caller.ended());
+}
+
+// Guards against a second answer on a kept connection that is given to the
+// next request.
+TEST_CASE("a connection with surplus bytes is not used again")
+{
+    gateway_fixture fixture{
+        gateway_fixture::make_route(call_kind::non_repeatable, 1)};
+    std::size_t sends = 0;
+    backend_double& backend = fixture.add_backend(
+        [&](connection& to, const received_request&)
+        {
+            ++sends;
+            const std::string good = answer("200 OK", "fine");
+            to.write(sends == 1 ? good + answer("200 OK", "surplus") : good);
+        });
+    for (int i = 0; i < 3; ++i)
+    {
+        const caller_double& caller =
+            fixture.call(gateway_fixture::request_text());
+        REQUIRE(fixture.run_until([&] { return is_answered(caller); }));
+        fixture.run_for(10ms);
+        CHECK(caller.received().ends_with("fine"));
+    }
+    CHECK(backend.connections() == 2);
+}
+
+// Guards against a request that is lost behind another one on one connection.
+TEST_CASE("requests in a row on one connection are answered in order")
+{
+    gateway_fixture fixture{gateway_fixture::make_route(call_kind::repeatable)};
+    int number = 0;
+    backend_double& backend = fixture.add_backend(
+        [&](connection& to, const received_request&)
+        { to.write(answer("200 OK", fmt::format("n{}", ++number))); });
+    const caller_double& caller = fixture.call(
+        gateway_fixture::request_text() + gateway_fixture::request_text() +
+        gateway_fixture::request_text());
+    REQUIRE(
+        fixture.run_until([&] { return caller.received().ends_with("n3"); }));
+    CHECK(caller.received().find("n1") < caller.received().find("n2"));
+    CHECK(backend.connections() == 1);
+}
--- /dev/null
+++ b/tests/process/gateway/gateway_fixture.hpp
@@ -0,0 +1,328 @@
+#ifndef HICKORYGAP_TESTS_PROCESS_GATEWAY_GATEWAY_FIXTURE_HPP
+#define HICKORYGAP_TESTS_PROCESS_GATEWAY_GATEWAY_FIXTURE_HPP
+
+#include "connection/event/listener.hpp"
+#include "connection/h1/request_reader.hpp"
+#include "platform/request_fields.hpp"
+#include "process/gateway/caller_session.hpp"
+
+#include <fmt/format.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace hickorygap::test
+{
+
+// A backend server on loopback, in the loop of the test. For each request it
+// calls a script, which writes raw bytes.
+class backend_double
+{
+public:
+    class connection final : public connection_observer
+    {
+    public:
+        connection(backend_double& owner, const Poco::Net::StreamSocket& socket)
+            : owner_{owner}
+            , stream_{std::make_unique<stream_connection>(
+                  owner.loop_, socket, *this)}
+        {
+        }
+
+        void on_input() override
+        {
+            while (reader_.read(stream_->input(), {}) ==
+                   request_reader::state::complete)
+            {
+                owner_.requests_.push_back(reader_.take());
+                owner_.script_(*this, owner_.requests_.back());
+            }
+        }
+
+        void on_end(connection_end /*end*/) override
+        {
+            ++owner_.ended_;
+        }
+
+        void write(std::string_view bytes)
+        {
+            stream_->write(bytes);
+        }
+
+        void close()
+        {
+            stream_->close();
+        }
+
+    private:
+        backend_double& owner_;
+        std::unique_ptr<stream_connection> stream_;
+        request_reader reader_;
+    };
+
+    using script = std::function<void(connection&, const received_request&)>;
+
+    backend_double(event_loop& loop, std::uint16_t port, script on_request)
+        : loop_{loop}
+        , script_{std::move(on_request)}
+        , listener_{loop, [this](const Poco::Net::StreamSocket& socket) {
+                        connections_.push_back(
+                            std::make_unique<connection>(*this, socket));
+                    }}
+    {
+        opened_ = listener_.open({"127.0.0.1", port}).ok();
+    }
+
+    bool opened() const
+    {
+        return opened_;
+    }
+    const std::vector<received_request>& requests() const
+    {
+        return requests_;
+    }
+    std::size_t connections() const
+    {
+        return connections_.size();
+    }
+
+    // Connections that the router has closed.
+    int ended() const
+    {
+        return ended_;
+    }
+
+private:
+    event_loop& loop_;
+    script script_;
+    listener listener_;
+    std::vector<std::unique_ptr<connection>> connections_;
+    std::vector<received_request> requests_;
+    int ended_ = 0;
+    bool opened_ = false;
+};
+
+// A caller's connection.
+class caller_double final : public connection_observer
+{
+public:
+    caller_double(event_loop& loop, std::uint16_t port)
+        : stream_{*stream_connection::connect(loop, {"127.0.0.1", port}, *this)}
+    {
+    }
+
+    void send(std::string_view bytes)
+    {
+        stream_->write(bytes);
+    }
+    void leave()
+    {
+        stream_->close();
+    }
+
+    void on_input() override
+    {
+        received_ += std::exchange(stream_->input(), {});
+    }
+    void on_end(connection_end /*end*/) override
+    {
+        ended_ = true;
+    }
+
+    const std::string& received() const
+    {
+        return received_;
+    }
+    bool ended() const
+    {
+        return ended_;
+    }
+
+private:
+    std::unique_ptr<stream_connection> stream_;
+    std::string received_;
+    bool ended_ = false;
+};
+
+// The traffic path of a router without its links to the fleet: one port for
+// callers, one service with the servers that a test adds.
+class gateway_fixture
+{
+public:
+    explicit gateway_fixture(const route& routed)
+        : settings_{make_settings()}
+        , opened_{loop_.open().ok()}
+        , context_{loop_, settings_, dialect_}
+        , listener_{loop_, [this](const Poco::Net::StreamSocket& socket) {
+                        accept(socket);
+                    }}
+    {
+        routed_service service;
+        service.name = "reports";
+        service.max_connections = 100;
+        routing_configuration_builder builder{5};
+        builder.add_service(service).add_route(routed);
+        builder.add_organisation({"diarroi", {"key-1"}, {}});
+        context_.set_configuration(*builder.build());
+        port_ = bind();
+    }
+
+    static route make_route(call_kind kind, std::uint32_t attempts = 2)
+    {
+        route result;
+        result.name = "r";
+        result.host = "h.example";
+        result.path_prefix = "/a/";
+        result.targets = {{"reports", 1}};
+        result.kind = kind;
+        result.timeout = std::chrono::milliseconds{400};
+        result.target_latency = std::chrono::milliseconds{60};
+        result.max_attempts = attempts;
+        return result;
+    }
+
+    backend_double& add_backend(backend_double::script on_request)
+    {
+        // A fresh port is tried until one is free.
+        std::unique_ptr<backend_double> added;
+        do
+        {
+            added = std::make_unique<backend_double>(
+                loop_, next_port(), on_request);
+        } while (!added->opened());
+        list_.push_back(
+            {fmt::format("i-{}", list_.size()),
+             "reports",
+             "domain-a",
+             {"127.0.0.1", last_port()},
+             8,
+             false});
+        context_.table().replace(list_);
+        backends_.push_back(std::move(added));
+        return *backends_.back();
+    }
+
+    // A server in the list at whose address nothing listens.
+    void add_dead_backend()
+    {
+        list_.push_back(
+            {fmt::format("i-{}", list_.size()),
+             "reports",
+             "domain-a",
+             {"127.0.0.1", next_port()},
+             8,
+             false});
+        context_.table().replace(list_);
+    }
+
+    caller_double& call(const std::string& request)
+    {
+        callers_.push_back(std::make_unique<caller_double>(loop_, port_));
+        callers_.back()->send(request);
+        return *callers_.back();
+    }
+
+    // Request text with the fields that every proper request has.
+    static std::string request_text(
+        std::string_view fields = "", std::string_view body = "",
+        std::string_view method = "POST")
+    {
+        return fmt::format(
+            "{} /a/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: a1\r\n"
+            "Authorization: Bearer key-1\r\n{}Content-Length: {}\r\n\r\n{}",
+            method, fields, body.size(), body);
+    }
+
+    // Runs the loop until the condition holds; false after a second.
+    bool run_until(const std::function<bool()>& condition)
+    {
+        const time_point limit = boot_now() + std::chrono::seconds{1};
+        while (!condition() && boot_now() < limit)
+        {
+            loop_.turn(std::chrono::milliseconds{5});
+        }
+        return condition();
+    }
+
+    void run_for(duration time)
+    {
+        const time_point limit = boot_now() + time;
+        while (boot_now() < limit)
+        {
+            loop_.turn(std::chrono::milliseconds{5});
+        }
+    }
+
+    gateway_context& context()
+    {
+        return context_;
+    }
+    std::size_t sessions() const
+    {
+        return sessions_.size();
+    }
+
+private:
+    static fleet_settings make_settings()
+    {
+        fleet_settings settings;
+        settings.instance.host = "127.0.0.1";
+        settings.retry.ratio = 0.2;
+        settings.retry.slack = 50;
+        return settings;
+    }
+
+    // Ports below the range of outgoing connections, different for processes
+    // that run at the same time.
+    static std::uint16_t next_port()
+    {
+        constexpr std::uint16_t first = 20000;
+        constexpr std::uint16_t count = 10000;
+        static std::uint16_t offset =
+            static_cast<std::uint16_t>(random_seed() % count);
+        offset = static_cast<std::uint16_t>((offset + 1) % count);
+        return last_port() = static_cast<std::uint16_t>(first + offset);
+    }
+    static std::uint16_t& last_port()
+    {
+        static std::uint16_t port = 0;
+        return port;
+    }
+
+    std::uint16_t bind()
+    {
+        while (!listener_.open({"127.0.0.1", next_port()}).ok())
+        {
+        }
+        return last_port();
+    }
+
+    void accept(const Poco::Net::StreamSocket& socket)
+    {
+        const std::uint64_t id = ++last_session_;
+        sessions_[id] = std::make_unique<caller_session>(
+            context_, socket,
+            [this, id] { loop_.defer([this, id] { sessions_.erase(id); }); });
+    }
+
+    event_loop loop_;
+    fleet_settings settings_;
+    platform::request_fields dialect_;
+    bool opened_;
+    gateway_context context_;
+    listener listener_;
+    std::uint16_t port_ = 0;
+    std::uint64_t last_session_ = 0;
+    std::map<std::uint64_t, std::unique_ptr<caller_session>> sessions_;
+    std::vector<listed_backend> list_;
+    std::vector<std::unique_ptr<backend_double>> backends_;
+    std::vector<std::unique_ptr<caller_double>> callers_;
+};
+
+} // namespace hickorygap::test
+
+#endif
