--- /dev/null
+++ b/tests/platform/platform_test.cpp
@@ -0,0 +1,288 @@
+#include "common/error.hpp"
+#include "platform/configuration_document.hpp"
+#include "platform/control_calls.hpp"
+#include "platform/replica_list.hpp"
+#include "platform/request_fields.hpp"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <string>
+
+using namespace hickorygap;
+using namespace hickorygap::platform;
+using namespace std::chrono_literals;
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+
+namespace
+{
+
+const std::string valid_document = R"({"version":7,"routes":[
+    {"name":"r1","host":"h.example","path_prefix":"/a/","kind":"streaming",
+     "timeout_ms":12000,"target_latency_ms":800,"priority":1,
+     "service":"llm","max_attempts":2,"public":false,"sticky":true,
+     "resumable":true,"gap_target_ms":300},
+    {"name":"r2","host":"h.example","path_prefix":"/b/","kind":"unsafe",
+     "timeout_ms":600,"traffic_split":[{"service":"llm","weight":90},
+     {"service":"app","weight":10}],"public":true}],
+    "services":[{"name":"llm","health_path":"/health","max_connections":500,
+     "protocol":"h1","tls":false,"engine":{"slots":96,
+     "kv_capacity_tokens":692737,"kv_token_bytes":18432,"models":[]}},
+     {"name":"app","max_connections":110}],
+    "limits":{"max_header_bytes":8192,"max_body_bytes":1000,
+     "header_timeout_ms":3000,"idle_timeout_ms":15000},
+    "tenants":[{"name":"t1","api_keys":["k1","k2"],"priority":1}]})";
+
+std::string
+with(const std::string& text, const std::string& from, const std::string& to)
+{
+    std::string changed = text;
+    changed.replace(changed.find(from), from.size(), to);
+    return changed;
+}
+
+HTTPRequest caller_request()
+{
+    HTTPRequest request{"POST", "/a/x?q=1", "HTTP/1.1"};
+    request.set("Host", "h.example");
+    request.set("Request-Id", "9c41d07be2a35f68");
+    request.set("Deadline-Ms", "12000");
+    request.set("Authorization", "Bearer k1");
+    request.set("Token-Count", "1460,80");
+    request.set("Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+    return request;
+}
+
+} // namespace
+
+// Guards against a field that is read into the wrong member.
+TEST_CASE("a configuration document is read in full")
+{
+    const auto decoded = configuration_document{}.decode(valid_document);
+    INFO(std::string{decoded.status().message()});
+    REQUIRE(decoded.ok());
+    const routing_configuration& read = **decoded;
+    CHECK(read.version() == 7);
+    CHECK(read.limits().header_bytes == 8192);
+    CHECK(read.limits().body_bytes == 1000);
+    CHECK(read.limits().header_timeout == 3s);
+    CHECK(read.limits().idle_timeout == 15s);
+    const route& first = *read.find_route("h.example", "/a/x");
+    CHECK(first.kind == call_kind::streaming);
+    CHECK(first.timeout == 12s);
+    CHECK(first.target_latency == 800ms);
+    CHECK(first.target_gap == 300ms);
+    CHECK(first.priority == 1);
+    CHECK(first.max_attempts == 2);
+    CHECK(first.prompt_affinity);
+    CHECK(first.resumable);
+    CHECK_FALSE(first.open_to_all);
+    const route& second = *read.find_route("h.example", "/b/");
+    CHECK(second.kind == call_kind::non_repeatable);
+    CHECK(second.max_attempts == 1);
+    CHECK(second.open_to_all);
+    REQUIRE(second.targets.size() == 2);
+    CHECK(second.targets[1].weight == 10);
+    CHECK(read.find_service("llm")->engine->cache_tokens == 692737);
+    CHECK(read.find_service("app")->max_connections == 110);
+    CHECK(read.find_organisation("k2")->priority == 1U);
+}
+
+// Guards against a damaged or senseless document that is acknowledged.
+TEST_CASE("a configuration that can't be used is refused")
+{
+    const auto [from, to] = GENERATE(table<std::string, std::string>({
+        {"\"keys\"", "\"keys\""},
+        {"{\"version\":7,", "{\"version\":\"x\","},
+        {"{\"version\":7,", "{"},
+        {"\"kind\":\"unsafe\"", "\"kind\":\"other\""},
+        {"\"timeout_ms\":600", "\"timeout_ms\":0"},
+        {"\"timeout_ms\":600,", ""},
+        {"\"service\":\"llm\",\"max", "\"service\":\"gone\",\"max"},
+        {"\"weight\":90", "\"weight\":-1"},
+        {"\"path_prefix\":\"/b/\"", "\"path_prefix\":\"/a/\""},
+        {"\"routes\":[", "\"routes\":7,\"x\":["},
+        {"\"api_keys\":[\"k1\"", "\"api_keys\":[7"},
+        {"]})", ""},
+    }));
+    CAPTURE(from, to);
+    std::string text = valid_document;
+    if (from == "\"keys\"")
+    {
+        text = with(
+            text, "\"tenants\":[",
+            "\"tenants\":[{\"name\":\"t2\",\"api_keys\":[\"k1\"]},");
+    }
+    else if (from == "]})")
+    {
+        text.resize(text.size() - 3);
+    }
+    else
+    {
+        text = with(text, from, to);
+    }
+    const auto decoded = configuration_document{}.decode(text);
+    REQUIRE_FALSE(decoded.ok());
+    CHECK(kind_of(decoded.status()) == error_kind::ticket_invalid);
+}
+
+// Guards against one damaged entry that hides the others.
+TEST_CASE("damaged entries of the list are skipped and the others hold")
+{
+    const std::string good =
+        R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":8,
+            "state":"ready","id":"i-1","version":"v1","born":17})";
+    const auto damaged = GENERATE(
+        as<std::string>{}, R"({"service":"s"})", R"(7)", R"("x")", R"(null)",
+        R"({"service":"s","address":"nowhere","zone":"z","slots":8,
+            "state":"ready","id":"i-2"})",
+        R"({"service":7,"address":"10.0.0.9:80","zone":"z","slots":8,
+            "state":"ready","id":"i-2"})",
+        R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":"8",
+            "state":"ready","id":"i-2"})",
+        R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":8,
+            "state":"dreaming","id":"i-2"})",
+        "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\","
+        "\"slots\":8,\"state\":\"\xff\xfe\",\"id\":\"i-2\"}");
+    CAPTURE(damaged);
+    const auto page = replica_list{}.decode_page(
+        fmt::format(R"({{"instances":[{},{}],"next":"p-50"}})", damaged, good));
+    REQUIRE(page.ok());
+    CHECK(page->unreadable == 1);
+    REQUIRE(page->backends.size() == 1);
+    CHECK(page->backends[0].id == "i-1");
+    CHECK(page->backends[0].address == numeric_address{"10.0.0.9", 80});
+    CHECK(page->next_page == "p-50");
+    CHECK(replica_list{}.page_target("p-50") == "/replicas?page_token=p-50");
+    CHECK_FALSE(replica_list{}.decode_page("{\"instances\":").ok());
+    CHECK_FALSE(replica_list{}.decode_page("[]").ok());
+}
+
+// Guards against a leaving server that is taken for a serving one.
+TEST_CASE("a draining entry is leaving")
+{
+    const auto page = replica_list{}.decode_page(
+        R"({"instances":[{"service":"s","address":"10.0.0.9:80","zone":"z",
+            "slots":8,"state":"draining","id":"i-1"}],"next":null})");
+    REQUIRE(page.ok());
+    CHECK(page->backends.at(0).leaving);
+    CHECK(page->next_page.empty());
+}
+
+// Guards against fields that are read wrongly.
+TEST_CASE("a caller's request is decoded")
+{
+    HTTPRequest request = caller_request();
+    request.set("Last-Event-Id", "12");
+    const auto call = request_fields{}.decode_call(request);
+    REQUIRE(call.ok());
+    CHECK(call->attempt_id == "9c41d07be2a35f68");
+    CHECK(call->api_key == "k1");
+    CHECK(call->patience == 12s);
+    CHECK(call->prompt_tokens == 1460);
+    CHECK(call->max_output_tokens == 80);
+    REQUIRE(call->prompt.size() == 3);
+    CHECK(call->prompt[1].id == 0x91bd3f06);
+    CHECK(call->prompt[1].tokens == 410);
+    CHECK(call->resume_after == 12U);
+}
+
+// Guards against unreadable fields that are taken for zero.
+TEST_CASE("unreadable fields of a request are named")
+{
+    const auto [name, value] = GENERATE(table<std::string, std::string>({
+        {"Request-Id", ""},
+        {"Deadline-Ms", "soon"},
+        {"Deadline-Ms", "-5"},
+        {"Token-Count", "1,x"},
+        {"Prompt-Prefix", "zz:1"},
+        {"Prompt-Prefix", "5c"},
+        {"Last-Event-Id", "1.5"},
+    }));
+    HTTPRequest request = caller_request();
+    request.set(name, value);
+    const auto call = request_fields{}.decode_call(request);
+    REQUIRE_FALSE(call.ok());
+    CHECK_THAT(std::string{call.status().message()}, Catch::Contains(name));
+}
+
+// Guards against keys and orders of callers that reach a backend server, and
+// against a request that is changed on its way.
+TEST_CASE("a dispatched request keeps the caller's fields and sets the own")
+{
+    HTTPRequest request = caller_request();
+    for (const char* name :
+         {"Tenant", "Hold", "Pin-Ms", "Kv-Fetch", "Kv-Backup", "Kv-From",
+          "Expect-Instance", "Expect-Version", "Request-Priority", "X-Hop",
+          "Keep-Alive", "Transfer-Encoding", "Expect"})
+    {
+        request.set(name, "from-caller");
+    }
+    request.set("Connection", "x-hop, keep-alive");
+    request.set("Model", "m");
+    dispatch_instructions instructions;
+    instructions.backend_server = "i-7";
+    instructions.organisation = "t1";
+    instructions.time_left = 900ms;
+    instructions.resume_after = 4;
+    instructions.urgency = 12;
+    const std::string head =
+        request_fields{}.encode_dispatch(request, 5, instructions);
+    CHECK(head.starts_with("POST /a/x?q=1 HTTP/1.1\r\nHost: h.example\r\n"));
+    CHECK(head.ends_with("\r\n\r\n"));
+    for (const char* line :
+         {"Request-Id: 9c41d07be2a35f68", "Model: m", "Token-Count: 1460,80",
+          "Prompt-Prefix: 5c1e07a2:800,91bd3f06:410,e4402b7d:250",
+          "Content-Length: 5", "Expect-Instance: i-7", "Tenant: t1",
+          "Deadline-Ms: 900", "Last-Event-Id: 4", "Request-Priority: 9"})
+    {
+        CHECK_THAT(head, Catch::Contains(fmt::format("\r\n{}\r\n", line)));
+    }
+    CHECK_THAT(head, !Catch::Contains("from-caller"));
+    CHECK_THAT(head, !Catch::Contains("k1"));
+    CHECK_THAT(head, !Catch::Contains("Connection"));
+}
+
+// Guards against an answer that is taken for proof of what it does not say.
+TEST_CASE("a backend server's answer is decoded")
+{
+    HTTPResponse response{HTTPResponse::HTTP_OK};
+    response.set("Request-Id", "a1");
+    CHECK_FALSE(request_fields{}.decode_answer(response).sealed);
+    response.set("Reply-Seal", "3e1b");
+    response.set("Server-Load", "3,1,8");
+    response.set("Keep-Alive", "max=100, timeout=5");
+    const backend_answer answer = request_fields{}.decode_answer(response);
+    CHECK(answer.attempt_id == "a1");
+    CHECK(answer.sealed);
+    CHECK_FALSE(answer.not_run);
+    CHECK_FALSE(answer.wrong_server);
+    CHECK_FALSE(answer.altered);
+    CHECK(answer.load->running == 3);
+    CHECK(answer.load->waiting == 1);
+    CHECK(answer.idle_timeout == 5s);
+    response.set("Server-Load", "3,x");
+    response.set("Content-Encoding", "gzip");
+    response.set("Not-Run", "1");
+    CHECK_FALSE(request_fields{}.decode_answer(response).load);
+    CHECK(request_fields{}.decode_answer(response).altered);
+    CHECK(request_fields{}.decode_answer(response).not_run);
+    HTTPResponse misdirected{static_cast<HTTPResponse::HTTPStatus>(421)};
+    CHECK(request_fields{}.decode_answer(misdirected).wrong_server);
+}
+
+// Guards against an operator's call that does something else.
+TEST_CASE("operators' calls are told apart")
+{
+    const auto [method, target, action] =
+        GENERATE(table<std::string, std::string, operator_action>({
+            {"PUT", "/config", operator_action::file_configuration},
+            {"GET", "/config", operator_action::read_configuration},
+            {"POST", "/config", operator_action::unknown},
+            {"GET", "/configs", operator_action::unknown},
+        }));
+    CHECK(
+        control_calls{}.action_of(HTTPRequest{method, target, "HTTP/1.1"}) ==
+        action);
+}
