Keep the voters' narrow links free in storms of configurations

Entries were sent again to four voters each 200 ms while their answers waited in the same queue, 240 KB/s; 77 routers pulled a new document at the same moment; their reports came in one burst. Pages of the list of backend servers took over 0.8 s and were given up, so routers learnt of leaving servers after 4 to 5 s. Ruled out: processor (0.004 of a core); dead connections (reads go on over new ones); the platform's list (20 ms a page from the other voters).

Change: versions in quick succession share a log entry, 300 ms apart, and are all settled by the highest; entries are sent again after a second; routers spread their pulls and reports and pull from followers; a page may take 1.5 s.

--- a/src/process/consensus/raft_node.cpp
+++ b/src/process/consensus/raft_node.cpp
@@ -13,10 +13,6 @@
 namespace
 {
 
-// Answers to an append are awaited for this many heartbeats before the same
-// entries are sent again.
-constexpr int resend_heartbeats = 2;
-
 constexpr duration group_query_interval = std::chrono::milliseconds{500};
 
 } // namespace
@@ -784,8 +780,8 @@
     {
         const bool resend =
             follower.awaiting &&
-            now_ >= follower.sent_at +
-                        options_.heartbeat_interval * resend_heartbeats;
+            now_ >= follower.sent_at + options_.heartbeat_interval *
+                                           options_.resend_heartbeats;
         const bool may_send = !follower.awaiting || resend;
         if (!follower.snapshot && follower.next <= log_.base_index())
         {
--- a/src/process/consensus/raft_node.hpp
+++ b/src/process/consensus/raft_node.hpp
@@ -30,6 +30,11 @@
 
     duration heartbeat_interval = std::chrono::milliseconds{150};
 
+    // Entries without an answer are sent again after so many heartbeats. Over
+    // links that lose nothing while they stand, this may be long, and on
+    // narrow ones it must be longer than the entries take.
+    int resend_heartbeats = 2;
+
     // Each election timeout is drawn between this and twice this.
     duration election_timeout = std::chrono::seconds{1};
 
--- a/src/process/fleet_process/backend_list_reader.cpp
+++ b/src/process/fleet_process/backend_list_reader.cpp
@@ -13,8 +13,9 @@
 namespace
 {
 
-// A page is read within some ms; a silent server is asked again.
-constexpr duration page_time_limit = std::chrono::milliseconds{800};
+// A page is read within some ms, or half a second over a link that is full; a
+// silent server is asked again.
+constexpr duration page_time_limit = std::chrono::milliseconds{1500};
 
 // A list that never ends is given up.
 constexpr std::size_t max_pages = 200;
--- a/src/process/gateway/fleet_follower.cpp
+++ b/src/process/gateway/fleet_follower.cpp
@@ -28,7 +28,7 @@
 
 // A configuration that has not arrived by then is asked of another voter.
 // Covers the transfer of a large document over a voter's narrow link.
-constexpr duration pull_limit = std::chrono::milliseconds{400};
+constexpr duration pull_limit = std::chrono::milliseconds{600};
 
 // Without a leader's word for so long, the router reads the list of backend
 // servers itself. A notice may be one interval old and late.
@@ -68,13 +68,19 @@
 {
     loop_.cancel(timer_);
     loop_.cancel(load_timer_);
+    loop_.cancel(pull_timer_);
 }
 
 void fleet_follower::start()
 {
     observer_.on_router_count(assumed_routers);
     tick();
-    report_loads();
+    // Routers that start together don't go on reporting together.
+    load_timer_ = loop_.after(
+        duration{static_cast<duration::rep>(random_below(
+            random_,
+            static_cast<std::uint64_t>(load_interval(routers_).count()) + 1))},
+        [this] { report_loads(); });
 }
 
 // Tells the leader where this router's requests are, more often the fewer
@@ -274,21 +280,22 @@
 }
 
 // A voter drawn among those that hold what is wanted, so that the routers'
-// pulls are spread; another one than the last one where there is a choice.
+// pulls are spread; another one than the last one where there is a choice, and
+// not the leader, whose link also carries the group's heartbeats.
 fleet_follower::voter_link* fleet_follower::draw_holder(
     instance_id last, const std::function<bool(const voter_link&)>& holds)
 {
     std::vector<voter_link*> holders;
-    voter_link* asked_last = nullptr;
+    voter_link* otherwise = nullptr;
     for (auto& [voter, item] : voters_)
     {
         if (!item.link || !item.link->is_ready() || !holds(item))
         {
             continue;
         }
-        if (voter == last)
+        if (voter == last || voter == leader_)
         {
-            asked_last = &item;
+            otherwise = &item;
         }
         else
         {
@@ -297,7 +304,7 @@
     }
     if (holders.empty())
     {
-        return asked_last;
+        return otherwise;
     }
     return holders[random_below(random_, holders.size())];
 }
@@ -309,12 +316,33 @@
     {
         newest = std::max(newest, item.version);
     }
-    // A pull that is under way is waited for, and pulls of versions in quick
-    // succession keep a pause, so that the voters' links bear them.
     const time_point now = loop_.now();
-    const duration pause =
-        pulled_version_ > version_ ? pull_limit : load_interval(routers_);
-    if (newest == version_ || now - pulled_at_ < pause)
+    if (newest == version_)
+    {
+        return;
+    }
+    if (newest > announced_version_)
+    {
+        announced_version_ = newest;
+        // In a large fleet the pulls are spread over time, because documents
+        // for all routers at once would fill the voters' links and hold up the
+        // heartbeats of the group.
+        const duration spread = load_interval(routers_) - load_interval(0);
+        pull_after_ = std::max(
+            pull_after_,
+            now +
+                duration{static_cast<duration::rep>(random_below(
+                    random_, static_cast<std::uint64_t>(spread.count()) + 1))});
+    }
+    if (now < pull_after_)
+    {
+        loop_.cancel(pull_timer_);
+        pull_timer_ =
+            loop_.after(pull_after_ - now, [this] { pull_configuration(); });
+        return;
+    }
+    // A pull that is under way is waited for.
+    if (pulled_version_ > version_ && now - pulled_at_ < pull_limit)
     {
         return;
     }
@@ -327,6 +355,8 @@
     }
     pulled_version_ = newest;
     pulled_at_ = now;
+    // Versions in quick succession keep the same pause.
+    pull_after_ = now + load_interval(routers_) - load_interval(0);
     pulled_from_ = chosen->link->peer();
     wire::routing_pull_msg pull;
     pull.version = version_;
--- a/src/process/gateway/fleet_follower.hpp
+++ b/src/process/gateway/fleet_follower.hpp
@@ -116,6 +116,11 @@
     configuration_version version_ = 0;
     configuration_version pulled_version_ = 0;
     time_point pulled_at_;
+
+    // Newest version that a voter announced, and when it may be pulled.
+    configuration_version announced_version_ = 0;
+    time_point pull_after_;
+    timer_id pull_timer_ = 0;
     instance_id pulled_from_ = 0;
 
     backend_list_replica backends_;
--- a/src/process/routing_store/routing_voter.cpp
+++ b/src/process/routing_store/routing_voter.cpp
@@ -46,6 +46,7 @@
 {
     now_ = now;
     raft_.tick(now);
+    propose_waiting();
     std::erase_if(
         joining_, [&](const auto& item)
         { return now - item.second > options_.join_expiry; });
@@ -88,14 +89,47 @@
             error_kind::no_quorum,
             "the group is still gathering its voters; try again in a second");
     }
-    auto index = raft_.propose(
+    if (waiting_.empty() || configuration.version > waiting_highest_.version)
+    {
+        waiting_highest_ = configuration;
+    }
+    waiting_.push_back(++last_filing_);
+    propose_waiting();
+    return last_filing_;
+}
+
+void routing_voter::propose_waiting()
+{
+    if (waiting_.empty())
+    {
+        return;
+    }
+    if (!raft_.is_leader())
+    {
+        end_filings(std::exchange(waiting_, {}), false);
+        return;
+    }
+    if (now_ < next_proposal_)
+    {
+        return;
+    }
+    const auto index = raft_.propose(
         wire::entry_kind::routing,
-        routing_register::encode_entry(configuration), now);
+        routing_register::encode_entry(waiting_highest_), now_);
     if (index.ok())
     {
-        pending_[*index] = raft_.term();
+        next_proposal_ = now_ + options_.filing_interval;
+        proposed_[*index] = {raft_.term(), std::exchange(waiting_, {})};
+    }
+}
+
+void routing_voter::end_filings(
+    std::span<const std::uint64_t> numbers, bool confirmed)
+{
+    for (const std::uint64_t number : numbers)
+    {
+        filings_.push_back({number, confirmed});
     }
-    return index;
 }
 
 absl::StatusOr<std::uint64_t> routing_voter::start_read(time_point now)
@@ -131,10 +165,10 @@
         state_status_ = state_.restore(batch.snapshot->data);
         applied_index_ = batch.snapshot->index;
         // What became of filings that the snapshot covers is not known.
-        while (!pending_.empty() && pending_.begin()->first <= applied_index_)
+        while (!proposed_.empty() && proposed_.begin()->first <= applied_index_)
         {
-            filings_.push_back({pending_.begin()->first, false});
-            pending_.erase(pending_.begin());
+            end_filings(proposed_.begin()->second.numbers, false);
+            proposed_.erase(proposed_.begin());
         }
     }
     for (const wire::log_entry_msg& entry : batch.entries)
@@ -149,11 +183,13 @@
             const auto changed = state_.apply(entry.data);
             state_status_ = changed.status();
         }
-        const auto pending = pending_.extract(entry.index);
-        if (!pending.empty())
+        const auto proposed = proposed_.extract(entry.index);
+        if (!proposed.empty())
         {
             // Another leader's entry may stand at this index by now.
-            filings_.push_back({entry.index, pending.mapped() == entry.term});
+            end_filings(
+                proposed.mapped().numbers,
+                proposed.mapped().term == entry.term);
         }
     }
     for (const read_outcome& read : raft_.take_reads())
--- a/src/process/routing_store/routing_voter.hpp
+++ b/src/process/routing_store/routing_voter.hpp
@@ -38,6 +38,11 @@
     // Entries applied between two snapshots.
     std::uint64_t snapshot_interval = 64;
 
+    // Shortest pause between two proposals, so that versions in quick
+    // succession leave room on the voters' links. Only the highest of the
+    // versions that wait is proposed; it settles the others too.
+    duration filing_interval = std::chrono::milliseconds{300};
+
     // Pause between attempts to write to a storage that failed.
     duration storage_retry = std::chrono::milliseconds{200};
 };
@@ -70,8 +75,10 @@
     void receive(
         instance_id from, const wire::payloadUnion& payload, time_point now);
 
-    // Proposes a configuration. Errors: not_leader; no_quorum while the group
-    // has fewer voters than the number of disks that may be lost demands.
+    // Proposes a configuration, at once or together with others soon, and
+    // returns the number of the filing. Errors: not_leader; no_quorum while
+    // the group has fewer voters than the number of disks that may be lost
+    // demands.
     absl::StatusOr<std::uint64_t>
     file(const filed_configuration& configuration, time_point now);
 
@@ -108,6 +115,8 @@
         stored_state stored, time_point now);
 
     absl::Status advance();
+    void propose_waiting();
+    void end_filings(std::span<const std::uint64_t> numbers, bool confirmed);
     std::size_t wanted_voters() const;
     void maintain_group();
     std::optional<voter_list> next_list() const;
@@ -120,8 +129,19 @@
     time_point now_;
     std::uint64_t applied_index_ = 0;
 
-    // By log index: the term in which the filing was proposed.
-    std::map<std::uint64_t, std::uint64_t> pending_;
+    // Filings that the entry at a log index settles.
+    struct proposed_filings
+    {
+        std::uint64_t term = 0;
+        std::vector<std::uint64_t> numbers;
+    };
+    std::map<std::uint64_t, proposed_filings> proposed_;
+
+    // Filings that were not proposed yet, and the highest of them.
+    std::vector<std::uint64_t> waiting_;
+    filed_configuration waiting_highest_;
+    std::uint64_t last_filing_ = 0;
+    time_point next_proposal_;
 
     // Instances that asked to join, with the time of the last request.
     std::map<instance_id, time_point> joining_;
--- a/src/process/voter_node/voter_node.cpp
+++ b/src/process/voter_node/voter_node.cpp
@@ -30,6 +30,10 @@
 // a small share of a processor causes.
 constexpr duration election_timeout = std::chrono::milliseconds{600};
 
+// Entries are sent again after a second. A link that loses them is dialled anew
+// within 1.5 s, and a configuration of some KB takes the narrowest link less.
+constexpr int resend_heartbeats = 10;
+
 // Routers hear from each voter at least so often; they count on it to notice
 // a voter that has vanished.
 constexpr duration notice_interval = std::chrono::seconds{1};
@@ -82,6 +86,7 @@
     options.raft.self = self;
     options.raft.heartbeat_interval = raft_heartbeat;
     options.raft.election_timeout = election_timeout;
+    options.raft.resend_heartbeats = resend_heartbeats;
     options.raft.seed = random_seed();
     if (settings.storage.bootstrap)
     {
--- a/tests/process/routing_store/routing_cluster.hpp
+++ b/tests/process/routing_store/routing_cluster.hpp
@@ -105,6 +105,7 @@
                 const auto filing = self.filings.extract(outcome.number);
                 if (outcome.confirmed && !filing.empty())
                 {
+                    ++self.acknowledgements;
                     acknowledged_ = std::max(acknowledged_, filing.mapped());
                 }
             }
@@ -219,6 +220,14 @@
         return count;
     }
 
+    std::uint64_t last_index(instance_id id) const
+    {
+        return members_.at(id).voter->raft().last_index();
+    }
+    int acknowledgements(instance_id id) const
+    {
+        return members_.at(id).acknowledgements;
+    }
     configuration_version version_at(instance_id id) const
     {
         return members_.at(id).voter->current().version;
@@ -250,6 +259,7 @@
         // the start of each read.
         std::map<std::uint64_t, configuration_version> filings;
         std::map<std::uint64_t, configuration_version> reads;
+        int acknowledgements = 0;
     };
 
     std::uint64_t seed_;
--- a/tests/process/routing_store/routing_voter_test.cpp
+++ b/tests/process/routing_store/routing_voter_test.cpp
@@ -135,6 +135,27 @@
     CHECK(cluster.file_and_wait());
 }
 
+// Load: a storm of configurations. Guards against each of them being sent to
+// all voters, which fills their links until the leader is taken for lost.
+TEST_CASE("versions in quick succession share an entry and are all settled")
+{
+    routing_cluster cluster{10};
+    settle(cluster);
+    const instance_id leader = *cluster.leader();
+    const auto entries_before = cluster.last_index(leader);
+    const auto first = cluster.acknowledged();
+    constexpr int filed = 50;
+    for (int i = 0; i < filed; ++i)
+    {
+        REQUIRE(cluster.file(leader));
+        cluster.step();
+    }
+    cluster.run(50);
+    CHECK(cluster.acknowledged() == first + filed);
+    CHECK(cluster.acknowledgements(leader) >= filed);
+    CHECK(cluster.last_index(leader) - entries_before <= 8);
+}
+
 // Failure: the leader's disk is full. Guards against a leader that holds the
 // place but can't accept anything.
 TEST_CASE("a leader with a full disk gives way")
