Let servers that failed share the load and be tried again

After all engines had failed for 4 s, one router took two of them for sound and sent them all its requests, 15 each at a mean of 4.4, because the others got none and could not recover (log: every choice "spilled load=12.0 mean=4.4" at one router). Ruled out: stale counts (the load of each choice was right within one).

Change: failures are forgotten with a half-life of 2 s, and servers that fail more than others take requests before sound ones go over the bound.

The new test's first part is the failing window; with the old choice two engines hold 30 requests each at a mean of 10.

--- a/src/request/dispatch/backend_table.cpp
+++ b/src/request/dispatch/backend_table.cpp
@@ -28,6 +28,10 @@
 // has caught up; the list lags by about a second.
 constexpr duration replaced_avoidance = std::chrono::seconds{10};
 
+// Time after which half of the share of failures is forgotten; faults last some
+// seconds.
+constexpr double failure_half_life_s = 2.0;
+
 // Time after which half of a report's weight is gone.
 constexpr double report_half_life_s = 1.0;
 
@@ -224,6 +228,14 @@
         now + std::min(first_avoidance * (1U << doublings), longest_avoidance);
 }
 
+void backend_table::count_outcome(
+    backend_record& record, bool failed, time_point now)
+{
+    record.failure_share = recent_failure_share(record, now);
+    record.failure_share_at = now;
+    average(record.failure_share, failed ? 1 : 0);
+}
+
 void backend_table::on_end(
     backend_server_id id, dispatch_outcome outcome, time_point now)
 {
@@ -241,17 +253,17 @@
     switch (outcome)
     {
     case dispatch_outcome::answered:
-        average(record.failure_share, 0);
+        count_outcome(record, false, now);
         record.consecutive_failures = 0;
         break;
     case dispatch_outcome::server_error:
         // An answer of the application, so the server itself is up.
-        average(record.failure_share, 1);
+        count_outcome(record, true, now);
         record.consecutive_failures = 0;
         break;
     case dispatch_outcome::broken:
     case dispatch_outcome::silent:
-        average(record.failure_share, 1);
+        count_outcome(record, true, now);
         count_failure(record, now);
         break;
     case dispatch_outcome::rejected:
@@ -302,6 +314,13 @@
     return own + others * std::exp2(-age / report_half_life_s);
 }
 
+double recent_failure_share(const backend_record& record, time_point now)
+{
+    const double age =
+        std::chrono::duration<double>(now - record.failure_share_at).count();
+    return record.failure_share * std::exp2(-age / failure_half_life_s);
+}
+
 duration silence_of(const backend_record& record, time_point now)
 {
     return record.unanswered_since ? now - *record.unanswered_since
--- a/src/request/dispatch/backend_table.hpp
+++ b/src/request/dispatch/backend_table.hpp
@@ -65,8 +65,10 @@
     // before the first one.
     double first_byte_ms = 0;
 
-    // Moving average of the share of requests that failed, 0 to 1.
+    // Moving average of the share of requests that failed, 0 to 1, as of the
+    // last outcome. See recent_failure_share.
     double failure_share = 0;
+    time_point failure_share_at;
 
     // Failures since the last answer.
     std::uint32_t consecutive_failures = 0;
@@ -141,6 +143,8 @@
 
 private:
     void count_failure(backend_record& record, time_point now);
+    static void
+    count_outcome(backend_record& record, bool failed, time_point now);
     void drop_if_unlisted(backend_server_id id);
 
     absl::flat_hash_map<backend_server_id, std::unique_ptr<backend_record>>
@@ -155,6 +159,10 @@
 // last report takes its place.
 double estimated_load(const backend_record& record, time_point now);
 
+// Share of failures, which counts less the longer ago the last outcome is: a
+// server that gets no requests because it failed has to get another chance.
+double recent_failure_share(const backend_record& record, time_point now);
+
 // Time for which the server has answered nothing although it holds requests.
 duration silence_of(const backend_record& record, time_point now);
 
--- a/src/request/dispatch/dispatch_policy.cpp
+++ b/src/request/dispatch/dispatch_policy.cpp
@@ -60,11 +60,18 @@
            silence_of(record, now) <= longest_silence;
 }
 
-// Sound servers that may be chosen; all that may be chosen when none is sound.
+// Servers that may be chosen.
 struct candidate_set
 {
-    std::vector<const backend_record*> records;
-    bool sound = true;
+    // They answer, and fail no more than others.
+    std::vector<const backend_record*> sound;
+
+    // They answer, but fail more than others.
+    std::vector<const backend_record*> failing;
+
+    // They are avoided or silent.
+    std::vector<const backend_record*> unresponsive;
+
     double mean_load = 0;
 };
 
@@ -80,28 +87,33 @@
     {
         if (!record->listed.leaving)
         {
-            lowest_failure = std::min(lowest_failure, record->failure_share);
+            lowest_failure =
+                std::min(lowest_failure, recent_failure_share(*record, now));
             total += estimated_load(*record, now);
             ++serving;
         }
     }
     result.mean_load = serving == 0 ? 0 : total / static_cast<double>(serving);
-    std::vector<const backend_record*> others;
     for (const backend_record* record : members)
     {
         if (record->listed.leaving || is_excluded(query, *record))
         {
             continue;
         }
-        const bool sound =
-            is_responsive(*record, longest_silence, now) &&
-            record->failure_share <= lowest_failure + failure_margin;
-        (sound ? result.records : others).push_back(record);
-    }
-    if (result.records.empty())
-    {
-        result.sound = false;
-        result.records = std::move(others);
+        if (!is_responsive(*record, longest_silence, now))
+        {
+            result.unresponsive.push_back(record);
+        }
+        else if (
+            recent_failure_share(*record, now) >
+            lowest_failure + failure_margin)
+        {
+            result.failing.push_back(record);
+        }
+        else
+        {
+            result.sound.push_back(record);
+        }
     }
     return result;
 }
@@ -113,8 +125,8 @@
     choice.reason = dispatch_reason::last_resort;
     choice.mean_load = candidates.mean_load;
     const auto first = std::ranges::min_element(
-        candidates.records, {}, &backend_record::avoided_until);
-    if (first != candidates.records.end())
+        candidates.unresponsive, {}, &backend_record::avoided_until);
+    if (first != candidates.unresponsive.end())
     {
         choice.backend = *first;
         choice.load = estimated_load(**first, now);
@@ -160,13 +172,47 @@
     return "unknown";
 }
 
+namespace
+{
+
+// The server with the highest score for the key among those within the bound;
+// without a key, the least loaded one of them. nullptr when all are over it.
+const backend_record* first_within(
+    std::span<const backend_record* const> records, std::uint64_t key,
+    double bound, time_point now)
+{
+    const backend_record* best = nullptr;
+    std::uint64_t best_score = 0;
+    double best_load = 0;
+    for (const backend_record* record : records)
+    {
+        const double load = estimated_load(*record, now);
+        const std::uint64_t score =
+            key == 0 ? 0 : rendezvous_score(key, record->id);
+        const bool better = best == nullptr || score > best_score ||
+                            (score == best_score && load < best_load);
+        if (load <= bound && better)
+        {
+            best = record;
+            best_score = score;
+            best_load = load;
+        }
+    }
+    return best;
+}
+
+} // namespace
+
 dispatch_choice prefix_affinity_policy::choose(
     std::span<const backend_record* const> members, const dispatch_query& query,
     time_point now)
 {
     const candidate_set candidates =
         candidates_of(members, query, engine_silence, now);
-    if (!candidates.sound)
+    std::vector<const backend_record*> responsive = candidates.sound;
+    responsive.insert(
+        responsive.end(), candidates.failing.begin(), candidates.failing.end());
+    if (responsive.empty())
     {
         return last_resort(candidates, now);
     }
@@ -174,37 +220,25 @@
                                    ? long_prefix_bound
                                    : short_prefix_bound;
     const double bound = limits.factor * candidates.mean_load + limits.slack;
+    constexpr double any_load = std::numeric_limits<double>::max();
     dispatch_choice choice;
     choice.mean_load = candidates.mean_load;
-    std::uint64_t best_score = 0;
-    const backend_record* least = nullptr;
-    double least_load = std::numeric_limits<double>::max();
-    std::uint64_t first_score = 0;
-    for (const backend_record* record : candidates.records)
+    choice.backend =
+        first_within(candidates.sound, query.affinity_key, bound, now);
+    if (choice.backend == nullptr)
     {
-        const double load = estimated_load(*record, now);
-        const std::uint64_t score =
-            rendezvous_score(query.affinity_key, record->id);
-        first_score = std::max(first_score, score);
-        if (load < least_load)
-        {
-            least_load = load;
-            least = record;
-        }
-        if (query.affinity_key != 0 && load <= bound &&
-            (choice.backend == nullptr || score > best_score))
-        {
-            choice.backend = record;
-            choice.load = load;
-            best_score = score;
-        }
+        // A few sound servers must not take the load of all.
+        choice.backend =
+            first_within(responsive, query.affinity_key, bound, now);
     }
     if (choice.backend == nullptr)
     {
-        choice.backend = least;
-        choice.load = least_load;
+        choice.backend = first_within(responsive, 0, any_load, now);
     }
-    if (query.affinity_key != 0 && best_score != first_score)
+    choice.load = estimated_load(*choice.backend, now);
+    if (query.affinity_key != 0 &&
+        choice.backend !=
+            first_within(responsive, query.affinity_key, any_load, now))
     {
         choice.reason = dispatch_reason::spilled;
     }
@@ -223,14 +257,16 @@
 {
     const candidate_set candidates =
         candidates_of(members, query, plain_silence, now);
-    if (!candidates.sound)
+    const auto& records =
+        candidates.sound.empty() ? candidates.failing : candidates.sound;
+    if (records.empty())
     {
         return last_resort(candidates, now);
     }
     dispatch_choice choice;
     choice.mean_load = candidates.mean_load;
     double lowest = std::numeric_limits<double>::max();
-    for (const backend_record* record : candidates.records)
+    for (const backend_record* record : records)
     {
         const double load = estimated_load(*record, now);
         const double time = record->first_byte_ms > 0 ? record->first_byte_ms
@@ -242,7 +278,8 @@
         // Ties are broken at random, so that routers don't move together.
         constexpr double tie_spread = 0.05;
         const double cost =
-            (load + base_load) * time * domain * (1.0 + record->failure_share) *
+            (load + base_load) * time * domain *
+            (1.0 + recent_failure_share(*record, now)) *
             (1.0 + tie_spread * std::uniform_real_distribution<>{}(random_));
         if (cost < lowest)
         {
--- a/tests/request/dispatch/dispatch_policy_test.cpp
+++ b/tests/request/dispatch/dispatch_policy_test.cpp
@@ -329,3 +329,34 @@
     CHECK(f.choose(policy, key).prefix_source->listed.id != first_id);
     CHECK(f.choose(policy).prefix_source == nullptr);
 }
+
+// Load: calm traffic after most engines failed for some seconds. Guards against
+// a few engines that take the load of all, because the others are never tried
+// again.
+TEST_CASE("engines that failed share the load and are tried again")
+{
+    fixture f;
+    prefix_affinity_policy policy;
+    const auto serving = f.table.serving("reports");
+    for (std::size_t i = 2; i < serving.size(); ++i)
+    {
+        for (int failure = 0; failure < 20; ++failure)
+        {
+            f.table.on_sent(serving[i]->id, f.now);
+            f.table.on_end(
+                serving[i]->id, dispatch_outcome::server_error, f.now);
+        }
+    }
+    std::uint32_t most = 0;
+    constexpr int requests = 60;
+    for (int i = 0; i < requests; ++i)
+    {
+        const auto choice = f.choose(policy, static_cast<std::uint64_t>(i) + 1);
+        f.table.on_sent(choice.backend->id, f.now);
+        f.table.on_bytes(choice.backend->id, f.now);
+        most = std::max(most, choice.backend->in_flight);
+    }
+    CHECK(most <= 2.0 * requests / 6 + 3);
+    CHECK(recent_failure_share(*serving[3], f.now) > 0.5);
+    CHECK(recent_failure_share(*serving[3], f.now + 10s) < 0.05);
+}
