--- a/src/common/compression.cpp
+++ b/src/common/compression.cpp
@@ -33,6 +33,11 @@
             error_kind::invalid_request,
             "the compressed document is damaged or too long; file it again");
     };
+    // The compressor writes nothing for an empty text.
+    if (data.empty())
+    {
+        return std::string{};
+    }
     try
     {
         Poco::MemoryInputStream input{
--- a/src/process/gateway/backend_pool.cpp
+++ b/src/process/gateway/backend_pool.cpp
@@ -45,7 +45,6 @@
     std::string_view request, std::string_view method,
     backend_receiver& receiver)
 {
-    ++requests_;
     reader_.emplace(method);
     receiver_ = &receiver;
     connection_->write(request);
@@ -167,7 +166,6 @@
             message_of(connection.status()));
         return nullptr;
     }
-    ++opened_;
     added->connection_ = *std::move(connection);
     backend_connection* result = added.get();
     added->dial_timer_ = loop_.after(
--- a/src/process/gateway/backend_pool.hpp
+++ b/src/process/gateway/backend_pool.hpp
@@ -54,12 +54,6 @@
         return *reader_;
     }
 
-    // Whether it carried a request before.
-    bool is_reused() const
-    {
-        return requests_ > 1;
-    }
-
     void set_reading(bool reading);
 
     void on_connected() override;
@@ -76,7 +70,6 @@
     std::unique_ptr<stream_connection> connection_;
     std::optional<response_reader> reader_;
     backend_receiver* receiver_ = nullptr;
-    std::uint32_t requests_ = 0;
     timer_id dial_timer_ = 0;
     time_point idle_since_;
     duration idle_limit_{0};
@@ -116,12 +109,6 @@
         return table_;
     }
 
-    // Connections opened so far.
-    std::uint64_t opened() const
-    {
-        return opened_;
-    }
-
 private:
     friend class backend_connection;
 
@@ -139,7 +126,6 @@
     absl::flat_hash_map<backend_server_id, server_connections> servers_;
     name_map<std::uint32_t> limits_;
     timer_id sweep_timer_ = 0;
-    std::uint64_t opened_ = 0;
 };
 
 } // namespace hickorygap
--- a/src/process/gateway/exchange.cpp
+++ b/src/process/gateway/exchange.cpp
@@ -588,7 +588,7 @@
     log(log_level::info, subsystem::attempt,
         "attempt_failed id={} backend={} outcome={} may_have_run={} send={} "
         "events={} after_ms={:.0f}",
-        call_.attempt_id, backend_name_, static_cast<int>(outcome),
+        call_.attempt_id, backend_name_, dispatch_outcome_name(outcome),
         may_have_run, sends_, events_,
         milliseconds(context_.loop().now() - sent_at_));
     end_attempt(outcome);
--- a/src/request/dispatch/backend_table.cpp
+++ b/src/request/dispatch/backend_table.cpp
@@ -50,6 +50,26 @@
 
 } // namespace
 
+std::string_view dispatch_outcome_name(dispatch_outcome outcome)
+{
+    switch (outcome)
+    {
+    case dispatch_outcome::answered:
+        return "answered";
+    case dispatch_outcome::rejected:
+        return "rejected";
+    case dispatch_outcome::server_error:
+        return "server_error";
+    case dispatch_outcome::broken:
+        return "broken";
+    case dispatch_outcome::silent:
+        return "silent";
+    case dispatch_outcome::withdrawn:
+        return "withdrawn";
+    }
+    return "unknown";
+}
+
 void backend_table::replace(std::span<const listed_backend> list)
 {
     known_ = true;
--- a/src/request/dispatch/backend_table.hpp
+++ b/src/request/dispatch/backend_table.hpp
@@ -42,6 +42,8 @@
     withdrawn
 };
 
+std::string_view dispatch_outcome_name(dispatch_outcome outcome);
+
 // What this router knows of one backend server.
 struct backend_record
 {
--- a/src/request/dispatch/dispatch_policy.cpp
+++ b/src/request/dispatch/dispatch_policy.cpp
@@ -134,6 +134,32 @@
     return choice;
 }
 
+// The server with the highest score for the key among those within the bound;
+// without a key, the least loaded one of them. nullptr when all are over it.
+const backend_record* first_within(
+    std::span<const backend_record* const> records, std::uint64_t key,
+    double bound, time_point now)
+{
+    const backend_record* best = nullptr;
+    std::uint64_t best_score = 0;
+    double best_load = 0;
+    for (const backend_record* record : records)
+    {
+        const double load = estimated_load(*record, now);
+        const std::uint64_t score =
+            key == 0 ? 0 : rendezvous_score(key, record->id);
+        const bool better = best == nullptr || score > best_score ||
+                            (score == best_score && load < best_load);
+        if (load <= bound && better)
+        {
+            best = record;
+            best_score = score;
+            best_load = load;
+        }
+    }
+    return best;
+}
+
 // The first server in the order of the key, other than the chosen one, that
 // answers.
 const backend_record* prefix_source(
@@ -172,37 +198,6 @@
     return "unknown";
 }
 
-namespace
-{
-
-// The server with the highest score for the key among those within the bound;
-// without a key, the least loaded one of them. nullptr when all are over it.
-const backend_record* first_within(
-    std::span<const backend_record* const> records, std::uint64_t key,
-    double bound, time_point now)
-{
-    const backend_record* best = nullptr;
-    std::uint64_t best_score = 0;
-    double best_load = 0;
-    for (const backend_record* record : records)
-    {
-        const double load = estimated_load(*record, now);
-        const std::uint64_t score =
-            key == 0 ? 0 : rendezvous_score(key, record->id);
-        const bool better = best == nullptr || score > best_score ||
-                            (score == best_score && load < best_load);
-        if (load <= bound && better)
-        {
-            best = record;
-            best_score = score;
-            best_load = load;
-        }
-    }
-    return best;
-}
-
-} // namespace
-
 dispatch_choice prefix_affinity_policy::choose(
     std::span<const backend_record* const> members, const dispatch_query& query,
     time_point now)
--- /dev/null
+++ b/tests/process/gateway/gateway_test.cpp
@@ -0,0 +1,149 @@
+#include "common/compression.hpp"
+#include "platform/configuration_document.hpp"
+#include "platform/replica_list.hpp"
+#include "process/gateway/gateway.hpp"
+#include "process/gateway/gateway_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <string>
+
+using namespace hickorygap;
+using namespace hickorygap::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const std::string document = R"({"version":3,"routes":[
+    {"name":"r","host":"h.example","path_prefix":"/a/","kind":"unsafe",
+     "timeout_ms":5000,"service":"reports","public":true}],
+    "services":[{"name":"reports","max_connections":100}]})";
+
+// A whole router on loopback, without voters.
+struct router_fixture
+{
+    router_fixture()
+    {
+        REQUIRE(loop.open().ok());
+        do
+        {
+            const auto base =
+                static_cast<std::uint16_t>(20000 + random_seed() % 10000);
+            settings.instance.host = "127.0.0.1";
+            settings.callers = {"127.0.0.1", base};
+            settings.readiness = {
+                "127.0.0.1", static_cast<std::uint16_t>(base + 1)};
+            settings.shutdown.limit = 6s;
+            router = std::make_unique<gateway>(
+                loop, settings,
+                gateway_dialects{&requests, &configurations, &backend_list});
+        } while (!router->open().ok());
+    }
+
+    bool run_until(const std::function<bool()>& condition, duration limit)
+    {
+        const time_point end = boot_now() + limit;
+        while (!condition() && boot_now() < end)
+        {
+            loop.turn(5ms);
+        }
+        return condition();
+    }
+
+    std::string ready()
+    {
+        caller_double asking{loop, settings.readiness.port};
+        asking.send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+        run_until([&] { return !asking.received().empty(); }, 1s);
+        return asking.received().substr(9, 3);
+    }
+
+    event_loop loop;
+    fleet_settings settings;
+    platform::request_fields requests;
+    platform::configuration_document configurations;
+    platform::replica_list backend_list;
+    std::unique_ptr<gateway> router;
+};
+
+std::string request(std::string_view id)
+{
+    return fmt::format(
+        "POST /a/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {}\r\n"
+        "Content-Length: 0\r\n\r\n",
+        id);
+}
+
+} // namespace
+
+// Guards against a router that takes work without knowing a configuration, and
+// against a document that can't be read and empties the configuration.
+TEST_CASE("a router without a configuration is not ready and answers 503")
+{
+    router_fixture f;
+    CHECK(f.ready() == "503");
+    caller_double caller{f.loop, f.settings.callers.port};
+    caller.send(request("a1"));
+    REQUIRE(f.run_until([&] { return !caller.received().empty(); }, 1s));
+    CHECK(caller.received().substr(9, 3) == "503");
+    CHECK_THAT(caller.received(), Catch::Contains("Retry-After: "));
+    CHECK(f.router->on_configuration(3, compress(document)));
+    CHECK(f.ready() == "200");
+    CHECK_FALSE(f.router->on_configuration(4, compress("{\"version\":")));
+    CHECK(f.ready() == "200");
+}
+
+// Failure: the process is asked to end while requests run and callers still
+// come. Guards against requests that are cut or connections that are refused
+// before the balancer has noticed.
+TEST_CASE("a router that ends finishes its requests and takes late callers")
+{
+    router_fixture f;
+    std::vector<std::pair<backend_double::connection*, std::string>> open;
+    backend_double backend{
+        f.loop, static_cast<std::uint16_t>(f.settings.callers.port + 2),
+        [&](backend_double::connection& to, const received_request& got)
+        { open.emplace_back(&to, got.head->get("Request-Id")); }};
+    REQUIRE(backend.opened());
+    REQUIRE(f.router->on_configuration(3, compress(document)));
+    const std::vector<listed_backend> list{
+        {"i-1",
+         "reports",
+         "domain-a",
+         {"127.0.0.1", static_cast<std::uint16_t>(f.settings.callers.port + 2)},
+         8,
+         false}};
+    f.router->on_backend_list(list);
+
+    const auto answer = [&](std::size_t number)
+    {
+        open[number].first->write(fmt::format(
+            "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nReply-Seal: s\r\n"
+            "Content-Length: 4\r\n\r\nfine",
+            open[number].second));
+    };
+    caller_double running{f.loop, f.settings.callers.port};
+    running.send(request("a1"));
+    REQUIRE(f.run_until([&] { return open.size() == 1; }, 1s));
+    caller_double idle{f.loop, f.settings.callers.port};
+    f.run_until([] { return false; }, 20ms);
+
+    f.router->shut_down();
+    CHECK(f.ready() == "503");
+    f.run_until([] { return false; }, 1s);
+    caller_double late{f.loop, f.settings.callers.port};
+    late.send(request("a2"));
+    REQUIRE(f.run_until([&] { return open.size() == 2; }, 1s));
+    answer(0);
+    answer(1);
+    REQUIRE(f.run_until([&] { return late.ended() && running.ended(); }, 1s));
+    for (const caller_double* caller : {&running, &late})
+    {
+        CHECK_THAT(caller->received(), Catch::Contains("Connection: close"));
+        CHECK(caller->received().ends_with("fine"));
+    }
+    CHECK_FALSE(idle.ended());
+    CHECK(f.run_until([&] { return idle.ended(); }, 3s));
+}
