Tell callers without a configuration when one is expected

Ruled out: a slow election, a lost configuration, servers that were free.

Change: Retry-After is the rest of the 1.6 s after the router's start in which a configuration is expected, 0.4 s later on.

--- a/src/process/gateway/exchange.cpp
+++ b/src/process/gateway/exchange.cpp
@@ -40,9 +40,6 @@
 // worked off some requests, or a crashed one is avoided by then.
 constexpr duration busy_retry_after = std::chrono::milliseconds{200};
 
-// While the router has no configuration, or no server is listed.
-constexpr duration unready_retry_after = std::chrono::milliseconds{500};
-
 // Fields of a backend server's answer that concern only its connection.
 constexpr std::array<std::string_view, 8> connection_fields{
     "connection", "keep-alive",        "proxy-connection", "te",
@@ -125,7 +122,7 @@
     {
         refuse(
             HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "no configuration is known",
-            unready_retry_after);
+            context_.retry_after_unready());
         return false;
     }
     route_ = configuration_->find_route(
--- a/src/process/gateway/gateway_context.cpp
+++ b/src/process/gateway/gateway_context.cpp
@@ -13,6 +13,13 @@
 // covers connections that are closing, and routers that are not counted yet.
 constexpr double connection_share = 0.8;
 
+// From the start of a router to its first configuration when the voters started
+// with it: their election takes 0.6 to 1.2 s. A caller that comes back earlier
+// has used its retry in vain.
+constexpr duration startup_time = std::chrono::milliseconds{1600};
+
+constexpr duration shortest_retry_after = std::chrono::milliseconds{400};
+
 } // namespace
 
 gateway_context::gateway_context(
@@ -24,6 +31,7 @@
     , random_{random_seed()}
     , pool_{loop, table_}
     , cost_policy_{random_()}
+    , started_at_{loop.now()}
 {
 }
 
@@ -44,6 +52,12 @@
     update_connection_limits();
 }
 
+duration gateway_context::retry_after_unready() const
+{
+    return std::max(
+        startup_time - (loop_.now() - started_at_), shortest_retry_after);
+}
+
 void gateway_context::update_connection_limits()
 {
     if (!configuration_)
--- a/src/process/gateway/gateway_context.hpp
+++ b/src/process/gateway/gateway_context.hpp
@@ -36,6 +36,10 @@
 
     void set_router_count(std::uint32_t routers);
 
+    // When a caller that found no configuration should come back: once a
+    // router that has just started has one, and soon otherwise.
+    duration retry_after_unready() const;
+
     // The fleet's limit on repeats for a service, as this router's part.
     retry_allowance& allowance(std::string_view service);
 
@@ -86,6 +90,7 @@
     name_map<std::unique_ptr<retry_allowance>> allowances_;
     std::shared_ptr<const routing_configuration> configuration_;
     std::uint32_t routers_ = 1;
+    time_point started_at_;
 };
 
 } // namespace hickorygap
--- a/tests/process/gateway/gateway_test.cpp
+++ b/tests/process/gateway/gateway_test.cpp
@@ -88,7 +88,8 @@
     caller.send(request("a1"));
     REQUIRE(f.run_until([&] { return !caller.received().empty(); }, 1s));
     CHECK(caller.received().substr(9, 3) == "503");
-    CHECK_THAT(caller.received(), Catch::Contains("Retry-After: "));
+    // Not before the voters can have elected a leader.
+    CHECK_THAT(caller.received(), Catch::Contains("Retry-After: 1."));
     CHECK(f.router->on_configuration(3, compress(document)));
     CHECK(f.ready() == "200");
     CHECK_FALSE(f.router->on_configuration(4, compress("{\"version\":")));
