Use one copy of what the routers and voters repeat

Found on reading the whole change once more; behaviour stays as it is.

- event_loop::destroy_later replaces six copies of the same deferred destruction.
- to_message builds both load messages; random_duration and pull_spread replace three spreads written out.
- max_configuration_document was defined in both programs.
- exchange::try_another_connection was written twice.
- backend_table: a set instead of a map to true; state that nothing read is gone.

--- a/src/connection/event/event_loop.hpp
+++ b/src/connection/event/event_loop.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -68,10 +69,18 @@
     // Does nothing for a timer that has run, or for zero. Sets it to zero.
     void cancel(timer_id& timer);
 
-    // Calls the function after the handlers that are due now. Used to destroy
-    // an object from within its own handler.
+    // Calls the function after the handlers that are due now.
     void defer(std::function<void()> function);
 
+    // Destroys the object after the handlers that are due now, so that it may
+    // be given up from within its own handler.
+    template <typename Object>
+    void destroy_later(std::unique_ptr<Object> object)
+    {
+        // A std::function must be copyable.
+        defer([owned = std::shared_ptr<Object>{std::move(object)}] {});
+    }
+
     // Time at which the present handlers were called; counts suspension.
     time_point now() const
     {
--- a/src/connection/h1/message_framing.cpp
+++ b/src/connection/h1/message_framing.cpp
@@ -1,5 +1,7 @@
 #include "connection/h1/message_framing.hpp"
 
+#include "common/text.hpp"
+
 #include <Poco/Exception.h>
 #include <Poco/MemoryStream.h>
 #include <Poco/Net/MessageHeader.h>
@@ -125,6 +127,16 @@
 
 } // namespace
 
+bool is_connection_field(std::string_view name)
+{
+    constexpr std::array<std::string_view, 8> fields{
+        "Connection",        "Keep-Alive", "Proxy-Connection", "TE", "Trailer",
+        "Transfer-Encoding", "Upgrade",    "Content-Length"};
+    return std::ranges::any_of(
+        fields, [name](std::string_view field)
+        { return equals_ignoring_case(field, name); });
+}
+
 std::optional<std::size_t> find_head_end(std::string_view input)
 {
     constexpr std::string_view end_of_head = "\r\n\r\n";
--- a/src/connection/h1/message_framing.hpp
+++ b/src/connection/h1/message_framing.hpp
@@ -47,6 +47,10 @@
 bool parse_head(std::string_view head, Poco::Net::HTTPRequest& request);
 bool parse_head(std::string_view head, Poco::Net::HTTPResponse& response);
 
+// Whether a field concerns only one connection or the framing of one message,
+// so that it is not passed on.
+bool is_connection_field(std::string_view name);
+
 // Framing of a request's body; nothing when it is in doubt: several lengths, a
 // length beside an encoding, or an encoding other than one `chunked`.
 std::optional<body_framing>
--- a/src/process/fleet_process/load_exchange.hpp
+++ b/src/process/fleet_process/load_exchange.hpp
@@ -23,6 +23,19 @@
     std::span<const std::uint32_t> backends,
     std::span<const std::uint16_t> in_flight);
 
+// The inverse, for a message with the two lists.
+template <typename Message>
+Message to_message(std::span<const backend_load> loads)
+{
+    Message message;
+    for (const backend_load& load : loads)
+    {
+        message.backends.push_back(load.backend);
+        message.in_flight.push_back(load.in_flight);
+    }
+    return message;
+}
+
 // Adds up the loads that the routers reported last.
 class load_aggregator
 {
--- a/src/process/gateway/backend_pool.cpp
+++ b/src/process/gateway/backend_pool.cpp
@@ -224,8 +224,7 @@
         server.all, &connection, &std::unique_ptr<backend_connection>::get);
     if (position != server.all.end())
     {
-        loop_.defer([owned = std::shared_ptr<backend_connection>{
-                         std::move(*position)}] {});
+        loop_.destroy_later(std::move(*position));
         server.all.erase(position);
     }
 }
--- a/src/process/gateway/caller_session.cpp
+++ b/src/process/gateway/caller_session.cpp
@@ -204,8 +204,7 @@
 
 void caller_session::on_answered()
 {
-    context_.loop().defer(
-        [owned = std::shared_ptr<exchange>{std::move(exchange_)}] {});
+    context_.loop().destroy_later(std::move(exchange_));
     if (closes_after_answer())
     {
         connection_->close_after_output();
@@ -225,8 +224,7 @@
 
 void caller_session::on_broken()
 {
-    context_.loop().defer(
-        [owned = std::shared_ptr<exchange>{std::move(exchange_)}] {});
+    context_.loop().destroy_later(std::move(exchange_));
     connection_->close();
     leave();
 }
--- a/src/process/gateway/exchange.cpp
+++ b/src/process/gateway/exchange.cpp
@@ -1,15 +1,11 @@
 #include "process/gateway/exchange.hpp"
 
-#include "common/hashing.hpp"
 #include "common/logging.hpp"
 #include "common/status_text.hpp"
-#include "common/text.hpp"
-#include "connection/h1/http_endpoint.hpp"
 
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 namespace hickorygap
@@ -40,11 +36,6 @@
 // worked off some requests, or a crashed one is avoided by then.
 constexpr duration busy_retry_after = std::chrono::milliseconds{200};
 
-// Fields of a backend server's answer that concern only its connection.
-constexpr std::array<std::string_view, 8> connection_fields{
-    "connection", "keep-alive",        "proxy-connection", "te",
-    "trailer",    "transfer-encoding", "upgrade",          "content-length"};
-
 constexpr int first_server_error = 500;
 constexpr int first_redirect = 300;
 
@@ -62,10 +53,7 @@
         head.getReason());
     for (const auto& [name, value] : head)
     {
-        const bool concerns_connection = std::ranges::any_of(
-            connection_fields, [&name = name](std::string_view field)
-            { return equals_ignoring_case(field, name); });
-        if (!concerns_connection)
+        if (!is_connection_field(name))
         {
             text += fmt::format("{}: {}\r\n", name, value);
         }
@@ -228,15 +216,7 @@
     connection_ = context_.pool().acquire(*choice.backend, !is_repeatable());
     if (connection_ == nullptr)
     {
-        ++refused_connections_;
-        if (refused_connections_ < max_refused_connections)
-        {
-            dispatch();
-        }
-        else
-        {
-            give_up(dispatch_outcome::rejected);
-        }
+        try_another_connection();
         return;
     }
     dispatch_instructions instructions;
@@ -548,19 +528,11 @@
         context_.table().on_end(
             backend_, dispatch_outcome::withdrawn, context_.loop().now());
         --sends_;
-        ++refused_connections_;
         log(log_level::info, subsystem::attempt,
             "backend_unreachable id={} backend={} waited_ms={:.0f}",
             call_.attempt_id, backend_name_,
             milliseconds(context_.loop().now() - sent_at_));
-        if (refused_connections_ < max_refused_connections)
-        {
-            dispatch();
-        }
-        else
-        {
-            give_up(dispatch_outcome::rejected);
-        }
+        try_another_connection();
         return;
     }
     if (is_rejected())
@@ -571,6 +543,20 @@
     attempt_failed(dispatch_outcome::broken, true);
 }
 
+// No connection stood, so nothing was sent.
+void exchange::try_another_connection()
+{
+    ++refused_connections_;
+    if (refused_connections_ < max_refused_connections)
+    {
+        dispatch();
+    }
+    else
+    {
+        give_up(dispatch_outcome::rejected);
+    }
+}
+
 // The backend server has stated that it did not run the request.
 bool exchange::is_rejected() const
 {
--- a/src/process/gateway/exchange.hpp
+++ b/src/process/gateway/exchange.hpp
@@ -85,6 +85,7 @@
     void on_attempt_silent();
 
     void read_head();
+    void try_another_connection();
     bool is_rejected() const;
     void relay_whole_answer();
     void relay_events();
--- a/src/process/gateway/fleet_follower.cpp
+++ b/src/process/gateway/fleet_follower.cpp
@@ -47,6 +47,20 @@
 // Notices older than this don't count for the number of routers.
 constexpr duration count_expiry = std::chrono::seconds{6};
 
+// Uniform between zero and the longest, both included.
+duration random_duration(random_engine& random, duration longest)
+{
+    return duration{static_cast<duration::rep>(
+        random_below(random, static_cast<std::uint64_t>(longest.count()) + 1))};
+}
+
+// Time over which the routers spread their pulls of a configuration; none in a
+// small fleet.
+duration pull_spread(std::uint32_t routers)
+{
+    return load_interval(routers) - load_interval(0);
+}
+
 } // namespace
 
 fleet_follower::fleet_follower(
@@ -77,9 +91,7 @@
     tick();
     // Routers that start together don't go on reporting together.
     load_timer_ = loop_.after(
-        duration{static_cast<duration::rep>(random_below(
-            random_,
-            static_cast<std::uint64_t>(load_interval(routers_).count()) + 1))},
+        random_duration(random_, load_interval(routers_)),
         [this] { report_loads(); });
 }
 
@@ -95,13 +107,8 @@
     {
         return;
     }
-    wire::load_report_msg report;
-    for (const backend_load& load : observer_.report_loads())
-    {
-        report.backends.push_back(load.backend);
-        report.in_flight.push_back(load.in_flight);
-    }
-    found->second.link->send(make_payload(std::move(report)));
+    found->second.link->send(make_payload(
+        to_message<wire::load_report_msg>(observer_.report_loads())));
 }
 
 void fleet_follower::set_seeds(std::span<const std::string> seeds)
@@ -172,8 +179,7 @@
     item.dialled_at = now;
     if (item.link)
     {
-        loop_.defer([owned = std::shared_ptr<link_connection>{
-                         std::move(item.link)}] {});
+        loop_.destroy_later(std::move(item.link));
     }
     item.link =
         link_connection::dial(loop_, {host_of(voter), port_}, self_, *this);
@@ -272,8 +278,7 @@
         if (item->second.link)
         {
             item->second.link->close();
-            loop_.defer([owned = std::shared_ptr<link_connection>{
-                             std::move(item->second.link)}] {});
+            loop_.destroy_later(std::move(item->second.link));
         }
         item = voters_.erase(item);
     }
@@ -327,12 +332,8 @@
         // In a large fleet the pulls are spread over time, because documents
         // for all routers at once would fill the voters' links and hold up the
         // heartbeats of the group.
-        const duration spread = load_interval(routers_) - load_interval(0);
         pull_after_ = std::max(
-            pull_after_,
-            now +
-                duration{static_cast<duration::rep>(random_below(
-                    random_, static_cast<std::uint64_t>(spread.count()) + 1))});
+            pull_after_, now + random_duration(random_, pull_spread(routers_)));
     }
     if (now < pull_after_)
     {
@@ -356,7 +357,7 @@
     pulled_version_ = newest;
     pulled_at_ = now;
     // Versions in quick succession keep the same pause.
-    pull_after_ = now + load_interval(routers_) - load_interval(0);
+    pull_after_ = now + pull_spread(routers_);
     pulled_from_ = chosen->link->peer();
     wire::routing_pull_msg pull;
     pull.version = version_;
@@ -470,9 +471,7 @@
     // the same time don't go on reading at the same time.
     const duration interval = lone_read_interval();
     next_lone_read_ =
-        loop_.now() + interval +
-        duration{static_cast<duration::rep>(random_below(
-            random_, static_cast<std::uint64_t>(interval.count()) / 4 + 1))};
+        loop_.now() + interval + random_duration(random_, interval / 4);
     list_reader_.read(
         [this](absl::StatusOr<std::vector<listed_backend>> list)
         {
--- a/src/process/gateway/gateway.cpp
+++ b/src/process/gateway/gateway.cpp
@@ -13,9 +13,6 @@
 namespace
 {
 
-// Largest configuration document, in bytes.
-constexpr std::size_t max_document = std::size_t{4} * 1024 * 1024;
-
 // Largest request to the readiness address, in bytes.
 constexpr request_limits readiness_limits{4096, 0};
 
@@ -108,7 +105,7 @@
 bool gateway::on_configuration(
     configuration_version version, std::span<const std::uint8_t> document)
 {
-    const auto text = decompress(document, max_document);
+    const auto text = decompress(document, max_configuration_document);
     auto decoded =
         text.ok()
             ? dialects_.configurations->decode(*text)
--- a/src/process/voter_node/voter_links.cpp
+++ b/src/process/voter_node/voter_links.cpp
@@ -49,11 +49,6 @@
     incoming_[key].link = std::move(link);
 }
 
-void voter_links::destroy_later(std::unique_ptr<link_connection> link)
-{
-    loop_.defer([owned = std::shared_ptr<link_connection>{std::move(link)}] {});
-}
-
 void voter_links::send(instance_id to, const wire::payloadUnion& payload)
 {
     outgoing_link& item = outgoing_[to];
@@ -71,7 +66,7 @@
         }
         if (item.link)
         {
-            destroy_later(std::move(item.link));
+            loop_.destroy_later(std::move(item.link));
         }
         item.dialled_at = loop_.now();
         item.link =
@@ -149,7 +144,7 @@
         log(log_level::info, subsystem::network, "router_lost host={}",
             host_of(link.peer()));
     }
-    destroy_later(std::move(found->second.link));
+    loop_.destroy_later(std::move(found->second.link));
     incoming_.erase(found);
 }
 
--- a/src/process/voter_node/voter_links.hpp
+++ b/src/process/voter_node/voter_links.hpp
@@ -62,7 +62,6 @@
     };
 
     void accept(const Poco::Net::StreamSocket& socket);
-    void destroy_later(std::unique_ptr<link_connection> link);
     bool is_live_router(const incoming_link& item) const;
 
     event_loop& loop_;
--- a/src/process/voter_node/voter_node.cpp
+++ b/src/process/voter_node/voter_node.cpp
@@ -50,8 +50,7 @@
 // Time for open filings when the process ends.
 constexpr duration farewell = std::chrono::milliseconds{300};
 
-// Largest document that operators may file, and largest head, in bytes.
-constexpr std::size_t max_document = std::size_t{4} * 1024 * 1024;
+// Largest head of an operator's call, in bytes.
 constexpr std::size_t max_head = std::size_t{16} * 1024;
 
 http_answer error_answer(HTTPResponse::HTTPStatus status, std::string_view text)
@@ -117,7 +116,7 @@
               instance_id from, const wire::payloadUnion& payload,
               link_connection& link) { on_message(from, payload, link); }}
     , operators_{
-          loop, {max_head, max_document},
+          loop, {max_head, max_configuration_document},
           [this](received_request request, const http_responder& respond)
           { serve(std::move(request), respond); }}
     , list_reader_{loop, *dialects_.backend_list, settings_.backend_list.address}
@@ -435,7 +434,7 @@
             HTTPResponse::HTTP_NOT_FOUND, "no configuration was filed yet"));
         return;
     }
-    auto document = decompress(current.document, max_document);
+    auto document = decompress(current.document, max_configuration_document);
     if (!document.ok())
     {
         log(log_level::error, subsystem::configuration,
@@ -546,13 +545,8 @@
     {
         return;
     }
-    wire::load_summary_msg summary;
-    for (const backend_load& load : loads_.sum(loop_.now()))
-    {
-        summary.backends.push_back(load.backend);
-        summary.in_flight.push_back(load.in_flight);
-    }
-    links_.send_to_routers(make_payload(std::move(summary)));
+    links_.send_to_routers(make_payload(
+        to_message<wire::load_summary_msg>(loads_.sum(loop_.now()))));
 }
 
 void voter_node::ask_to_join()
--- a/src/request/dispatch/backend_table.cpp
+++ b/src/request/dispatch/backend_table.cpp
@@ -72,12 +72,11 @@
 
 void backend_table::replace(std::span<const listed_backend> list)
 {
-    known_ = true;
     listed_.clear();
     for (const listed_backend& entry : list)
     {
         const backend_server_id id = hash_name(entry.id);
-        listed_[id] = true;
+        listed_.insert(id);
         auto& record = records_[id];
         if (!record)
         {
--- a/src/request/dispatch/backend_table.hpp
+++ b/src/request/dispatch/backend_table.hpp
@@ -7,6 +7,7 @@
 #include "request/dispatch/listed_backend.hpp"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include <cstdint>
 #include <memory>
@@ -110,17 +111,6 @@
     // Servers of a service that take new requests.
     std::vector<const backend_record*> serving(std::string_view service) const;
 
-    std::size_t size() const
-    {
-        return records_.size();
-    }
-
-    // Whether a list was ever taken.
-    bool is_known() const
-    {
-        return known_;
-    }
-
     // Each request that is sent to a server is reported with on_sent, and
     // its end with on_end. on_bytes: something arrived from the server.
     void on_sent(backend_server_id id, time_point now);
@@ -151,9 +141,8 @@
 
     absl::flat_hash_map<backend_server_id, std::unique_ptr<backend_record>>
         records_;
-    absl::flat_hash_map<backend_server_id, bool> listed_;
+    absl::flat_hash_set<backend_server_id> listed_;
     absl::flat_hash_map<std::uint32_t, std::uint32_t> reported_loads_;
-    bool known_ = false;
 };
 
 // Estimate of the requests that a server holds: those of this router and those
--- a/src/version/routing/configuration_format.hpp
+++ b/src/version/routing/configuration_format.hpp
@@ -5,12 +5,17 @@
 
 #include <absl/status/statusor.h>
 
+#include <cstddef>
 #include <memory>
 #include <string_view>
 
 namespace hickorygap
 {
 
+// Largest document that operators may file, in bytes.
+inline constexpr std::size_t max_configuration_document =
+    std::size_t{4} * 1024 * 1024;
+
 // Reads the documents that operators file.
 class configuration_format
 {
