Send complete documents to routers from one paced queue per voter

Change: transfer_queue, a module without network, keeps one entry per router and kind and starts transfers at half of the rate of the link, a new setting. A router tells all voters when it holds a document, so that waiting copies are dropped. What a voter does for routers is now in router_feed.

--- a/src/process/commands/fleet_commands.cpp
+++ b/src/process/commands/fleet_commands.cpp
@@ -2,10 +2,12 @@
 
 #include "common/buffered_log_sink.hpp"
 #include "common/status_text.hpp"
+#include "process/fleet_process/fleet_node.hpp"
 #include "process/fleet_process/process_signals.hpp"
 
 #include <unistd.h>
 
+#include <concepts>
 #include <memory>
 #include <ostream>
 
@@ -38,7 +40,7 @@
     }
 
     // Runs a node of type Node until it stops the loop.
-    template <typename Node, typename Dialects>
+    template <std::derived_from<fleet_node> Node, typename Dialects>
     exit_code run(std::string_view role, const Dialects& dialects)
     {
         const auto settings = load_fleet_settings(options_.settings_file);
@@ -51,7 +53,7 @@
         set_log_sink(&sink_);
         if (const absl::Status status = loop_.open(); !status.ok())
         {
-            return report(status);
+            return report("not_started", status);
         }
         Node node{loop_, *settings, dialects};
         process_signals signals{
@@ -62,7 +64,7 @@
         {
             if (!status.ok())
             {
-                return report(status);
+                return report("not_started", status);
             }
         }
         log(log_level::info, subsystem::process,
@@ -71,6 +73,10 @@
             settings->instance.failure_domain, settings->storage.bootstrap);
         write_logs();
         loop_.run();
+        if (const absl::Status status = node.failure(); !status.ok())
+        {
+            return report("ended", status);
+        }
         log(log_level::info, subsystem::process, "stopped role={} name={}",
             role, settings->instance.name);
         sink_.flush();
@@ -78,16 +84,15 @@
     }
 
 private:
-    exit_code report(const absl::Status& status)
+    exit_code report(std::string_view event, const absl::Status& status)
     {
-        log(log_level::error, subsystem::process, "not_started reason=\"{}\"",
+        log(log_level::error, subsystem::process, "{} reason=\"{}\"", event,
             message_of(status));
         sink_.flush();
         return exit_code::refused;
     }
 
-    template <typename Node>
-    void reload(Node& node)
+    void reload(fleet_node& node)
     {
         const auto settings = load_fleet_settings(options_.settings_file);
         if (!settings.ok())
@@ -102,8 +107,7 @@
         node.reload(*settings);
     }
 
-    template <typename Node>
-    absl::Status open_metrics(const fleet_settings& settings, Node& node)
+    absl::Status open_metrics(const fleet_settings& settings, fleet_node& node)
     {
         if (settings.metrics.port == 0)
         {
--- /dev/null
+++ b/src/process/fleet_process/transfer_queue.cpp
@@ -0,0 +1,54 @@
+#include "process/fleet_process/transfer_queue.hpp"
+
+#include <algorithm>
+
+namespace hickorygap
+{
+
+transfer_queue::transfer_queue(double bytes_per_second)
+    : bytes_per_second_{bytes_per_second}
+{
+}
+
+void transfer_queue::add(const transfer& item)
+{
+    if (std::ranges::find(waiting_, item) == waiting_.end())
+    {
+        waiting_.push_back(item);
+    }
+}
+
+void transfer_queue::remove(const transfer& item)
+{
+    std::erase(waiting_, item);
+}
+
+std::optional<transfer> transfer_queue::take(time_point now)
+{
+    if (waiting_.empty() || now < busy_until_)
+    {
+        return std::nullopt;
+    }
+    busy_until_ = now;
+    const transfer next = waiting_.front();
+    waiting_.pop_front();
+    return next;
+}
+
+void transfer_queue::sent(std::size_t bytes)
+{
+    busy_until_ =
+        busy_until_ + std::chrono::ceil<duration>(std::chrono::duration<double>{
+                          static_cast<double>(bytes) / bytes_per_second_});
+}
+
+std::optional<duration> transfer_queue::wait(time_point now) const
+{
+    if (waiting_.empty())
+    {
+        return std::nullopt;
+    }
+    return std::max(duration{0}, busy_until_ - now);
+}
+
+} // namespace hickorygap
--- /dev/null
+++ b/src/process/fleet_process/transfer_queue.hpp
@@ -0,0 +1,68 @@
+#ifndef HICKORYGAP_PROCESS_FLEET_PROCESS_TRANSFER_QUEUE_HPP
+#define HICKORYGAP_PROCESS_FLEET_PROCESS_TRANSFER_QUEUE_HPP
+
+#include "common/ids.hpp"
+#include "common/time.hpp"
+
+#include <cstddef>
+#include <deque>
+#include <optional>
+
+namespace hickorygap
+{
+
+// What an instance asks a voter for.
+enum class transfer_kind
+{
+    configuration,
+    backend_list
+};
+
+struct transfer
+{
+    instance_id receiver = 0;
+    transfer_kind kind = transfer_kind::configuration;
+
+    friend bool operator==(const transfer&, const transfer&) = default;
+};
+
+// Order and pace in which a voter sends complete documents to the instances
+// that ask for them: in the order of asking, once each, and at a limited rate,
+// so that the heartbeats and votes on the same network link never wait behind
+// them. Pure; the caller passes the time and sends.
+class transfer_queue
+{
+public:
+    // The rate in bytes per second is positive.
+    explicit transfer_queue(double bytes_per_second);
+
+    // Asking again keeps the place.
+    void add(const transfer& item);
+
+    // The receiver has what it asked for.
+    void remove(const transfer& item);
+
+    // Takes the next transfer that may start now. The caller reports its size
+    // with sent before it asks again.
+    std::optional<transfer> take(time_point now);
+    void sent(std::size_t bytes);
+
+    // Time until take returns something; none while nothing waits.
+    std::optional<duration> wait(time_point now) const;
+
+    std::size_t size() const
+    {
+        return waiting_.size();
+    }
+
+private:
+    double bytes_per_second_;
+
+    // When the bytes that were sent so far have left at the limited rate.
+    time_point busy_until_;
+    std::deque<transfer> waiting_;
+};
+
+} // namespace hickorygap
+
+#endif
--- a/src/process/fleet_settings/fleet_settings.cpp
+++ b/src/process/fleet_settings/fleet_settings.cpp
@@ -22,6 +22,7 @@
 const number_range<std::uint64_t> port_range{0, highest_port, ""};
 const number_range<std::uint64_t> disk_range{0, 10, "disks"};
 const number_range<double> rate_range{0.01, 1e6, "calls per second"};
+const number_range<double> link_range{0.01, 1e6, "Mbit/s"};
 const number_range<double> ratio_range{0, 10, "repeats per request"};
 const number_range<double> slack_range{0, 1e6, "repeats"};
 const number_range<double> seconds_range{0.1, 3600, "s"};
@@ -164,6 +165,9 @@
         {
             read_port(reader, "port", result.peers.port);
             read_seeds(reader, result.peers.seeds);
+            reader.read(
+                "link_megabits_per_second",
+                result.peers.link_megabits_per_second, link_range);
         });
     read_section(
         file, "metrics",
--- a/src/process/fleet_settings/fleet_settings.hpp
+++ b/src/process/fleet_settings/fleet_settings.hpp
@@ -45,6 +45,9 @@
 
         // Machines of voters; may be out of date.
         std::vector<std::string> seeds;
+
+        // Rate of this machine's network link in each direction.
+        double link_megabits_per_second = 1000;
     } peers;
 
     struct
--- a/src/process/gateway/fleet_follower.cpp
+++ b/src/process/gateway/fleet_follower.cpp
@@ -194,6 +194,19 @@
     item.link->send(make_payload(status));
 }
 
+// Tells all voters what this router holds, so that they don't send what was
+// asked of several of them.
+void fleet_follower::announce_state()
+{
+    for (auto& [voter, item] : voters_)
+    {
+        if (item.link && item.link->is_ready())
+        {
+            send_status(item);
+        }
+    }
+}
+
 void fleet_follower::on_link_ready(link_connection& link)
 {
     for (auto& [voter, item] : voters_)
@@ -409,6 +422,7 @@
         "configuration_applied version={} previous={} from={}", push.version,
         version_, host_of(link.peer()));
     version_ = push.version;
+    announce_state();
 }
 
 void fleet_follower::on_backends(
@@ -421,6 +435,10 @@
             push.sequence, host_of(link.peer()));
         leader_heard_at_ = loop_.now();
         observer_.on_backend_list(backends_.list());
+        if (!push.complete.empty())
+        {
+            announce_state();
+        }
     }
     else if (const auto sender = voters_.find(link.peer());
              sender != voters_.end())
--- a/src/process/gateway/fleet_follower.hpp
+++ b/src/process/gateway/fleet_follower.hpp
@@ -86,6 +86,7 @@
     void report_loads();
     void dial(instance_id voter, voter_link& item);
     void send_status(voter_link& item);
+    void announce_state();
     void on_notice(link_connection& link, const wire::voter_notice_msg& notice);
     void on_routing(link_connection& link, const wire::routing_push_msg& push);
     void
--- a/src/process/gateway/gateway.hpp
+++ b/src/process/gateway/gateway.hpp
@@ -3,6 +3,7 @@
 
 #include "connection/event/listener.hpp"
 #include "connection/h1/http_endpoint.hpp"
+#include "process/fleet_process/fleet_node.hpp"
 #include "process/gateway/caller_session.hpp"
 #include "process/gateway/fleet_follower.hpp"
 #include "process/gateway/gateway_context.hpp"
@@ -26,24 +27,21 @@
 };
 
 // One router process: accepts callers and relays their requests.
-class gateway final : public fleet_observer
+class gateway final : public fleet_node, public fleet_observer
 {
 public:
     gateway(
         event_loop& loop, fleet_settings settings, gateway_dialects dialects);
     ~gateway() override;
 
-    // Error: unreachable, when a port can't be bound.
-    absl::Status open();
+    absl::Status open() override;
+    void reload(const fleet_settings& settings) override;
 
-    // Reads changed settings; only the seeds can change while it runs.
-    void reload(const fleet_settings& settings);
+    // Not ready at once, then no new connections, and the end of the loop when
+    // the last request has its answer or time is up.
+    void shut_down() override;
 
-    // Ends in order: not ready at once, then no new connections, and the end
-    // of the loop when the last request has its answer or time is up.
-    void shut_down();
-
-    metrics_registry& metrics()
+    metrics_registry& metrics() override
     {
         return context_.metrics();
     }
--- a/src/process/voter_node/voter_links.cpp
+++ b/src/process/voter_node/voter_links.cpp
@@ -100,20 +100,37 @@
     }
 }
 
-void voter_links::mark_router(link_connection& link)
+bool voter_links::mark_router(link_connection& link)
 {
     const auto found = incoming_.find(&link);
     if (found == incoming_.end())
     {
-        return;
+        return false;
     }
-    if (!found->second.is_router)
+    const bool is_new = !found->second.is_router;
+    if (is_new)
     {
         log(log_level::info, subsystem::network, "router_connected host={}",
             host_of(link.peer()));
     }
     found->second.is_router = true;
     found->second.reported_at = loop_.now();
+    return is_new;
+}
+
+link_connection* voter_links::link_from(instance_id peer)
+{
+    link_connection* newest = nullptr;
+    for (const auto& [key, item] : incoming_)
+    {
+        link_connection* link = item.link.get();
+        if (link->is_open() && link->peer() == peer &&
+            (newest == nullptr || link->last_input() > newest->last_input()))
+        {
+            newest = link;
+        }
+    }
+    return newest;
 }
 
 std::uint32_t voter_links::routers() const
@@ -123,6 +140,12 @@
         [this](const auto& item) { return is_live_router(item.second); }));
 }
 
+sent_documents* voter_links::documents_on(const link_connection& link)
+{
+    const auto found = incoming_.find(&link);
+    return found == incoming_.end() ? nullptr : &found->second.documents;
+}
+
 void voter_links::on_link_ready(link_connection& /*link*/)
 {
 }
--- a/src/process/voter_node/voter_links.hpp
+++ b/src/process/voter_node/voter_links.hpp
@@ -3,6 +3,7 @@
 
 #include "connection/event/listener.hpp"
 #include "connection/link/link_connection.hpp"
+#include "process/fleet_process/backend_list_replica.hpp"
 
 #include <absl/status/status.h>
 
@@ -15,6 +16,14 @@
 namespace hickorygap
 {
 
+// Newest complete documents that were sent over one link. The link delivers
+// them or ends.
+struct sent_documents
+{
+    configuration_version configuration = 0;
+    backend_list_version backend_list;
+};
+
 // Links of a voter: it dials the other voters and sends to each over the link
 // that it dialled; routers and other voters dial it. Messages may get lost.
 class voter_links final : public link_observer
@@ -37,8 +46,16 @@
     // Sends to all routers that reported lately.
     void send_to_routers(const wire::payloadUnion& payload);
 
-    // The peer at the other end is a router, which reported now.
-    void mark_router(link_connection& link);
+    // The peer at the other end is a router, which reported now. True when
+    // this link was not known as a router's before.
+    bool mark_router(link_connection& link);
+
+    // The link over which an instance was heard last; nullptr for none.
+    link_connection* link_from(instance_id peer);
+
+    // What was sent over a link that another instance dialled; nullptr for
+    // other links. Belongs to the caller to keep.
+    sent_documents* documents_on(const link_connection& link);
 
     // Routers that reported lately.
     std::uint32_t routers() const;
@@ -59,6 +76,7 @@
         std::unique_ptr<link_connection> link;
         bool is_router = false;
         time_point reported_at;
+        sent_documents documents;
     };
 
     void accept(const Poco::Net::StreamSocket& socket);
--- a/src/process/voter_node/voter_node.cpp
+++ b/src/process/voter_node/voter_node.cpp
@@ -34,14 +34,6 @@
 // within 1.5 s, and a configuration of some KB takes the narrowest link less.
 constexpr int resend_heartbeats = 10;
 
-// Routers hear from each voter at least so often; they count on it to notice
-// a voter that has vanished.
-constexpr duration notice_interval = std::chrono::seconds{1};
-
-// Interval at which the leader reads the list of backend servers. A server
-// that leaves may get new requests for 3 s after the list shows it.
-constexpr duration list_interval = std::chrono::seconds{1};
-
 constexpr duration join_interval = std::chrono::milliseconds{250};
 
 // A filing or read that is not decided by then gets no clear answer.
@@ -119,7 +111,7 @@
           loop, {max_head, max_configuration_document},
           [this](received_request request, const http_responder& respond)
           { serve(std::move(request), respond); }}
-    , list_reader_{loop, *dialects_.backend_list, settings_.backend_list.address}
+    , feed_{loop, links_, settings_, *dialects_.backend_list}
 {
 }
 
@@ -146,8 +138,8 @@
     {
         return status;
     }
+    feed_.start(*voter_);
     tick();
-    summarize_loads();
     return absl::OkStatus();
 }
 
@@ -170,15 +162,7 @@
     settle();
     ask_to_join();
     expire_calls();
-    if (voter_->raft().is_leader() && loop_.now() >= next_list_read_)
-    {
-        next_list_read_ = loop_.now() + list_interval;
-        read_backend_list();
-    }
-    if (loop_.now() >= next_notice_)
-    {
-        notify_routers();
-    }
+    feed_.tick();
 }
 
 void voter_node::settle_soon()
@@ -206,13 +190,14 @@
     finish_filings();
     finish_reads();
     note_leadership();
-    if (voter_->current().version != notified_version_)
+    if (voter_->current().version != committed_version_)
     {
         log(log_level::info, subsystem::configuration,
             "configuration_committed version={} previous={} term={}",
-            voter_->current().version, notified_version_,
+            voter_->current().version, committed_version_,
             voter_->raft().term());
-        notify_routers();
+        committed_version_ = voter_->current().version;
+        feed_.notify();
     }
 }
 
@@ -226,59 +211,14 @@
     was_leader_ = leads;
     log(log_level::info, subsystem::consensus,
         "leadership_changed leads={} term={}", leads, voter_->raft().term());
-    if (leads)
-    {
-        next_list_read_ = loop_.now();
-    }
-    notify_routers();
+    feed_.on_leadership_change();
 }
 
 void voter_node::on_message(
     instance_id from, const wire::payloadUnion& payload, link_connection& link)
 {
-    if (message_in<wire::router_status_msg>(payload) != nullptr)
-    {
-        links_.mark_router(link);
-        link.send(notice());
-        return;
-    }
-    if (const auto* loads = message_in<wire::load_report_msg>(payload))
-    {
-        loads_.set(
-            from, to_loads(loads->backends, loads->in_flight), loop_.now());
-        return;
-    }
-    if (const auto* pull = message_in<wire::routing_pull_msg>(payload))
-    {
-        const filed_configuration& current = voter_->current();
-        if (current.version > pull->version)
-        {
-            wire::routing_push_msg push;
-            push.version = current.version;
-            push.document = current.document;
-            link.send(make_payload(std::move(push)));
-        }
-        return;
-    }
-    if (const auto* push = message_in<wire::backends_push_msg>(payload))
+    if (feed_.receive(from, payload, link))
     {
-        if (!backends_.apply(*push) && push->complete.empty())
-        {
-            links_.send(from, make_payload(wire::backends_pull_msg{}));
-        }
-        return;
-    }
-    if (const auto* pull = message_in<wire::backends_pull_msg>(payload))
-    {
-        if (backend_list_version{pull->epoch, pull->sequence} >=
-            backends_.version())
-        {
-            return;
-        }
-        if (auto list = backends_.complete())
-        {
-            link.send(make_payload(*std::move(list)));
-        }
         return;
     }
     voter_->receive(from, payload, loop_.now());
@@ -467,87 +407,7 @@
     }
 }
 
-// Routers.
-
-wire::payloadUnion voter_node::notice() const
-{
-    wire::voter_notice_msg message;
-    message.version = voter_->current().version;
-    message.leads = voter_->raft().holds_lease(loop_.now());
-    message.has_quorum = message.leads || voter_->raft().leader() != 0;
-    if (const voter_list* list = voter_->raft().configuration())
-    {
-        for (const voter_identity& voter : list->voters)
-        {
-            message.voters.push_back(voter.instance);
-        }
-    }
-    message.routers = links_.routers();
-    message.backends_epoch = backends_.version().epoch;
-    message.backends_sequence = backends_.version().sequence;
-    return make_payload(std::move(message));
-}
-
-void voter_node::notify_routers()
-{
-    notified_version_ = voter_->current().version;
-    next_notice_ = loop_.now() + notice_interval;
-    links_.send_to_routers(notice());
-}
-
-void voter_node::read_backend_list()
-{
-    list_reader_.read(
-        [this](absl::StatusOr<std::vector<listed_backend>> list)
-        {
-            if (list.ok() != list_was_read_)
-            {
-                list_was_read_ = list.ok();
-                log(list.ok() ? log_level::info : log_level::warning,
-                    subsystem::routing, "backend_list_{} error=\"{}\"",
-                    list.ok() ? "regained" : "lost", message_of(list.status()));
-            }
-            if (!list.ok() || !voter_->raft().is_leader())
-            {
-                return;
-            }
-            if (auto change = backends_.publish(voter_->raft().term(), *list))
-            {
-                log(log_level::info, subsystem::routing,
-                    "backend_list_changed epoch={} sequence={} changed={} "
-                    "removed={} size={}",
-                    change->epoch, change->sequence, change->changed.size(),
-                    change->removed.size(), list->size());
-                const wire::payloadUnion payload =
-                    make_payload(*std::move(change));
-                links_.send_to_routers(payload);
-                send_to_voters(payload);
-            }
-        });
-}
-
-void voter_node::send_to_voters(const wire::payloadUnion& payload)
-{
-    for (const voter_identity& voter : voter_->raft().configuration()->voters)
-    {
-        if (voter.instance != self_)
-        {
-            links_.send(voter.instance, payload);
-        }
-    }
-}
-
-// While leader, tells all routers where the fleet's requests are.
-void voter_node::summarize_loads()
-{
-    loop_.after(load_interval(links_.routers()), [this] { summarize_loads(); });
-    if (!voter_->raft().is_leader())
-    {
-        return;
-    }
-    links_.send_to_routers(make_payload(
-        to_message<wire::load_summary_msg>(loads_.sum(loop_.now()))));
-}
+// Membership.
 
 void voter_node::ask_to_join()
 {
@@ -570,13 +430,11 @@
     }
     std::ranges::sort(targets);
     targets.erase(std::unique(targets.begin(), targets.end()), targets.end());
-    wire::group_join_msg join;
-    join.disk = voter_->raft().disk();
     for (const instance_id target : targets)
     {
         if (target != self_)
         {
-            links_.send(target, make_payload(join));
+            links_.send(target, make_payload(wire::group_join_msg{}));
         }
     }
 }
--- a/src/process/voter_node/voter_node.hpp
+++ b/src/process/voter_node/voter_node.hpp
@@ -2,13 +2,12 @@
 #define HICKORYGAP_PROCESS_VOTER_NODE_VOTER_NODE_HPP
 
 #include "connection/h1/http_endpoint.hpp"
-#include "process/fleet_process/backend_list_reader.hpp"
-#include "process/fleet_process/backend_list_replica.hpp"
-#include "process/fleet_process/load_exchange.hpp"
+#include "process/fleet_process/fleet_node.hpp"
 #include "process/fleet_settings/fleet_settings.hpp"
 #include "process/metrics/metrics_registry.hpp"
 #include "process/routing_store/routing_voter.hpp"
 #include "process/voter_node/operator_dialect.hpp"
+#include "process/voter_node/router_feed.hpp"
 #include "process/voter_node/voter_links.hpp"
 #include "version/routing/configuration_format.hpp"
 
@@ -30,33 +29,28 @@
     const operator_dialect* operators = nullptr;
 };
 
-// One voter process: the replicated routing configuration, the operators'
-// interface, and the sending of configurations and of the list of backend
-// servers to the routers.
-class voter_node
+// One voter process: the replicated routing configuration and the operators'
+// interface; what the routers get from it is in router_feed.
+class voter_node final : public fleet_node
 {
 public:
     voter_node(
         event_loop& loop, fleet_settings settings, voter_dialects dialects);
-    ~voter_node();
+    ~voter_node() override;
 
-    // Opens storage and ports. Errors: storage_damaged, storage_failed,
-    // unreachable.
-    absl::Status open();
+    absl::Status open() override;
+    void reload(const fleet_settings& settings) override;
 
-    // Reads changed settings; only the seeds can change while it runs.
-    void reload(const fleet_settings& settings);
+    // Open filings get a short time.
+    void shut_down() override;
 
-    // Ends the process's work in order: open filings get a short time.
-    void shut_down();
-
-    // Not OK when the voter can't go on, which stops the loop.
-    const absl::Status& failure() const
+    // A log or state that can't be used.
+    absl::Status failure() const override
     {
         return failure_;
     }
 
-    metrics_registry& metrics()
+    metrics_registry& metrics() override
     {
         return metrics_;
     }
@@ -86,12 +80,7 @@
     void finish_reads();
     void expire_calls();
 
-    wire::payloadUnion notice() const;
-    void notify_routers();
     void note_leadership();
-    void read_backend_list();
-    void send_to_voters(const wire::payloadUnion& payload);
-    void summarize_loads();
     void ask_to_join();
 
     event_loop& loop_;
@@ -102,19 +91,14 @@
     std::unique_ptr<routing_voter> voter_;
     voter_links links_;
     http_endpoint operators_;
-    backend_list_reader list_reader_;
-    backend_list_replica backends_;
-    load_aggregator loads_;
+    router_feed feed_;
 
     std::map<std::uint64_t, open_call> filings_;
     std::map<std::uint64_t, open_call> reads_;
 
     bool settle_due_ = false;
     bool was_leader_ = false;
-    bool list_was_read_ = true;
-    configuration_version notified_version_ = 0;
-    time_point next_notice_;
-    time_point next_list_read_;
+    configuration_version committed_version_ = 0;
     time_point next_join_;
     absl::Status failure_;
 };
--- /dev/null
+++ b/tests/process/fleet_process/transfer_queue_test.cpp
@@ -0,0 +1,115 @@
+#include "process/fleet_process/transfer_queue.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <vector>
+
+using namespace hickorygap;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr auto configuration = transfer_kind::configuration;
+constexpr auto backend_list = transfer_kind::backend_list;
+
+} // namespace
+
+// Guards against a voter's link that is full of copies: after a loss of power
+// one voter holds the configuration, all routers ask it at once, and again
+// every 600 ms while they wait. Heartbeats are sent between the copies.
+TEST_CASE("routers that ask again while they wait get one copy each")
+{
+    const auto [routers, copy_bytes, rate] =
+        GENERATE(table<instance_id, std::size_t, double>({
+            {77, 15'000, 187'500},
+            {77, 60'000, 187'500},
+            {300, 15'000, 187'500},
+            {3, 15'000, 62'500'000},
+        }));
+    transfer_queue queue{rate};
+    std::map<instance_id, int> copies;
+    std::size_t sent_bytes = 0;
+    time_point now;
+    time_point next_asking;
+    while (copies.size() < routers)
+    {
+        if (now >= next_asking)
+        {
+            next_asking = now + 600ms;
+            for (instance_id router = 1; router <= routers; ++router)
+            {
+                if (!copies.contains(router))
+                {
+                    queue.add({router, configuration});
+                }
+            }
+        }
+        while (const auto next = queue.take(now))
+        {
+            ++copies[next->receiver];
+            sent_bytes += copy_bytes;
+            queue.sent(copy_bytes);
+        }
+        // Never more on the way than the rate allows and one copy.
+        const double allowed =
+            rate * static_cast<double>(now.since_start.count()) / 1e6;
+        REQUIRE(static_cast<double>(sent_bytes - copy_bytes) <= allowed + 1e-6);
+        now = now + 10ms;
+        REQUIRE(now.since_start < 120s);
+    }
+    for (const auto& [router, count] : copies)
+    {
+        CHECK(count == 1);
+    }
+    // The rate is used: the last copy starts within a tenth more than its turn.
+    const double turn = static_cast<double>((routers - 1) * copy_bytes) / rate;
+    CHECK(
+        std::chrono::duration<double>(now.since_start).count() <=
+        turn * 1.1 + 0.1);
+}
+
+// Guards against starvation of those that asked first.
+TEST_CASE("transfers start in the order of asking")
+{
+    transfer_queue queue{1000};
+    queue.add({1, configuration});
+    queue.add({2, backend_list});
+    queue.add({1, backend_list});
+    queue.add({1, configuration});
+    CHECK(queue.size() == 3);
+
+    CHECK(queue.take({}) == transfer{1, configuration});
+    queue.sent(500);
+    CHECK_FALSE(queue.take({499ms}));
+    CHECK(queue.wait({400ms}) == 100ms);
+    CHECK(queue.take({500ms}) == transfer{2, backend_list});
+    queue.sent(100);
+    CHECK(queue.take({700ms}) == transfer{1, backend_list});
+    CHECK_FALSE(queue.wait({700ms}));
+}
+
+// Guards against a burst after a pause: time in which nothing was sent does
+// not count.
+TEST_CASE("an idle queue saves no allowance")
+{
+    transfer_queue queue{1000};
+    queue.add({1, configuration});
+    queue.add({2, configuration});
+    CHECK(queue.take({60s}));
+    queue.sent(1000);
+    CHECK_FALSE(queue.take({60s + 500ms}));
+}
+
+// Guards against copies for routers that have one from another voter.
+TEST_CASE("a transfer that is no longer needed is not made")
+{
+    transfer_queue queue{1000};
+    queue.add({1, configuration});
+    queue.add({1, backend_list});
+    queue.add({2, configuration});
+    queue.remove({1, configuration});
+    CHECK(queue.take({}) == transfer{1, backend_list});
+    CHECK(queue.take({}) == transfer{2, configuration});
+}
--- a/tests/process/fleet_settings/fleet_settings_test.cpp
+++ b/tests/process/fleet_settings/fleet_settings_test.cpp
@@ -17,7 +17,8 @@
          "callers": {"address": ""},
          "readiness": {"address": ""},
          "operators": {"address": "10.1.0.22:8229"},
-         "peers": {"port": 7340, "seeds": ["10.1.0.22:8229", "10.2.0.39"]},
+         "peers": {"port": 7340, "seeds": ["10.1.0.22:8229", "10.2.0.39"],
+                   "link_megabits_per_second": 2.5},
          "metrics": {"port": 7341},
          "storage": {"folder": "/data/x", "bootstrap": true, "lost_disks": 2},
          "backend_list": {"address": "10.200.0.61:8223",
@@ -32,6 +33,7 @@
     CHECK(
         result->peers.seeds ==
         std::vector<std::string>{"10.1.0.22", "10.2.0.39"});
+    CHECK(result->peers.link_megabits_per_second == 2.5);
     CHECK(result->storage.bootstrap);
     CHECK(result->storage.lost_disks == 2);
     CHECK(result->backend_list.calls_per_second == 44.5);
@@ -52,6 +54,9 @@
          "peers.seeds"},
         {R"({"instance": {"host": "10.0.0.1"}, "peers": {"port": 99999}})",
          "peers.port"},
+        {R"({"instance": {"host": "10.0.0.1"},
+             "peers": {"link_megabits_per_second": 0}})",
+         "peers.link_megabits_per_second"},
         {R"({"instance": {"host": "10.0.0.1"}, "retry": {"ratio": -1}})",
          "retry.ratio"},
         {R"({"instance": {"host": "10.0.0.1"}, "shutdown": {"limit_s": "8"}})",
--- a/tests/process/gateway/gateway_fixture.hpp
+++ b/tests/process/gateway/gateway_fixture.hpp
@@ -5,6 +5,7 @@
 #include "connection/h1/request_reader.hpp"
 #include "platform/request_fields.hpp"
 #include "process/gateway/caller_session.hpp"
+#include "support/loopback.hpp"
 
 #include <fmt/format.h>
 
@@ -106,48 +107,6 @@
     bool opened_ = false;
 };
 
-// A caller's connection.
-class caller_double final : public connection_observer
-{
-public:
-    caller_double(event_loop& loop, std::uint16_t port)
-        : stream_{*stream_connection::connect(loop, {"127.0.0.1", port}, *this)}
-    {
-    }
-
-    void send(std::string_view bytes)
-    {
-        stream_->write(bytes);
-    }
-    void leave()
-    {
-        stream_->close();
-    }
-
-    void on_input() override
-    {
-        received_ += std::exchange(stream_->input(), {});
-    }
-    void on_end(connection_end /*end*/) override
-    {
-        ended_ = true;
-    }
-
-    const std::string& received() const
-    {
-        return received_;
-    }
-    bool ended() const
-    {
-        return ended_;
-    }
-
-private:
-    std::unique_ptr<stream_connection> stream_;
-    std::string received_;
-    bool ended_ = false;
-};
-
 // The traffic path of a router without its links to the fleet: one port for
 // callers, one service with the servers that a test adds.
 class gateway_fixture
@@ -189,16 +148,17 @@
     {
         // A fresh port is tried until one is free.
         std::unique_ptr<backend_double> added;
+        std::uint16_t port = 0;
         do
         {
-            added = std::make_unique<backend_double>(
-                loop_, next_port(), on_request);
+            port = next_port();
+            added = std::make_unique<backend_double>(loop_, port, on_request);
         } while (!added->opened());
         list_.push_back(
             {fmt::format("i-{}", list_.size()),
              "reports",
              "domain-a",
-             {"127.0.0.1", last_port()},
+             {"127.0.0.1", port},
              8,
              false});
         context_.table().replace(list_);
@@ -240,12 +200,7 @@
     // Runs the loop until the condition holds; false after a second.
     bool run_until(const std::function<bool()>& condition)
     {
-        const time_point limit = boot_now() + std::chrono::seconds{1};
-        while (!condition() && boot_now() < limit)
-        {
-            loop_.turn(std::chrono::milliseconds{5});
-        }
-        return condition();
+        return test::run_until(loop_, condition);
     }
 
     void run_for(duration time)
@@ -276,29 +231,14 @@
         return settings;
     }
 
-    // Ports below the range of outgoing connections, different for processes
-    // that run at the same time.
-    static std::uint16_t next_port()
-    {
-        constexpr std::uint16_t first = 20000;
-        constexpr std::uint16_t count = 10000;
-        static std::uint16_t offset =
-            static_cast<std::uint16_t>(random_seed() % count);
-        offset = static_cast<std::uint16_t>((offset + 1) % count);
-        return last_port() = static_cast<std::uint16_t>(first + offset);
-    }
-    static std::uint16_t& last_port()
-    {
-        static std::uint16_t port = 0;
-        return port;
-    }
-
     std::uint16_t bind()
     {
-        while (!listener_.open({"127.0.0.1", next_port()}).ok())
+        std::uint16_t port = 0;
+        do
         {
-        }
-        return last_port();
+            port = next_port();
+        } while (!listener_.open({"127.0.0.1", port}).ok());
+        return port;
     }
 
     void accept(const Poco::Net::StreamSocket& socket)
--- /dev/null
+++ b/tests/process/voter_node/voter_node_test.cpp
@@ -0,0 +1,280 @@
+#include "common/compression.hpp"
+#include "common/error.hpp"
+#include "platform/configuration_document.hpp"
+#include "platform/control_calls.hpp"
+#include "platform/replica_list.hpp"
+#include "process/consensus/file_log_storage.hpp"
+#include "process/voter_node/voter_node.hpp"
+#include "support/loopback.hpp"
+#include "support/temporary_folder.hpp"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <optional>
+
+using namespace hickorygap;
+using namespace hickorygap::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const std::string document = R"({"version":7,"routes":[
+    {"name":"r1","host":"h.example","path_prefix":"/a/","kind":"streaming",
+     "timeout_ms":12000,"service":"llm","max_attempts":2}],
+    "services":[{"name":"llm","max_connections":500}],
+    "tenants":[{"name":"t1","api_keys":["k1"],"priority":1}]})";
+
+// A voter that founds a group of one on loopback.
+class lone_voter
+{
+public:
+    explicit lone_voter(double link_megabits_per_second = 1000)
+    {
+        loop_opened_ = loop_.open().ok();
+        settings_.instance.host = "127.0.0.1";
+        settings_.storage.folder = folder_.path();
+        settings_.storage.bootstrap = true;
+        settings_.peers.seeds = {"127.0.0.1"};
+        settings_.peers.link_megabits_per_second = link_megabits_per_second;
+        // Nothing listens there.
+        settings_.backend_list.address = {"127.0.0.1", 1};
+    }
+
+    // Opens the voter on ports that are free.
+    void open()
+    {
+        REQUIRE(loop_opened_);
+        do
+        {
+            settings_.peers.port = next_port();
+            settings_.operators = {"127.0.0.1", next_port()};
+            node_ = std::make_unique<voter_node>(
+                loop_, settings_,
+                voter_dialects{&configurations_, &list_, &calls_});
+        } while (!node_->open().ok());
+    }
+
+    // Answer to one call of an operator; empty when none came.
+    std::string call(std::string_view head, std::string_view body)
+    {
+        caller_double caller{loop_, settings_.operators.port};
+        caller.send(fmt::format(
+            "{} HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n{}", head,
+            body.size(), body));
+        run_until(
+            loop_, [&] { return !caller.received().empty(); }, 3s);
+        return caller.received();
+    }
+
+    // Files the document once the voter leads.
+    void file_document()
+    {
+        std::string answer;
+        for (int attempt = 0; attempt < 50; ++attempt)
+        {
+            answer = call("PUT /config", document);
+            if (answer.find("200 OK") != std::string::npos)
+            {
+                return;
+            }
+            run_until(
+                loop_, [] { return false; }, 100ms);
+        }
+        FAIL("not filed: " << answer);
+    }
+
+    event_loop& loop()
+    {
+        return loop_;
+    }
+    voter_node& node()
+    {
+        return *node_;
+    }
+    const fleet_settings& settings() const
+    {
+        return settings_;
+    }
+
+private:
+    temporary_folder folder_;
+    event_loop loop_;
+    bool loop_opened_ = false;
+    fleet_settings settings_;
+    platform::configuration_document configurations_;
+    platform::replica_list list_;
+    platform::control_calls calls_;
+    std::unique_ptr<voter_node> node_;
+};
+
+// A router's end of a link.
+class router_double final : public link_observer
+{
+public:
+    router_double(event_loop& loop, std::uint16_t port, instance_id self)
+        : link_{link_connection::dial(loop, {"127.0.0.1", port}, self, *this)}
+    {
+    }
+
+    void on_link_ready(link_connection& /*link*/) override
+    {
+    }
+    void
+    on_message(link_connection& /*link*/, wire::envelope_msg message) override
+    {
+        if (const auto* push =
+                message_in<wire::routing_push_msg>(message.payload))
+        {
+            ++copies_;
+            content_ = push->document;
+        }
+        if (const auto* notice =
+                message_in<wire::voter_notice_msg>(message.payload))
+        {
+            announced_ = notice->version;
+        }
+    }
+    void on_link_end(link_connection& /*link*/) override
+    {
+    }
+
+    void send_status(configuration_version version)
+    {
+        wire::router_status_msg status;
+        status.version = version;
+        link_->send(make_payload(status));
+    }
+    void ask()
+    {
+        link_->send(make_payload(wire::routing_pull_msg{}));
+    }
+
+    bool is_ready() const
+    {
+        return link_->is_ready();
+    }
+    int copies() const
+    {
+        return copies_;
+    }
+    configuration_version announced() const
+    {
+        return announced_;
+    }
+    std::string content() const
+    {
+        return decompress(content_, 1'000'000).value();
+    }
+
+private:
+    std::unique_ptr<link_connection> link_;
+    int copies_ = 0;
+    configuration_version announced_ = 0;
+    std::vector<std::uint8_t> content_;
+};
+
+} // namespace
+
+// Guards against a configuration that is acknowledged and can't be read back.
+TEST_CASE("a configuration is filed and read back")
+{
+    lone_voter voter;
+    voter.open();
+    voter.file_document();
+    CHECK_THAT(voter.call("GET /config", ""), Catch::EndsWith(document));
+}
+
+// Guards against answers that leave an operator without a remedy.
+TEST_CASE("calls that can't be carried out are refused")
+{
+    const auto [head, body, status, reason] =
+        GENERATE(table<std::string, std::string, std::string, std::string>({
+            {"PUT /config", R"({"version":)", "400", "error"},
+            {"PUT /config", R"({"version":1,"routes":7})", "400", "routes"},
+            {"GET /other", "", "404", "check method and path"},
+            {"POST /config", "", "404", "check method and path"},
+        }));
+    CAPTURE(head, body);
+    lone_voter voter;
+    voter.open();
+    const std::string answer = voter.call(head, body);
+    CHECK_THAT(answer, Catch::StartsWith("HTTP/1.1 " + status));
+    CHECK_THAT(answer, Catch::Contains(reason));
+}
+
+// Guards against routers that learn of a configuration late, or get more
+// copies the more often they ask while the voter's link is slow.
+TEST_CASE("a router that asks again gets one copy")
+{
+    // One copy of this document takes some 100 ms of the allowed share.
+    lone_voter voter{0.04};
+    voter.open();
+    voter.file_document();
+    std::vector<std::unique_ptr<router_double>> routers;
+    for (instance_id id = 1; id <= 5; ++id)
+    {
+        routers.push_back(std::make_unique<router_double>(
+            voter.loop(), voter.settings().peers.port, id));
+    }
+    for (const auto& router : routers)
+    {
+        REQUIRE(run_until(voter.loop(), [&] { return router->is_ready(); }));
+        router->send_status(0);
+        for (int i = 0; i < 3; ++i)
+        {
+            router->ask();
+        }
+    }
+    // The last one has a copy from another voter before its turn comes.
+    routers.back()->send_status(7);
+    const auto have_one = [&]
+    {
+        return std::all_of(
+            routers.begin(), routers.end() - 1,
+            [](const auto& router) { return router->copies() >= 1; });
+    };
+    REQUIRE(run_until(voter.loop(), have_one, 5s));
+    run_until(
+        voter.loop(), [] { return false; }, 300ms);
+    for (std::size_t i = 0; i + 1 < routers.size(); ++i)
+    {
+        CHECK(routers[i]->copies() == 1);
+        CHECK(routers[i]->announced() == 7);
+        CHECK(routers[i]->content() == document);
+    }
+    CHECK(routers.back()->copies() == 0);
+}
+
+// Guards against a process that ends as if all were well when its log can't be
+// used.
+TEST_CASE("a voter with an unusable log stops and says why")
+{
+    lone_voter voter;
+    {
+        file_log_storage storage{voter.settings().storage.folder};
+        REQUIRE(storage.load().ok());
+        storage_write change;
+        change.hard = hard_state{};
+        change.hard->term = 1;
+        change.hard->disk = 9;
+        change.hard->bootstrap = voter_list{};
+        change.hard->bootstrap->voters = {{instance_at("127.0.0.1"), 9}};
+        wire::log_entry_msg entry;
+        entry.index = 1;
+        entry.term = 1;
+        entry.kind = wire::entry_kind::routing;
+        entry.data = {1, 2, 3};
+        change.entries = {entry};
+        storage.write(std::move(change));
+        REQUIRE(storage.sync().ok());
+    }
+    voter.open();
+    CHECK(run_until(
+        voter.loop(), [&] { return !voter.node().failure().ok(); }, 5s));
+    CHECK(kind_of(voter.node().failure()) == error_kind::storage_damaged);
+    CHECK_THAT(
+        std::string{voter.node().failure().message()},
+        Catch::Contains("remove this instance's data folder"));
+}
--- /dev/null
+++ b/tests/support/loopback.hpp
@@ -0,0 +1,86 @@
+#ifndef HICKORYGAP_TESTS_SUPPORT_LOOPBACK_HPP
+#define HICKORYGAP_TESTS_SUPPORT_LOOPBACK_HPP
+
+#include "common/random.hpp"
+#include "connection/event/stream_connection.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace hickorygap::test
+{
+
+// A port below the range of outgoing connections, different for processes that
+// run at the same time. It may be taken; callers try until one is free.
+inline std::uint16_t next_port()
+{
+    constexpr std::uint16_t first = 20000;
+    constexpr std::uint16_t count = 10000;
+    static std::uint16_t offset =
+        static_cast<std::uint16_t>(random_seed() % count);
+    offset = static_cast<std::uint16_t>((offset + 1) % count);
+    return static_cast<std::uint16_t>(first + offset);
+}
+
+// Runs the loop until the condition holds; false when it does not in time.
+inline bool run_until(
+    event_loop& loop, const std::function<bool()>& condition,
+    duration time = std::chrono::seconds{1})
+{
+    const time_point limit = boot_now() + time;
+    while (!condition() && boot_now() < limit)
+    {
+        loop.turn(std::chrono::milliseconds{5});
+    }
+    return condition();
+}
+
+// A caller's connection.
+class caller_double final : public connection_observer
+{
+public:
+    caller_double(event_loop& loop, std::uint16_t port)
+        : stream_{*stream_connection::connect(loop, {"127.0.0.1", port}, *this)}
+    {
+    }
+
+    void send(std::string_view bytes)
+    {
+        stream_->write(bytes);
+    }
+    void leave()
+    {
+        stream_->close();
+    }
+
+    void on_input() override
+    {
+        received_ += std::exchange(stream_->input(), {});
+    }
+    void on_end(connection_end /*end*/) override
+    {
+        ended_ = true;
+    }
+
+    const std::string& received() const
+    {
+        return received_;
+    }
+    bool ended() const
+    {
+        return ended_;
+    }
+
+private:
+    std::unique_ptr<stream_connection> stream_;
+    std::string received_;
+    bool ended_ = false;
+};
+
+} // namespace hickorygap::test
+
+#endif
