--- a/src/common/compression.cpp
+++ b/src/common/compression.cpp
@@ -2,71 +2,88 @@
 
 #include "common/error.hpp"
 
-#include <Poco/DeflatingStream.h>
-#include <Poco/Exception.h>
-#include <Poco/InflatingStream.h>
-#include <Poco/MemoryStream.h>
+#include <zstd.h>
 
-#include <array>
-#include <sstream>
+#include <algorithm>
+#include <bit>
+#include <memory>
+#include <new>
 
 namespace hickorygap
 {
 
-std::vector<std::uint8_t> compress(std::string_view text)
+namespace
 {
-    std::ostringstream output;
-    Poco::DeflatingOutputStream deflater{
-        output, Poco::DeflatingStreamBuf::STREAM_ZLIB};
-    deflater.write(text.data(), static_cast<std::streamsize>(text.size()));
-    deflater.close();
-    const std::string bytes = output.str();
-    return {bytes.begin(), bytes.end()};
+
+// Fast, and small enough for documents of some 100 KB.
+constexpr int level = 3;
+
+// Window sizes that zstd accepts, as powers of two.
+constexpr int smallest_window = 10;
+constexpr int largest_window = 27;
+
+// The window must reach from the end of the text to the start of the reference.
+int window_log(std::size_t size)
+{
+    return std::clamp(
+        static_cast<int>(std::bit_width(size)), smallest_window,
+        largest_window);
 }
 
-absl::StatusOr<std::string>
-decompress(std::span<const std::uint8_t> data, std::size_t max_size)
+absl::Status damaged()
 {
-    const auto damaged = []
-    {
-        return make_error(
-            error_kind::invalid_request,
-            "the compressed document is damaged or too long; file it again");
-    };
-    // The compressor writes nothing for an empty text.
-    if (data.empty())
+    return make_error(
+        error_kind::invalid_request,
+        "the compressed document is damaged or too long; file it again");
+}
+
+} // namespace
+
+std::vector<std::uint8_t>
+compress(std::string_view text, std::string_view reference)
+{
+    const std::unique_ptr<ZSTD_CCtx, decltype(&ZSTD_freeCCtx)> context{
+        ZSTD_createCCtx(), &ZSTD_freeCCtx};
+    ZSTD_CCtx_setParameter(context.get(), ZSTD_c_compressionLevel, level);
+    ZSTD_CCtx_setParameter(context.get(), ZSTD_c_checksumFlag, 1);
+    ZSTD_CCtx_setParameter(
+        context.get(), ZSTD_c_windowLog,
+        window_log(text.size() + reference.size()));
+    ZSTD_CCtx_refPrefix(context.get(), reference.data(), reference.size());
+    std::vector<std::uint8_t> data(ZSTD_compressBound(text.size()));
+    // With a buffer of the bound's size it fails only when memory runs out.
+    const std::size_t size = ZSTD_compress2(
+        context.get(), data.data(), data.size(), text.data(), text.size());
+    if (ZSTD_isError(size) != 0)
     {
-        return std::string{};
+        throw std::bad_alloc{};
     }
-    try
+    data.resize(size);
+    return data;
+}
+
+absl::StatusOr<std::string> decompress(
+    std::span<const std::uint8_t> data, std::size_t max_size,
+    std::string_view reference)
+{
+    const auto size = ZSTD_getFrameContentSize(data.data(), data.size());
+    if (size == ZSTD_CONTENTSIZE_ERROR || size == ZSTD_CONTENTSIZE_UNKNOWN ||
+        size > max_size)
     {
-        Poco::MemoryInputStream input{
-            reinterpret_cast<const char*>(data.data()),
-            static_cast<std::streamsize>(data.size())};
-        Poco::InflatingInputStream inflater{
-            input, Poco::InflatingStreamBuf::STREAM_ZLIB};
-        std::string text;
-        std::array<char, 4096> buffer;
-        while (inflater)
-        {
-            inflater.read(buffer.data(), buffer.size());
-            text.append(
-                buffer.data(), static_cast<std::size_t>(inflater.gcount()));
-            if (text.size() > max_size)
-            {
-                return damaged();
-            }
-        }
-        if (inflater.bad())
-        {
-            return damaged();
-        }
-        return text;
+        return damaged();
     }
-    catch (const Poco::Exception&)
+    const std::unique_ptr<ZSTD_DCtx, decltype(&ZSTD_freeDCtx)> context{
+        ZSTD_createDCtx(), &ZSTD_freeDCtx};
+    ZSTD_DCtx_setParameter(context.get(), ZSTD_d_windowLogMax, largest_window);
+    ZSTD_DCtx_refPrefix(context.get(), reference.data(), reference.size());
+    std::string text(size, '\0');
+    const std::size_t read = ZSTD_decompressDCtx(
+        context.get(), text.data(), text.size(), data.data(), data.size());
+    if (ZSTD_isError(read) != 0 || read != size)
     {
         return damaged();
     }
+    return text;
 }
 
 } // namespace hickorygap
--- a/src/common/compression.hpp
+++ b/src/common/compression.hpp
@@ -12,13 +12,17 @@
 namespace hickorygap
 {
 
-// zlib form of a text.
-std::vector<std::uint8_t> compress(std::string_view text);
+// zstd form of a text, with a checksum. With a reference text that is similar,
+// it is little more than the difference.
+std::vector<std::uint8_t>
+compress(std::string_view text, std::string_view reference = {});
 
-// Error: invalid_request, when the bytes are damaged or the text would be
-// longer than max_size bytes.
-absl::StatusOr<std::string>
-decompress(std::span<const std::uint8_t> data, std::size_t max_size);
+// Needs the same reference. Error: invalid_request, when the bytes are damaged,
+// the reference is another one, or the text would be longer than max_size
+// bytes.
+absl::StatusOr<std::string> decompress(
+    std::span<const std::uint8_t> data, std::size_t max_size,
+    std::string_view reference = {});
 
 } // namespace hickorygap
 
--- a/src/connection/h1/http_endpoint.cpp
+++ b/src/connection/h1/http_endpoint.cpp
@@ -12,6 +12,10 @@
 // interfaces come again within seconds.
 constexpr duration idle_limit = std::chrono::seconds{30};
 
+// Time in which the last answer on a connection is taken: a large document over
+// a narrow link that other answers share.
+constexpr duration output_limit = std::chrono::seconds{10};
+
 } // namespace
 
 std::string encode_answer(const http_answer& answer, bool close)
@@ -155,9 +159,8 @@
     // Output that is pending goes on; a session is destroyed later.
     void leave()
     {
-        constexpr duration output_time = std::chrono::seconds{2};
         const duration delay =
-            connection_->is_open() ? output_time : duration{0};
+            connection_->is_open() ? output_limit : duration{0};
         owner_.loop_.after(
             delay, [&owner = owner_, id = id_] { owner.remove(id); });
     }
--- a/src/process/fleet_process/backend_list_replica.cpp
+++ b/src/process/fleet_process/backend_list_replica.cpp
@@ -4,9 +4,11 @@
 #include "common/logging.hpp"
 #include "common/status_text.hpp"
 
+#include <algorithm>
 #include <memory>
 #include <set>
 #include <string_view>
+#include <utility>
 
 namespace hickorygap
 {
@@ -42,90 +44,127 @@
 // Largest decoded list, in bytes: some ten thousand servers.
 constexpr std::size_t max_list_bytes = std::size_t{4} * 1024 * 1024;
 
-absl::StatusOr<std::vector<listed_backend>>
-decode_complete(std::span<const std::uint8_t> data)
+// During a release a version comes each second, and followers get each within
+// a few seconds.
+constexpr std::size_t max_known_versions = 32;
+
+absl::StatusOr<wire::backends_changes_msg>
+decode_changes(std::span<const std::uint8_t> data)
 {
     const auto bytes = decompress(data, max_list_bytes);
     if (!bytes.ok())
     {
         return bytes.status();
     }
-    const auto whole = decode_table<wire::backends_list>(
+    return decode_table<wire::backends_changes>(
         {reinterpret_cast<const std::uint8_t*>(bytes->data()), bytes->size()});
-    if (!whole.ok())
-    {
-        return whole.status();
-    }
-    std::vector<listed_backend> list;
-    for (const auto& entry : whole->entries)
-    {
-        list.push_back(decode_backend(*entry));
-    }
-    return list;
 }
 
 } // namespace
 
-void backend_list_replica::set_entries(std::span<const listed_backend> list)
+void backend_list_replica::remember_version(backend_list_version version)
 {
-    entries_.clear();
-    for (const listed_backend& entry : list)
+    version_ = version;
+    floor_ = version;
+    known_.push_back(version);
+    if (known_.size() > max_known_versions)
     {
-        entries_[entry.id] = entry;
+        known_.pop_front();
     }
+    std::erase_if(
+        removed_,
+        [this](const auto& gone) { return gone.second <= known_.front(); });
 }
 
-std::optional<wire::backends_push_msg> backend_list_replica::publish(
-    std::uint64_t epoch, std::span<const listed_backend> list)
+void backend_list_replica::remove(
+    const std::string& id, backend_list_version version)
 {
-    wire::backends_push_msg message;
+    if (items_.erase(id) != 0)
+    {
+        removed_[id] = version;
+    }
+}
+
+// Makes the list that of the version.
+backend_list_replica::change_size backend_list_replica::update(
+    std::span<const listed_backend> list, backend_list_version version)
+{
+    change_size size;
     std::set<std::string_view> present;
-    for (const listed_backend& entry : list)
+    for (const listed_backend& backend : list)
     {
-        present.insert(entry.id);
-        const auto known = entries_.find(entry.id);
-        if (known == entries_.end() || known->second != entry)
+        present.insert(backend.id);
+        item& known = items_[backend.id];
+        if (known.backend != backend)
         {
-            message.changed.push_back(encode_backend(entry));
+            known = {backend, version};
+            removed_.erase(backend.id);
+            ++size.changed;
         }
     }
-    for (const auto& [id, entry] : entries_)
+    std::vector<std::string> gone;
+    for (const auto& [id, known] : items_)
     {
         if (!present.contains(id))
         {
-            message.removed.push_back(id);
+            gone.push_back(id);
         }
     }
-    if (epoch == version_.epoch && version_.sequence != 0 &&
-        message.changed.empty() && message.removed.empty())
+    for (const std::string& id : gone)
+    {
+        remove(id, version);
+    }
+    size.removed = gone.size();
+    return size;
+}
+
+std::optional<backend_list_replica::change_size> backend_list_replica::publish(
+    std::uint64_t epoch, std::span<const listed_backend> list)
+{
+    const backend_list_version next{
+        epoch, epoch == version_.epoch ? version_.sequence + 1 : 1};
+    const change_size size = update(list, next);
+    if (epoch == version_.epoch && size.changed == 0 && size.removed == 0)
     {
         return std::nullopt;
     }
-    message.base_epoch = version_.epoch;
-    message.base_sequence = version_.sequence;
-    version_ = {epoch, epoch == version_.epoch ? version_.sequence + 1 : 1};
-    message.epoch = version_.epoch;
-    message.sequence = version_.sequence;
-    set_entries(list);
-    return message;
+    remember_version(next);
+    return size;
 }
 
-std::optional<wire::backends_push_msg> backend_list_replica::complete() const
+std::optional<wire::backends_push_msg>
+backend_list_replica::changes_since(backend_list_version held) const
 {
-    if (version_.sequence == 0)
+    if (version_ == backend_list_version{})
     {
         return std::nullopt;
     }
-    wire::backends_list_msg whole;
-    for (const auto& [id, entry] : entries_)
+    const bool complete = std::ranges::find(known_, held) == known_.end();
+    wire::backends_changes_msg changes;
+    for (const auto& [id, known] : items_)
     {
-        whole.entries.push_back(encode_backend(entry));
+        if (complete || known.changed_at > held)
+        {
+            changes.entries.push_back(encode_backend(known.backend));
+        }
     }
-    const auto encoded = encode_table<wire::backends_list>(whole);
+    for (const auto& [id, removed_at] : removed_)
+    {
+        if (!complete && removed_at > held)
+        {
+            changes.removed.push_back(id);
+        }
+    }
+    const auto encoded = encode_table<wire::backends_changes>(changes);
     wire::backends_push_msg message;
     message.epoch = version_.epoch;
     message.sequence = version_.sequence;
-    message.complete = compress(
+    if (!complete)
+    {
+        message.base_epoch = held.epoch;
+        message.base_sequence = held.sequence;
+    }
+    message.changes = compress(
         {reinterpret_cast<const char*>(encoded.data()), encoded.size()});
     return message;
 }
@@ -133,55 +172,63 @@
 bool backend_list_replica::apply(const wire::backends_push_msg& message)
 {
     const backend_list_version offered{message.epoch, message.sequence};
-    if (offered <= version_)
+    const backend_list_version base{message.base_epoch, message.base_sequence};
+    const bool complete = base == backend_list_version{};
+    if (offered <= version_ || offered < floor_ ||
+        (!complete && base != version_))
     {
         return false;
     }
-    if (!message.complete.empty())
+    const auto changes = decode_changes(message.changes);
+    if (!changes.ok())
     {
-        const auto list = decode_complete(message.complete);
-        if (!list.ok())
-        {
-            log(log_level::error, subsystem::routing,
-                "backend_list_unusable epoch={} sequence={} error=\"{}\"",
-                message.epoch, message.sequence, message_of(list.status()));
-            return false;
-        }
-        set_entries(*list);
-        version_ = offered;
-        return true;
+        log(log_level::error, subsystem::routing,
+            "backend_list_unusable epoch={} sequence={} error=\"{}\"",
+            message.epoch, message.sequence, message_of(changes.status()));
+        return false;
     }
-    if (backend_list_version{message.base_epoch, message.base_sequence} !=
-        version_)
+    std::vector<listed_backend> changed;
+    for (const auto& entry : changes->entries)
     {
-        return false;
+        changed.push_back(decode_backend(*entry));
     }
-    for (const auto& entry : message.changed)
+    if (complete)
     {
-        entries_[entry->id] = decode_backend(*entry);
+        update(changed, offered);
     }
-    for (const std::string& id : message.removed)
+    else
     {
-        entries_.erase(id);
+        for (listed_backend& backend : changed)
+        {
+            removed_.erase(backend.id);
+            const std::string id = backend.id;
+            items_[id] = {std::move(backend), offered};
+        }
+        for (const std::string& id : changes->removed)
+        {
+            remove(id, offered);
+        }
     }
-    version_ = offered;
+    remember_version(offered);
     return true;
 }
 
 void backend_list_replica::replace(std::span<const listed_backend> list)
 {
-    // Sequence 0 is no published version, so no change follows on it.
-    version_.sequence = 0;
-    set_entries(list);
+    version_ = {};
+    known_.clear();
+    removed_.clear();
+    update(list, {});
+    removed_.clear();
 }
 
 std::vector<listed_backend> backend_list_replica::list() const
 {
     std::vector<listed_backend> result;
-    result.reserve(entries_.size());
-    for (const auto& [id, entry] : entries_)
+    result.reserve(items_.size());
+    for (const auto& [id, known] : items_)
     {
-        result.push_back(entry);
+        result.push_back(known.backend);
     }
     return result;
 }
--- a/src/process/fleet_process/transfer_queue.cpp
+++ b/src/process/fleet_process/transfer_queue.cpp
@@ -18,11 +18,6 @@
     }
 }
 
-void transfer_queue::remove(const transfer& item)
-{
-    std::erase(waiting_, item);
-}
-
 std::optional<transfer> transfer_queue::take(time_point now)
 {
     if (waiting_.empty() || now < busy_until_)
@@ -30,9 +25,10 @@
         return std::nullopt;
     }
     busy_until_ = now;
-    const transfer next = waiting_.front();
-    waiting_.pop_front();
-    return next;
+    const auto next = std::ranges::min_element(waiting_, {}, &transfer::kind);
+    const transfer taken = *next;
+    waiting_.erase(next);
+    return taken;
 }
 
 void transfer_queue::sent(std::size_t bytes)
--- a/src/process/fleet_process/transfer_queue.hpp
+++ b/src/process/fleet_process/transfer_queue.hpp
@@ -11,11 +11,12 @@
 namespace hickorygap
 {
 
-// What an instance asks a voter for.
+// What a voter sends to routers, the most urgent first: lists are small, and
+// servers that leave get no requests once a router has the list.
 enum class transfer_kind
 {
-    configuration,
-    backend_list
+    backend_list,
+    configuration
 };
 
 struct transfer
@@ -26,22 +27,19 @@
     friend bool operator==(const transfer&, const transfer&) = default;
 };
 
-// Order and pace in which a voter sends complete documents to the instances
-// that ask for them: in the order of asking, once each, and at a limited rate,
-// so that the heartbeats and votes on the same network link never wait behind
-// them. Pure; the caller passes the time and sends.
+// Order and pace in which a voter sends documents to the routers that lack
+// them: lists first, then first come, first served, once each, and at a limited
+// rate, so that the heartbeats and votes on the same network link never wait
+// behind them. Pure; the caller passes the time and sends.
 class transfer_queue
 {
 public:
     // The rate in bytes per second is positive.
     explicit transfer_queue(double bytes_per_second);
 
-    // Asking again keeps the place.
+    // A transfer that waits already keeps its place.
     void add(const transfer& item);
 
-    // The receiver has what it asked for.
-    void remove(const transfer& item);
-
     // Takes the next transfer that may start now. The caller reports its size
     // with sent before it asks again.
     std::optional<transfer> take(time_point now);
--- a/src/process/gateway/fleet_follower.cpp
+++ b/src/process/gateway/fleet_follower.cpp
@@ -1,8 +1,10 @@
 #include "process/gateway/fleet_follower.hpp"
 
+#include "common/compression.hpp"
 #include "common/logging.hpp"
 #include "common/status_text.hpp"
 #include "process/fleet_process/load_exchange.hpp"
+#include "version/routing/configuration_format.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -19,19 +21,15 @@
 // Voters count on hearing a router this often.
 constexpr duration status_interval = std::chrono::seconds{1};
 
-// A voter sends a notice each second. A link that is silent for longer than
-// two of them is dialled anew.
+// A voter sends two notices a second. A link that is silent for longer than
+// some of them is dialled anew.
 constexpr duration voter_silence = std::chrono::milliseconds{2500};
 
 constexpr duration dial_limit = std::chrono::seconds{1};
 constexpr duration redial_pause = std::chrono::milliseconds{400};
 
-// A configuration that has not arrived by then is asked of another voter.
-// Covers the transfer of a large document over a voter's narrow link.
-constexpr duration pull_limit = std::chrono::milliseconds{600};
-
 // Without a leader's word for so long, the router reads the list of backend
-// servers itself. A notice may be one interval old and late.
+// servers itself. Two notices may be lost or late.
 constexpr duration leader_silence_limit = std::chrono::milliseconds{1500};
 
 // Shortest interval between reads of the list by a router alone.
@@ -54,13 +52,6 @@
         random_below(random, static_cast<std::uint64_t>(longest.count()) + 1))};
 }
 
-// Time over which the routers spread their pulls of a configuration; none in a
-// small fleet.
-duration pull_spread(std::uint32_t routers)
-{
-    return load_interval(routers) - load_interval(0);
-}
-
 } // namespace
 
 fleet_follower::fleet_follower(
@@ -82,7 +73,6 @@
 {
     loop_.cancel(timer_);
     loop_.cancel(load_timer_);
-    loop_.cancel(pull_timer_);
 }
 
 void fleet_follower::start()
@@ -160,12 +150,7 @@
         next_status_ = now + status_interval;
         count_routers();
     }
-    pull_configuration();
-    pull_backends();
-    if (leader_silence() > leader_silence_limit && now >= next_lone_read_)
-    {
-        read_list_alone();
-    }
+    read_list_when_alone();
 }
 
 void fleet_follower::dial(instance_id voter, voter_link& item)
@@ -194,8 +179,8 @@
     item.link->send(make_payload(status));
 }
 
-// Tells all voters what this router holds, so that they don't send what was
-// asked of several of them.
+// Tells all voters what this router holds, so that each sends only what is
+// missing.
 void fleet_follower::announce_state()
 {
     for (auto& [voter, item] : voters_)
@@ -255,9 +240,6 @@
     const auto found = voters_.find(link.peer());
     if (found != voters_.end())
     {
-        found->second.version = notice.version;
-        found->second.backends = {
-            notice.backends_epoch, notice.backends_sequence};
         found->second.routers = notice.routers;
         found->second.heard_at = loop_.now();
     }
@@ -267,8 +249,14 @@
         leader_ = link.peer();
         update_voters(notice.voters);
     }
-    pull_configuration();
-    pull_backends();
+    else if (leader_silence() > leader_silence_limit)
+    {
+        // The leader may be a voter that this router has no link to.
+        for (const instance_id voter : notice.voters)
+        {
+            voters_.try_emplace(voter);
+        }
+    }
 }
 
 // Links to the voters that the leader names; seeds are kept too, so that a
@@ -297,156 +285,70 @@
     }
 }
 
-// A voter drawn among those that hold what is wanted, so that the routers'
-// pulls are spread; another one than the last one where there is a choice, and
-// not the leader, whose link also carries the group's heartbeats.
-fleet_follower::voter_link* fleet_follower::draw_holder(
-    instance_id last, const std::function<bool(const voter_link&)>& holds)
-{
-    std::vector<voter_link*> holders;
-    voter_link* otherwise = nullptr;
-    for (auto& [voter, item] : voters_)
-    {
-        if (!item.link || !item.link->is_ready() || !holds(item))
-        {
-            continue;
-        }
-        if (voter == last || voter == leader_)
-        {
-            otherwise = &item;
-        }
-        else
-        {
-            holders.push_back(&item);
-        }
-    }
-    if (holders.empty())
-    {
-        return otherwise;
-    }
-    return holders[random_below(random_, holders.size())];
-}
-
-void fleet_follower::pull_configuration()
-{
-    configuration_version newest = version_;
-    for (const auto& [voter, item] : voters_)
-    {
-        newest = std::max(newest, item.version);
-    }
-    const time_point now = loop_.now();
-    if (newest == version_)
-    {
-        return;
-    }
-    if (newest > announced_version_)
-    {
-        announced_version_ = newest;
-        // In a large fleet the pulls are spread over time, because documents
-        // for all routers at once would fill the voters' links and hold up the
-        // heartbeats of the group.
-        pull_after_ = std::max(
-            pull_after_, now + random_duration(random_, pull_spread(routers_)));
-    }
-    if (now < pull_after_)
-    {
-        loop_.cancel(pull_timer_);
-        pull_timer_ =
-            loop_.after(pull_after_ - now, [this] { pull_configuration(); });
-        return;
-    }
-    // A pull that is under way is waited for.
-    if (pulled_version_ > version_ && now - pulled_at_ < pull_limit)
-    {
-        return;
-    }
-    voter_link* chosen = draw_holder(
-        pulled_version_ > version_ ? pulled_from_ : 0,
-        [newest](const voter_link& item) { return item.version == newest; });
-    if (chosen == nullptr)
-    {
-        return;
-    }
-    pulled_version_ = newest;
-    pulled_at_ = now;
-    // Versions in quick succession keep the same pause.
-    pull_after_ = now + pull_spread(routers_);
-    pulled_from_ = chosen->link->peer();
-    wire::routing_pull_msg pull;
-    pull.version = version_;
-    chosen->link->send(make_payload(pull));
-}
-
-void fleet_follower::pull_backends()
+void fleet_follower::on_routing(
+    link_connection& link, const wire::routing_push_msg& push)
 {
-    backend_list_version newest = backends_.version();
-    for (const auto& [voter, item] : voters_)
-    {
-        newest = std::max(newest, item.backends);
-    }
-    const time_point now = loop_.now();
-    if (newest == backends_.version() || newest.sequence == 0 ||
-        now - backends_pulled_at_ < pull_limit)
+    if (push.version <= version_)
     {
         return;
     }
-    voter_link* chosen = draw_holder(
-        backends_pulled_from_,
-        [newest](const voter_link& item) { return item.backends == newest; });
-    if (chosen == nullptr)
+    if (push.base_version != 0 && push.base_version != version_)
     {
+        // Another voter was faster; the status tells this one what is held.
+        announce_state();
         return;
     }
-    backends_pulled_at_ = now;
-    backends_pulled_from_ = chosen->link->peer();
-    wire::backends_pull_msg pull;
-    pull.epoch = backends_.version().epoch;
-    pull.sequence = backends_.version().sequence;
-    chosen->link->send(make_payload(pull));
-}
-
-void fleet_follower::on_routing(
-    link_connection& link, const wire::routing_push_msg& push)
-{
-    if (push.version <= version_)
-    {
+    auto document = decompress(
+        push.document, max_configuration_document,
+        push.base_version == 0 ? std::string_view{} : document_);
+    if (!document.ok())
+    {
+        log(log_level::error, subsystem::configuration,
+            "configuration_damaged version={} base={} from={} error=\"{}\"",
+            push.version, push.base_version, host_of(link.peer()),
+            message_of(document.status()));
+        // A new link starts from what is held here.
+        link.close();
         return;
     }
-    if (!observer_.on_configuration(push.version, push.document))
+    if (!observer_.on_configuration(push.version, *document))
     {
-        // Not asked of this voter again before the limit has passed.
-        pulled_from_ = link.peer();
         return;
     }
     log(log_level::info, subsystem::configuration,
-        "configuration_applied version={} previous={} from={}", push.version,
-        version_, host_of(link.peer()));
+        "configuration_applied version={} previous={} from={} bytes={} "
+        "transferred={}",
+        push.version, version_, host_of(link.peer()), document->size(),
+        push.document.size());
     version_ = push.version;
+    document_ = *std::move(document);
     announce_state();
 }
 
 void fleet_follower::on_backends(
     link_connection& link, const wire::backends_push_msg& push)
 {
+    const backend_list_version offered{push.epoch, push.sequence};
+    const backend_list_version base{push.base_epoch, push.base_sequence};
+    const backend_list_version held = backends_.version();
     if (backends_.apply(push))
     {
         log(log_level::info, subsystem::routing,
-            "backend_list_applied epoch={} sequence={} from={}", push.epoch,
-            push.sequence, host_of(link.peer()));
-        leader_heard_at_ = loop_.now();
+            "backend_list_applied epoch={} sequence={} from={} transferred={}",
+            push.epoch, push.sequence, host_of(link.peer()),
+            push.changes.size());
         observer_.on_backend_list(backends_.list());
-        if (!push.complete.empty())
-        {
-            announce_state();
-        }
+        announce_state();
+    }
+    else if (offered > held && (base == held || base.epoch == 0))
+    {
+        // Damaged. A new link starts from what is held here.
+        link.close();
     }
-    else if (const auto sender = voters_.find(link.peer());
-             sender != voters_.end())
+    else if (offered > held)
     {
-        // The sender holds this version; the whole list is pulled from it or
-        // from another voter.
-        sender->second.backends = {push.epoch, push.sequence};
-        pull_backends();
+        // Another voter was faster; the status tells this one what is held.
+        announce_state();
     }
 }
 
@@ -483,13 +385,30 @@
                                 std::chrono::duration<double>{seconds}));
 }
 
-void fleet_follower::read_list_alone()
+// Routers that lost their leader at the same time don't read at the same time:
+// the first read is spread over the interval and the later ones over a quarter
+// more. Otherwise a large fleet uses up the permitted calls for seconds, also
+// those of the next leader, whose single read serves all.
+void fleet_follower::read_list_when_alone()
 {
-    // Spread over a quarter more, so that routers that lost their leader at
-    // the same time don't go on reading at the same time.
+    const time_point now = loop_.now();
+    if (leader_silence() <= leader_silence_limit)
+    {
+        is_alone_ = false;
+        return;
+    }
     const duration interval = lone_read_interval();
-    next_lone_read_ =
-        loop_.now() + interval + random_duration(random_, interval / 4);
+    if (!std::exchange(is_alone_, true))
+    {
+        next_lone_read_ =
+            std::max(next_lone_read_, now) +
+            random_duration(random_, interval - shortest_lone_read);
+    }
+    if (now < next_lone_read_)
+    {
+        return;
+    }
+    next_lone_read_ = now + interval + random_duration(random_, interval / 4);
     list_reader_.read(
         [this](absl::StatusOr<std::vector<listed_backend>> list)
         {
--- a/src/process/gateway/fleet_follower.hpp
+++ b/src/process/gateway/fleet_follower.hpp
@@ -9,11 +9,12 @@
 #include "request/dispatch/backend_table.hpp"
 
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <span>
+#include <string>
+#include <string_view>
 #include <vector>
 
 namespace hickorygap
@@ -28,11 +29,9 @@
     fleet_observer& operator=(const fleet_observer&) = delete;
     virtual ~fleet_observer() = default;
 
-    // A newer configuration; false when it can't be used, so that it is asked
-    // for again later.
+    // A newer configuration; false when it can't be used.
     virtual bool on_configuration(
-        configuration_version version,
-        std::span<const std::uint8_t> document) = 0;
+        configuration_version version, std::string_view document) = 0;
     virtual void on_backend_list(std::span<const listed_backend> list) = 0;
 
     // Requests in flight of this router, for the leader.
@@ -76,8 +75,6 @@
         time_point next_dial;
 
         // From the last notice.
-        configuration_version version = 0;
-        backend_list_version backends;
         std::uint32_t routers = 0;
         time_point heard_at;
     };
@@ -91,13 +88,9 @@
     void on_routing(link_connection& link, const wire::routing_push_msg& push);
     void
     on_backends(link_connection& link, const wire::backends_push_msg& push);
-    void pull_configuration();
-    void pull_backends();
-    voter_link* draw_holder(
-        instance_id last, const std::function<bool(const voter_link&)>& holds);
     void update_voters(std::span<const instance_id> voters);
     void count_routers();
-    void read_list_alone();
+    void read_list_when_alone();
     duration lone_read_interval() const;
 
     event_loop& loop_;
@@ -115,20 +108,13 @@
     instance_id leader_ = 0;
 
     configuration_version version_ = 0;
-    configuration_version pulled_version_ = 0;
-    time_point pulled_at_;
-
-    // Newest version that a voter announced, and when it may be pulled.
-    configuration_version announced_version_ = 0;
-    time_point pull_after_;
-    timer_id pull_timer_ = 0;
-    instance_id pulled_from_ = 0;
+    // Document of this version.
+    std::string document_;
 
     backend_list_replica backends_;
     backend_list_reader list_reader_;
     time_point leader_heard_at_;
-    time_point backends_pulled_at_;
-    instance_id backends_pulled_from_ = 0;
+    bool is_alone_ = false;
     time_point next_lone_read_;
     time_point next_status_;
     std::uint32_t routers_ = 0;
--- a/src/process/gateway/gateway.cpp
+++ b/src/process/gateway/gateway.cpp
@@ -1,6 +1,5 @@
 #include "process/gateway/gateway.hpp"
 
-#include "common/compression.hpp"
 #include "common/logging.hpp"
 #include "common/status_text.hpp"
 
@@ -103,14 +102,9 @@
 }
 
 bool gateway::on_configuration(
-    configuration_version version, std::span<const std::uint8_t> document)
+    configuration_version version, std::string_view document)
 {
-    const auto text = decompress(document, max_configuration_document);
-    auto decoded =
-        text.ok()
-            ? dialects_.configurations->decode(*text)
-            : absl::StatusOr<std::shared_ptr<const routing_configuration>>{
-                  text.status()};
+    auto decoded = dialects_.configurations->decode(document);
     if (!decoded.ok())
     {
         log(log_level::error, subsystem::configuration,
--- a/src/process/gateway/gateway.hpp
+++ b/src/process/gateway/gateway.hpp
@@ -47,8 +47,7 @@
     }
 
     bool on_configuration(
-        configuration_version version,
-        std::span<const std::uint8_t> document) override;
+        configuration_version version, std::string_view document) override;
     void on_backend_list(std::span<const listed_backend> list) override;
     std::vector<backend_load> report_loads() override;
     void on_fleet_load(std::span<const backend_load> loads) override;
--- a/src/process/routing_store/routing_register.cpp
+++ b/src/process/routing_store/routing_register.cpp
@@ -1,7 +1,10 @@
 #include "process/routing_store/routing_register.hpp"
 
+#include "common/compression.hpp"
 #include "messages/codec.hpp"
+#include "version/routing/configuration_format.hpp"
 
+#include <string_view>
 #include <utility>
 
 namespace hickorygap
@@ -10,18 +13,49 @@
 namespace
 {
 
-absl::StatusOr<filed_configuration>
-decode_entry(std::span<const std::uint8_t> data)
+absl::Status unreadable()
 {
-    auto entry = decode_table<wire::routing_entry>(data);
+    return make_error(
+        error_kind::storage_damaged,
+        "a configuration in the log can't be read; remove this instance's data "
+        "folder and let it join again");
+}
+
+// The base is the state before the entry.
+absl::StatusOr<filed_configuration> decode_entry(
+    std::span<const std::uint8_t> data, const filed_configuration& base)
+{
+    const auto entry = decode_table<wire::routing_entry>(data);
     if (!entry.ok())
     {
-        return make_error(
-            error_kind::storage_damaged,
-            "a configuration in the log can't be read; remove this instance's "
-            "data folder and let it join again");
+        return unreadable();
+    }
+    std::string_view reference;
+    if (entry->base_version != 0)
+    {
+        if (entry->base_version != base.version)
+        {
+            return unreadable();
+        }
+        reference = base.document;
+    }
+    auto document =
+        decompress(entry->document, max_configuration_document, reference);
+    if (!document.ok())
+    {
+        return unreadable();
     }
-    return filed_configuration{entry->version, std::move(entry->document)};
+    return filed_configuration{entry->version, *std::move(document)};
+}
+
+std::vector<std::uint8_t> encode(
+    const filed_configuration& configuration, const filed_configuration& base)
+{
+    wire::routing_entry_msg entry;
+    entry.version = configuration.version;
+    entry.base_version = base.version;
+    entry.document = compress(configuration.document, base.document);
+    return encode_table<wire::routing_entry>(entry);
 }
 
 } // namespace
@@ -29,7 +63,7 @@
 absl::StatusOr<bool>
 routing_register::apply(std::span<const std::uint8_t> entry)
 {
-    auto filed = decode_entry(entry);
+    auto filed = decode_entry(entry, current_);
     if (!filed.ok())
     {
         return filed.status();
@@ -44,12 +78,12 @@
 
 std::vector<std::uint8_t> routing_register::snapshot() const
 {
-    return encode_entry(current_);
+    return encode(current_, {});
 }
 
 absl::Status routing_register::restore(std::span<const std::uint8_t> snapshot)
 {
-    auto filed = decode_entry(snapshot);
+    auto filed = decode_entry(snapshot, {});
     if (!filed.ok())
     {
         return filed.status();
@@ -59,12 +93,9 @@
 }
 
 std::vector<std::uint8_t>
-routing_register::encode_entry(const filed_configuration& configuration)
+routing_register::encode_entry(const filed_configuration& configuration) const
 {
-    wire::routing_entry_msg entry;
-    entry.version = configuration.version;
-    entry.document = configuration.document;
-    return encode_table<wire::routing_entry>(entry);
+    return encode(configuration, current_);
 }
 
 } // namespace hickorygap
--- a/src/process/routing_store/routing_register.hpp
+++ b/src/process/routing_store/routing_register.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <span>
+#include <string>
 #include <vector>
 
 namespace hickorygap
@@ -18,8 +19,7 @@
     // Zero: none was filed yet.
     configuration_version version = 0;
 
-    // Compressed document.
-    std::vector<std::uint8_t> document;
+    std::string document;
 };
 
 // Replicated state: the configuration with the highest version so far. The
@@ -41,9 +41,10 @@
     // Error: storage_damaged.
     absl::Status restore(std::span<const std::uint8_t> snapshot);
 
-    // Data of a log entry.
-    static std::vector<std::uint8_t>
-    encode_entry(const filed_configuration& configuration);
+    // Data of a log entry that follows directly on the state of this register:
+    // no other configuration may stand between them in the log.
+    std::vector<std::uint8_t>
+    encode_entry(const filed_configuration& configuration) const;
 
 private:
     filed_configuration current_;
--- a/src/process/routing_store/routing_voter.cpp
+++ b/src/process/routing_store/routing_voter.cpp
@@ -3,11 +3,21 @@
 #include "common/logging.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace hickorygap
 {
 
+namespace
+{
+
+// Set in the numbers of reads that the leader confirms for another voter, so
+// that they differ from those of raft_node, which count from one.
+constexpr std::uint64_t forwarded_read_mark = std::uint64_t{1} << 63U;
+
+} // namespace
+
 absl::StatusOr<std::unique_ptr<routing_voter>> routing_voter::open(
     routing_voter_options options, std::unique_ptr<log_storage> storage,
     time_point now)
@@ -65,6 +75,16 @@
         joining_[from] = now;
         return;
     }
+    if (const auto* request = message_in<wire::read_request_msg>(payload))
+    {
+        receive_read(from, *request);
+        return;
+    }
+    if (const auto* reply = message_in<wire::read_reply_msg>(payload))
+    {
+        receive_read_reply(*reply);
+        return;
+    }
     raft_.receive(from, payload, now);
 }
 
@@ -109,13 +129,14 @@
         end_filings(std::exchange(waiting_, {}), false);
         return;
     }
-    if (now_ < next_proposal_)
+    // An entry holds the difference from the state before it, which is known
+    // only once everything in the log is applied.
+    if (now_ < next_proposal_ || applied_index_ != raft_.last_index())
     {
         return;
     }
     const auto index = raft_.propose(
-        wire::entry_kind::routing,
-        routing_register::encode_entry(waiting_highest_), now_);
+        wire::entry_kind::routing, state_.encode_entry(waiting_highest_), now_);
     if (index.ok())
     {
         next_proposal_ = now_ + options_.filing_interval;
@@ -135,7 +156,99 @@
 absl::StatusOr<std::uint64_t> routing_voter::start_read(time_point now)
 {
     now_ = now;
-    return raft_.read_index(now);
+    if (raft_.is_leader())
+    {
+        return raft_.read_index(now);
+    }
+    const instance_id leader = raft_.leader();
+    if (leader == 0 || leader == options_.raft.self)
+    {
+        return make_error(
+            error_kind::not_leader, "no leader is known now; try again");
+    }
+    const std::uint64_t number = forwarded_read_mark | ++last_forwarded_;
+    forwarded_[number] = {now, std::nullopt};
+    wire::read_request_msg request;
+    request.read = number;
+    outgoing_.push_back(make_outgoing(leader, request));
+    return number;
+}
+
+// Reads of other voters.
+
+void routing_voter::receive_read(
+    instance_id from, const wire::read_request_msg& request)
+{
+    const auto read = raft_.read_index(now_);
+    if (read.ok())
+    {
+        requested_[*read] = {from, request.read};
+    }
+    else
+    {
+        reply_to_read(from, request.read, false);
+    }
+}
+
+void routing_voter::reply_to_read(
+    instance_id to, std::uint64_t read, bool confirmed)
+{
+    wire::read_reply_msg reply;
+    reply.read = read;
+    reply.status = confirmed ? wire::proposal_status::accepted
+                             : wire::proposal_status::not_leader;
+    reply.leader = raft_.leader();
+    reply.version = confirmed ? state_.current().version : 0;
+    outgoing_.push_back(make_outgoing(to, reply));
+}
+
+void routing_voter::receive_read_reply(const wire::read_reply_msg& reply)
+{
+    const auto known = forwarded_.find(reply.read);
+    if (known == forwarded_.end())
+    {
+        return;
+    }
+    if (reply.status == wire::proposal_status::accepted)
+    {
+        known->second.version = reply.version;
+        return;
+    }
+    reads_.push_back({reply.read, false});
+    forwarded_.erase(known);
+}
+
+// Ends the reads that were confirmed or have waited too long.
+void routing_voter::finish_reads()
+{
+    for (const read_outcome& read : raft_.take_reads())
+    {
+        const auto requested = requested_.extract(read.read);
+        if (requested.empty())
+        {
+            reads_.push_back({read.read, read.confirmed});
+        }
+        else
+        {
+            reply_to_read(
+                requested.mapped().from, requested.mapped().read,
+                read.confirmed);
+        }
+    }
+    std::erase_if(
+        forwarded_,
+        [this](const auto& item)
+        {
+            const auto& [number, read] = item;
+            const bool confirmed =
+                read.version && *read.version <= state_.current().version;
+            const bool expired = now_ - read.since > options_.read_expiry;
+            if (confirmed || expired)
+            {
+                reads_.push_back({number, confirmed});
+            }
+            return confirmed || expired;
+        });
 }
 
 absl::Status routing_voter::flush()
@@ -192,10 +305,7 @@
                 proposed.mapped().term == entry.term);
         }
     }
-    for (const read_outcome& read : raft_.take_reads())
-    {
-        reads_.push_back({read.read, read.confirmed});
-    }
+    finish_reads();
     if (!state_status_.ok())
     {
         log(log_level::error, subsystem::consensus,
@@ -207,7 +317,10 @@
 
 std::vector<outgoing_message> routing_voter::take_outgoing()
 {
-    return raft_.take_outgoing();
+    std::vector<outgoing_message> messages = raft_.take_outgoing();
+    std::ranges::move(outgoing_, std::back_inserter(messages));
+    outgoing_.clear();
+    return messages;
 }
 
 std::vector<store_outcome> routing_voter::take_filings()
--- a/src/process/routing_store/routing_voter.hpp
+++ b/src/process/routing_store/routing_voter.hpp
@@ -43,6 +43,10 @@
     // versions that wait is proposed; it settles the others too.
     duration filing_interval = std::chrono::milliseconds{300};
 
+    // A read that another voter was asked to confirm ends without a result
+    // after this time.
+    duration read_expiry = std::chrono::seconds{3};
+
     // Pause between attempts to write to a storage that failed.
     duration storage_retry = std::chrono::milliseconds{200};
 };
@@ -71,7 +75,8 @@
 
     void tick(time_point now);
 
-    // Handles consensus messages and group_join; ignores others.
+    // Handles consensus messages, group_join and reads of other voters; ignores
+    // others.
     void receive(
         instance_id from, const wire::payloadUnion& payload, time_point now);
 
@@ -82,7 +87,9 @@
     absl::StatusOr<std::uint64_t>
     file(const filed_configuration& configuration, time_point now);
 
-    // Starts a read that a majority confirms. Error: not_leader.
+    // Starts a read that a majority confirms, through the leader. Any voter can
+    // read, so that large documents don't all cross the leader's link. Error:
+    // not_leader, when none is known.
     absl::StatusOr<std::uint64_t> start_read(time_point now);
 
     // Makes everything durable. Errors: storage_failed, tried again later;
@@ -117,6 +124,10 @@
     absl::Status advance();
     void propose_waiting();
     void end_filings(std::span<const std::uint64_t> numbers, bool confirmed);
+    void receive_read(instance_id from, const wire::read_request_msg& request);
+    void receive_read_reply(const wire::read_reply_msg& reply);
+    void reply_to_read(instance_id to, std::uint64_t read, bool confirmed);
+    void finish_reads();
     std::size_t wanted_voters() const;
     void maintain_group();
     std::optional<voter_list> next_list() const;
@@ -143,6 +154,27 @@
     std::uint64_t last_filing_ = 0;
     time_point next_proposal_;
 
+    // Reads of this voter that the leader was asked to confirm.
+    struct forwarded_read
+    {
+        time_point since;
+
+        // Version that the state must have reached; nothing before the
+        // leader's reply.
+        std::optional<configuration_version> version;
+    };
+    std::map<std::uint64_t, forwarded_read> forwarded_;
+    std::uint64_t last_forwarded_ = 0;
+
+    // Reads of other voters that a majority must confirm.
+    struct requested_read
+    {
+        instance_id from = 0;
+        std::uint64_t read = 0;
+    };
+    std::map<std::uint64_t, requested_read> requested_;
+    std::vector<outgoing_message> outgoing_;
+
     // Instances that asked to join, with the time of the last request.
     std::map<instance_id, time_point> joining_;
     std::vector<store_outcome> filings_;
--- a/src/process/voter_node/router_feed.cpp
+++ b/src/process/voter_node/router_feed.cpp
@@ -12,9 +12,9 @@
 namespace
 {
 
-// Routers hear from each voter at least so often; they count on it to notice
-// a voter that has vanished.
-constexpr duration notice_interval = std::chrono::seconds{1};
+// Routers hear from each voter at least so often; they count on it to notice a
+// leader or a voter that has vanished within 1.5 and 2.5 s.
+constexpr duration notice_interval = std::chrono::milliseconds{500};
 
 // Interval at which the leader reads the list of backend servers. A server
 // that leaves may get new requests for 3 s after the list shows it.
@@ -76,33 +76,18 @@
         loads_.set(
             from, to_loads(loads->backends, loads->in_flight), loop_.now());
     }
-    else if (const auto* pull = message_in<wire::routing_pull_msg>(payload))
+    else if (const auto* push = message_in<wire::backends_push_msg>(payload))
     {
-        const sent_documents* sent = links_.documents_on(link);
-        const configuration_version held =
-            std::max(pull->version, sent ? sent->configuration : 0);
-        if (voter_->current().version > held)
-        {
-            transfers_.add({from, transfer_kind::configuration});
-            send_transfers();
-        }
+        on_backends(from, *push);
     }
     else if (const auto* pull = message_in<wire::backends_pull_msg>(payload))
     {
-        const sent_documents* sent = links_.documents_on(link);
-        const backend_list_version asked{pull->epoch, pull->sequence};
-        const backend_list_version held =
-            std::max(asked, sent ? sent->backend_list : asked);
-        if (backends_.version() > held)
+        if (auto changes =
+                backends_.changes_since({pull->epoch, pull->sequence}))
         {
-            transfers_.add({from, transfer_kind::backend_list});
-            send_transfers();
+            links_.send(from, make_payload(*std::move(changes)));
         }
     }
-    else if (const auto* push = message_in<wire::backends_push_msg>(payload))
-    {
-        on_backends(from, *push);
-    }
     else
     {
         return false;
@@ -115,7 +100,6 @@
 wire::payloadUnion router_feed::notice() const
 {
     wire::voter_notice_msg message;
-    message.version = voter_->current().version;
     message.leads = voter_->raft().holds_lease(loop_.now());
     if (const voter_list* list = voter_->raft().configuration())
     {
@@ -125,8 +109,6 @@
         }
     }
     message.routers = links_.routers();
-    message.backends_epoch = backends_.version().epoch;
-    message.backends_sequence = backends_.version().sequence;
     return make_payload(std::move(message));
 }
 
@@ -142,8 +124,21 @@
     notify();
 }
 
-// A router tells what it holds when a link starts, regularly, and after each
-// document, so that copies it no longer needs are not sent.
+// Documents.
+
+void router_feed::on_configuration()
+{
+    documents_.add(voter_->current());
+    configuration_frames_.clear();
+    offer(transfer_kind::configuration);
+}
+
+void router_feed::on_new_backend_list()
+{
+    backend_list_frames_.clear();
+    offer(transfer_kind::backend_list);
+}
+
 void router_feed::on_status(
     instance_id from, const wire::router_status_msg& status,
     link_connection& link)
@@ -152,78 +147,115 @@
     {
         link.send(notice());
     }
-    if (status.version >= voter_->current().version)
+    router_documents* documents = links_.documents_on(link);
+    if (documents == nullptr)
+    {
+        return;
+    }
+    documents->backend_list.on_report(
+        {status.backends_epoch, status.backends_sequence});
+    documents->configuration.on_report(status.version);
+    if (documents->backend_list.needs(backends_.version()))
     {
-        transfers_.remove({from, transfer_kind::configuration});
+        transfers_.add({from, transfer_kind::backend_list});
     }
-    if (backend_list_version{status.backends_epoch, status.backends_sequence} >=
-        backends_.version())
+    if (documents->configuration.needs(documents_.newest()))
     {
-        transfers_.remove({from, transfer_kind::backend_list});
+        transfers_.add({from, transfer_kind::configuration});
     }
+    send_transfers();
 }
 
-// Complete documents.
-
-std::optional<wire::payloadUnion> router_feed::content(transfer_kind kind) const
+// Puts all routers into the queue. Each voter starts at another one, so that
+// together they reach all of them soon.
+void router_feed::offer(transfer_kind kind)
 {
-    if (kind == transfer_kind::configuration)
+    const std::vector<instance_id> routers = links_.live_routers();
+    if (const voter_list* list = voter_->raft().configuration();
+        list != nullptr && !list->voters.empty())
     {
-        const filed_configuration& current = voter_->current();
-        if (current.version == 0)
+        const auto own = std::ranges::count_if(
+            list->voters, [this](const voter_identity& voter)
+            { return voter.instance < self_; });
+        const std::size_t first = routers.size() *
+                                  static_cast<std::size_t>(own) /
+                                  list->voters.size();
+        for (std::size_t i = 0; i < routers.size(); ++i)
         {
-            return std::nullopt;
+            transfers_.add({routers[(first + i) % routers.size()], kind});
         }
-        wire::routing_push_msg push;
-        push.version = current.version;
-        push.document = current.document;
-        return make_payload(std::move(push));
     }
-    auto list = backends_.complete();
-    if (!list)
-    {
-        return std::nullopt;
-    }
-    return make_payload(*std::move(list));
+    send_transfers();
 }
 
-void router_feed::note_sent(transfer_kind kind, sent_documents& sent) const
+void router_feed::send_transfers()
 {
-    if (kind == transfer_kind::configuration)
+    while (const auto next = transfers_.take(loop_.now()))
     {
-        sent.configuration = voter_->current().version;
+        transfers_.sent(send_transfer(*next));
     }
-    else
+    loop_.cancel(transfer_timer_);
+    transfer_timer_ = 0;
+    if (const auto wait = transfers_.wait(loop_.now()))
     {
-        sent.backend_list = backends_.version();
+        transfer_timer_ = loop_.after(*wait, [this] { send_transfers(); });
     }
 }
 
-void router_feed::send_transfers()
+// Returns the number of bytes sent; zero where the router is gone or needs
+// nothing any more.
+std::size_t router_feed::send_transfer(const transfer& item)
 {
-    while (const auto next = transfers_.take(loop_.now()))
+    link_connection* link = links_.link_from(item.receiver);
+    router_documents* documents =
+        link == nullptr ? nullptr : links_.documents_on(*link);
+    if (documents == nullptr)
+    {
+        return 0;
+    }
+    if (item.kind == transfer_kind::configuration)
     {
-        link_connection* link = links_.link_from(next->receiver);
-        const auto document = content(next->kind);
-        if (link == nullptr || !document)
+        auto& state = documents->configuration;
+        if (!state.needs(documents_.newest()))
         {
-            continue;
+            return 0;
         }
-        const std::string frame =
-            link_connection::encode_frame(self_, *document);
+        const std::string& frame = configuration_frame(state.held());
+        state.on_sent(state.held(), documents_.newest());
         link->send_frame(frame);
-        transfers_.sent(frame.size());
-        if (sent_documents* sent = links_.documents_on(*link))
-        {
-            note_sent(next->kind, *sent);
-        }
+        return frame.size();
     }
-    loop_.cancel(transfer_timer_);
-    transfer_timer_ = 0;
-    if (const auto wait = transfers_.wait(loop_.now()))
+    auto& state = documents->backend_list;
+    if (!state.needs(backends_.version()))
     {
-        transfer_timer_ = loop_.after(*wait, [this] { send_transfers(); });
+        return 0;
     }
+    const std::string& frame = backend_list_frame(state.held());
+    state.on_sent(state.held(), backends_.version());
+    link->send_frame(frame);
+    return frame.size();
+}
+
+const std::string& router_feed::configuration_frame(configuration_version held)
+{
+    std::string& frame = configuration_frames_[held];
+    if (frame.empty())
+    {
+        frame = link_connection::encode_frame(
+            self_, make_payload(*documents_.changes_since(held)));
+    }
+    return frame;
+}
+
+const std::string& router_feed::backend_list_frame(backend_list_version held)
+{
+    std::string& frame = backend_list_frames_[held];
+    if (frame.empty())
+    {
+        frame = link_connection::encode_frame(
+            self_, make_payload(*backends_.changes_since(held)));
+    }
+    return frame;
 }
 
 // The list of backend servers.
@@ -248,7 +280,8 @@
     {
         return;
     }
-    auto change = backends_.publish(voter_->raft().term(), *list);
+    const backend_list_version previous = backends_.version();
+    const auto change = backends_.publish(voter_->raft().term(), *list);
     if (!change)
     {
         return;
@@ -256,19 +289,26 @@
     log(log_level::info, subsystem::routing,
         "backend_list_changed epoch={} sequence={} changed={} removed={} "
         "size={}",
-        change->epoch, change->sequence, change->changed.size(),
-        change->removed.size(), list->size());
-    const wire::payloadUnion payload = make_payload(*std::move(change));
-    links_.send_to_routers(payload);
-    send_to_voters(payload);
+        backends_.version().epoch, backends_.version().sequence,
+        change->changed, change->removed, list->size());
+    send_to_voters(make_payload(*backends_.changes_since(previous)));
+    on_new_backend_list();
 }
 
 void router_feed::on_backends(
     instance_id from, const wire::backends_push_msg& push)
 {
-    if (!backends_.apply(push) && push.complete.empty())
+    const backend_list_version held = backends_.version();
+    if (backends_.apply(push))
+    {
+        on_new_backend_list();
+    }
+    else if (backend_list_version{push.epoch, push.sequence} > held)
     {
-        links_.send(from, make_payload(wire::backends_pull_msg{}));
+        wire::backends_pull_msg pull;
+        pull.epoch = held.epoch;
+        pull.sequence = held.sequence;
+        links_.send(from, make_payload(pull));
     }
 }
 
--- a/src/process/voter_node/router_feed.hpp
+++ b/src/process/voter_node/router_feed.hpp
@@ -6,17 +6,24 @@
 #include "process/fleet_process/load_exchange.hpp"
 #include "process/fleet_process/transfer_queue.hpp"
 #include "process/fleet_settings/fleet_settings.hpp"
+#include "process/routing_store/document_history.hpp"
 #include "process/routing_store/routing_voter.hpp"
 #include "process/voter_node/voter_links.hpp"
 
+#include <map>
 #include <optional>
+#include <string>
 
 namespace hickorygap
 {
 
-// What a voter does for the routers: announces versions, sends configurations
-// and the list of backend servers to those that ask, and, as leader, reads the
-// list and sums up the routers' loads.
+// What a voter does for the routers: sends each the configuration and the list
+// of backend servers that it lacks, and, as leader, reads the list and sums up
+// the routers' loads.
+//
+// All voters send each new version, each starting at another router, and a
+// router tells all of them what it holds. So the voters share the work, and
+// routers that one of them does not reach get the version from the others.
 class router_feed
 {
 public:
@@ -35,22 +42,28 @@
         instance_id from, const wire::payloadUnion& payload,
         link_connection& link);
 
-    // Tells the routers at once what this voter holds.
-    void notify();
+    // The voter has committed a configuration.
+    void on_configuration();
 
     void on_leadership_change();
 
 private:
     wire::payloadUnion notice() const;
+    void notify();
     void on_status(
         instance_id from, const wire::router_status_msg& status,
         link_connection& link);
-    void on_backends(instance_id from, const wire::backends_push_msg& push);
-    void note_sent(transfer_kind kind, sent_documents& sent) const;
+
+    void offer(transfer_kind kind);
     void send_transfers();
-    std::optional<wire::payloadUnion> content(transfer_kind kind) const;
+    std::size_t send_transfer(const transfer& item);
+    const std::string& configuration_frame(configuration_version held);
+    const std::string& backend_list_frame(backend_list_version held);
+
     void read_backend_list();
     void on_backend_list(absl::StatusOr<std::vector<listed_backend>> list);
+    void on_backends(instance_id from, const wire::backends_push_msg& push);
+    void on_new_backend_list();
     void send_to_voters(const wire::payloadUnion& payload);
     void summarize_loads();
 
@@ -60,9 +73,16 @@
     const routing_voter* voter_ = nullptr;
     backend_list_reader list_reader_;
     backend_list_replica backends_;
+    document_history documents_;
     load_aggregator loads_;
+
     transfer_queue transfers_;
     timer_id transfer_timer_ = 0;
+
+    // Encoded changes from a version that routers hold to the newest one.
+    std::map<configuration_version, std::string> configuration_frames_;
+    std::map<backend_list_version, std::string> backend_list_frames_;
+
     bool list_was_read_ = true;
     time_point next_notice_;
     time_point next_list_read_;
--- a/src/process/voter_node/voter_links.cpp
+++ b/src/process/voter_node/voter_links.cpp
@@ -140,12 +140,29 @@
         [this](const auto& item) { return is_live_router(item.second); }));
 }
 
-sent_documents* voter_links::documents_on(const link_connection& link)
+router_documents* voter_links::documents_on(const link_connection& link)
 {
     const auto found = incoming_.find(&link);
     return found == incoming_.end() ? nullptr : &found->second.documents;
 }
 
+std::vector<instance_id> voter_links::live_routers() const
+{
+    std::vector<instance_id> result;
+    for (const auto& [key, item] : incoming_)
+    {
+        if (is_live_router(item))
+        {
+            result.push_back(item.link->peer());
+        }
+    }
+    std::ranges::sort(result);
+    // A router that has just dialled anew may have an old link.
+    const auto [last, end] = std::ranges::unique(result);
+    result.erase(last, end);
+    return result;
+}
+
 void voter_links::on_link_ready(link_connection& /*link*/)
 {
 }
--- a/src/process/voter_node/voter_links.hpp
+++ b/src/process/voter_node/voter_links.hpp
@@ -4,6 +4,7 @@
 #include "connection/event/listener.hpp"
 #include "connection/link/link_connection.hpp"
 #include "process/fleet_process/backend_list_replica.hpp"
+#include "process/fleet_process/delivery_state.hpp"
 
 #include <absl/status/status.h>
 
@@ -12,16 +13,16 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace hickorygap
 {
 
-// Newest complete documents that were sent over one link. The link delivers
-// them or ends.
-struct sent_documents
+// What the router at the other end of a link holds or is being sent.
+struct router_documents
 {
-    configuration_version configuration = 0;
-    backend_list_version backend_list;
+    delivery_state<configuration_version> configuration;
+    delivery_state<backend_list_version> backend_list;
 };
 
 // Links of a voter: it dials the other voters and sends to each over the link
@@ -53,13 +54,15 @@
     // The link over which an instance was heard last; nullptr for none.
     link_connection* link_from(instance_id peer);
 
-    // What was sent over a link that another instance dialled; nullptr for
-    // other links. Belongs to the caller to keep.
-    sent_documents* documents_on(const link_connection& link);
+    // Kept for each link that another instance dialled; nullptr for others.
+    router_documents* documents_on(const link_connection& link);
 
-    // Routers that reported lately.
+    // Number of routers that reported lately.
     std::uint32_t routers() const;
 
+    // Their instances, in ascending order.
+    std::vector<instance_id> live_routers() const;
+
     void on_link_ready(link_connection& link) override;
     void on_message(link_connection& link, wire::envelope_msg message) override;
     void on_link_end(link_connection& link) override;
@@ -76,7 +79,7 @@
         std::unique_ptr<link_connection> link;
         bool is_router = false;
         time_point reported_at;
-        sent_documents documents;
+        router_documents documents;
     };
 
     void accept(const Poco::Net::StreamSocket& socket);
--- a/src/process/voter_node/voter_node.cpp
+++ b/src/process/voter_node/voter_node.cpp
@@ -1,6 +1,5 @@
 #include "process/voter_node/voter_node.hpp"
 
-#include "common/compression.hpp"
 #include "common/error.hpp"
 #include "common/json.hpp"
 #include "common/logging.hpp"
@@ -197,7 +196,7 @@
             voter_->current().version, committed_version_,
             voter_->raft().term());
         committed_version_ = voter_->current().version;
-        feed_.notify();
+        feed_.on_configuration();
     }
 }
 
@@ -235,7 +234,7 @@
         file(request, respond);
         return;
     case operator_action::read_configuration:
-        read(request, respond);
+        read(respond);
         return;
     case operator_action::unknown:
         respond(error_answer(
@@ -293,8 +292,7 @@
     {
         return;
     }
-    const auto number =
-        voter_->file({version, compress(request.body)}, loop_.now());
+    const auto number = voter_->file({version, request.body}, loop_.now());
     if (!number.ok())
     {
         log(log_level::info, subsystem::configuration,
@@ -307,13 +305,8 @@
     settle_soon();
 }
 
-void voter_node::read(
-    const received_request& request, const http_responder& respond)
+void voter_node::read(const http_responder& respond)
 {
-    if (redirect(request, respond))
-    {
-        return;
-    }
     const auto number = voter_->start_read(loop_.now());
     if (!number.ok())
     {
@@ -353,6 +346,11 @@
         {
             continue;
         }
+        log(log_level::info, subsystem::configuration,
+            "configuration_read version={} bytes={} confirmed={} took_ms={}",
+            voter_->current().version, voter_->current().document.size(),
+            outcome.confirmed,
+            (loop_.now() - call.mapped().since) / std::chrono::milliseconds{1});
         if (outcome.confirmed)
         {
             respond_with_configuration(call.mapped().respond);
@@ -374,17 +372,8 @@
             HTTPResponse::HTTP_NOT_FOUND, "no configuration was filed yet"));
         return;
     }
-    auto document = decompress(current.document, max_configuration_document);
-    if (!document.ok())
-    {
-        log(log_level::error, subsystem::configuration,
-            "document_unreadable version={} error=\"{}\"", current.version,
-            message_of(document.status()));
-        respond(unavailable(message_of(document.status())));
-        return;
-    }
     http_answer answer;
-    answer.body = *std::move(document);
+    answer.body = current.document;
     respond(answer);
 }
 
--- a/src/process/voter_node/voter_node.hpp
+++ b/src/process/voter_node/voter_node.hpp
@@ -72,7 +72,7 @@
 
     void serve(received_request request, const http_responder& respond);
     void file(const received_request& request, const http_responder& respond);
-    void read(const received_request& request, const http_responder& respond);
+    void read(const http_responder& respond);
     bool redirect(
         const received_request& request, const http_responder& respond) const;
     void respond_with_configuration(const http_responder& respond) const;
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -127,6 +127,47 @@
     CHECK(kind_of(decoded.status()) == error_kind::ticket_invalid);
 }
 
+// Guards against a row that is read under another row's or column's name.
+TEST_CASE("a configuration in tables is read like one in lists")
+{
+    const std::string text = R"({"version":7,"routes":{
+        "columns":["name","host","path_prefix","kind","timeout_ms",
+                   "traffic_split","max_attempts","service"],
+        "rows":[["r1","h.example","/a/","streaming",12000,null,2,"llm"],
+                ["r2","h.example","/b/","unsafe",600,
+                 [{"service":"llm","weight":90},{"service":"app","weight":10}],
+                 1,null]]},
+        "services":{"columns":["name","max_connections","engine"],
+                    "rows":[["llm",500,{"slots":96}],["app",110,null]]},
+        "tenants":{"columns":["name","api_keys","priority"],
+                   "rows":[["t1",["k1"],1],["t2",["k2"],null]]}})";
+    const auto decoded = configuration_document{}.decode(text);
+    INFO(std::string{decoded.status().message()});
+    REQUIRE(decoded.ok());
+    const routing_configuration& read = **decoded;
+    CHECK(read.find_route("h.example", "/a/")->max_attempts == 2);
+    CHECK(read.find_route("h.example", "/a/")->targets.size() == 1);
+    CHECK(read.find_route("h.example", "/b/")->timeout == 600ms);
+    CHECK(read.find_route("h.example", "/b/")->targets[1].service == "app");
+    CHECK(read.find_service("llm")->engine->slots == 96);
+    CHECK_FALSE(read.find_service("app")->engine);
+    CHECK(read.find_organisation("k1")->priority == 1U);
+    CHECK_FALSE(read.find_organisation("k2")->priority);
+
+    const auto [from, to] = GENERATE(table<std::string, std::string>({
+        {"\"columns\":[\"name\",\"host\"", "\"columns\":[7,\"host\""},
+        {"\"rows\":[[\"r1\"", "\"lines\":[[\"r1\""},
+        {"[\"llm\",500,{\"slots\":96}]", "[\"llm\",500]"},
+        {"[\"t1\",[\"k1\"],1]", "7"},
+    }));
+    CAPTURE(from, to);
+    const auto refused = configuration_document{}.decode(with(text, from, to));
+    REQUIRE_FALSE(refused.ok());
+    CHECK(kind_of(refused.status()) == error_kind::ticket_invalid);
+    CHECK_THAT(
+        std::string{refused.status().message()}, Catch::Contains("the table"));
+}
+
 // Guards against one damaged entry that hides the others.
 TEST_CASE("damaged entries of the list are skipped and the others hold")
 {
--- a/tests/process/routing_store/routing_voter_test.cpp
+++ b/tests/process/routing_store/routing_voter_test.cpp
@@ -45,6 +45,30 @@
     CHECK(cluster.file_and_wait());
 }
 
+// Load: operators read a large configuration often. Guards against reads that
+// only the leader answers, over the link that carries its heartbeats, and
+// against an answer of a voter that a majority no longer hears.
+TEST_CASE("each voter answers reads, and none that is cut off does")
+{
+    routing_cluster cluster{3};
+    settle(cluster);
+    for (instance_id id = 1; id <= 5; ++id)
+    {
+        REQUIRE(cluster.file_and_wait());
+        cluster.read(id);
+        cluster.run(20);
+        CAPTURE(id);
+        CHECK(cluster.confirmed_reads(id) == 1);
+    }
+    const auto cut = static_cast<instance_id>(*cluster.leader() % 5 + 1);
+    cluster.network().cut(cut);
+    cluster.read(cut);
+    REQUIRE(cluster.file_and_wait());
+    cluster.run(400);
+    CHECK(cluster.confirmed_reads(cut) == 1);
+    CHECK_FALSE(cluster.stale_read());
+}
+
 // Guards against a second history, founded by seeds that lost their disks.
 TEST_CASE("an empty disk without bootstrap never founds a group")
 {
