Add the command that explains one request from the logs

Change: process/explain reads log lines, with or without a collector's prefix, and gathers a request's lines in order of time, what its router had last learned, and the failures of other requests at the same servers within 2 s; `hickorygap explain ID LOG...` prints them with one sentence per cause. Commands may take any number of arguments.

--- a/src/process/commands/command_line.cpp
+++ b/src/process/commands/command_line.cpp
@@ -2,6 +2,7 @@
 
 #include "common/error.hpp"
 #include "common/json.hpp"
+#include "process/commands/explain_command.hpp"
 #include "process/commands/fleet_commands.hpp"
 #include "process/commands/operator_commands.hpp"
 #include "process/commands/serve_command.hpp"
@@ -15,6 +16,7 @@
 #include <algorithm>
 #include <array>
 #include <iostream>
+#include <limits>
 #include <string_view>
 
 ABSL_FLAG(bool, json, false, "prints JSON instead of text");
@@ -50,6 +52,9 @@
     "  route --settings F              runs a router of a fleet that keeps\n"
     "                                  routers and voters apart\n"
     "  vote --settings F               runs a voter of such a fleet\n"
+    "  explain ID LOG...|-             what the logs of routers and voters "
+    "tell\n"
+    "                                  about one request\n"
     "  check-settings F                checks a settings file, prints all\n"
     "                                  effective values\n"
     "  ticket file F|-                 files a change ticket\n"
@@ -160,29 +165,34 @@
     return static_cast<exit_code>(run_serve(*effective));
 }
 
-// A subcommand: its words, how many arguments follow, and its function.
+// A subcommand: its words, how many arguments follow at least and at most, and
+// its function.
 struct command
 {
     std::vector<std::string_view> words;
     std::size_t arguments;
+    std::size_t most_arguments;
     exit_code (*run)(const command_options&, command_streams);
 };
 
+constexpr std::size_t any_number = std::numeric_limits<std::size_t>::max();
+
 const std::vector<command>& commands()
 {
     static const std::vector<command> all{
-        {{"serve"}, 0, serve},
-        {{"route"}, 0, run_router},
-        {{"vote"}, 0, run_voter},
-        {{"check-settings"}, 1, check_settings},
-        {{"ticket", "file"}, 1, ticket_file},
-        {{"ticket", "show"}, 1, ticket_show},
-        {{"ticket", "list"}, 0, ticket_list},
-        {{"ticket", "verify"}, 0, ticket_verify},
-        {{"in-force"}, 0, show_in_force},
-        {{"decisions"}, 0, list_decisions},
-        {{"report", "burn"}, 0, report_burn},
-        {{"status"}, 0, show_status},
+        {{"serve"}, 0, 0, serve},
+        {{"route"}, 0, 0, run_router},
+        {{"vote"}, 0, 0, run_voter},
+        {{"check-settings"}, 1, 1, check_settings},
+        {{"explain"}, 2, any_number, explain_request},
+        {{"ticket", "file"}, 1, 1, ticket_file},
+        {{"ticket", "show"}, 1, 1, ticket_show},
+        {{"ticket", "list"}, 0, 0, ticket_list},
+        {{"ticket", "verify"}, 0, 0, ticket_verify},
+        {{"in-force"}, 0, 0, show_in_force},
+        {{"decisions"}, 0, 0, list_decisions},
+        {{"report", "burn"}, 0, 0, report_burn},
+        {{"status"}, 0, 0, show_status},
     };
     return all;
 }
@@ -271,7 +281,7 @@
             continue;
         }
         const std::size_t given = options.words.size() - candidate.words.size();
-        if (given != candidate.arguments)
+        if (given < candidate.arguments || given > candidate.most_arguments)
         {
             return report_usage(
                 fmt::format(
--- /dev/null
+++ b/src/process/commands/explain_command.cpp
@@ -0,0 +1,83 @@
+#include "process/commands/explain_command.hpp"
+
+#include "process/explain/request_trace.hpp"
+
+#include <filesystem>
+#include <fstream>
+#include <istream>
+#include <ostream>
+#include <string>
+
+namespace hickorygap
+{
+
+namespace
+{
+
+void read_log(
+    std::istream& input, std::string_view source, request_trace& trace)
+{
+    std::string line;
+    while (std::getline(input, line))
+    {
+        if (const auto record = parse_log_line(line, source))
+        {
+            trace.add(*record);
+        }
+    }
+}
+
+void print(
+    std::string_view title, const std::vector<log_record>& records,
+    std::ostream& out)
+{
+    out << title << "\n";
+    for (const log_record& record : records)
+    {
+        out << "  " << record.source << " " << record.text << "\n";
+    }
+}
+
+} // namespace
+
+exit_code
+explain_request(const command_options& options, command_streams streams)
+{
+    const std::string& id = options.words.at(1);
+    request_trace trace{id};
+    for (std::size_t i = 2; i < options.words.size(); ++i)
+    {
+        const std::string& path = options.words[i];
+        if (path == "-")
+        {
+            read_log(streams.in, "input", trace);
+            continue;
+        }
+        std::ifstream file{path};
+        if (!file)
+        {
+            streams.error << "hickorygap: can't open the log " << path
+                          << "; check the path and the permissions\n";
+            return exit_code::refused;
+        }
+        read_log(file, std::filesystem::path{path}.stem().string(), trace);
+    }
+    const auto lines = trace.lines();
+    if (lines.empty())
+    {
+        streams.error << "hickorygap: no line names request " << id
+                      << "; check the id, and that the logs of all routers at "
+                         "that time are given\n";
+        return exit_code::refused;
+    }
+    print("The router had last learned:", trace.beliefs(), streams.out);
+    print("The request:", lines, streams.out);
+    streams.out << "So:\n";
+    for (const std::string& sentence : trace.conclusions())
+    {
+        streams.out << "  " << sentence << "\n";
+    }
+    return exit_code::done;
+}
+
+} // namespace hickorygap
--- a/tests/process/commands/commands_test.cpp
+++ b/tests/process/commands/commands_test.cpp
@@ -282,3 +282,24 @@
     CHECK_THAT(result.error, Catch::Contains("instance.id is missing"));
     fs::remove(path);
 }
+
+// Guards against an id that is mistyped and looks like a request without
+// trouble.
+TEST_CASE("explain gathers a request's lines and says when there are none")
+{
+    const std::string log =
+        "r1 2026-03-15T17:00:01.000Z info configuration configuration_applied "
+        "version=3\n"
+        "r1 2026-03-15T17:00:04.000Z warning http request_ended id=a1 "
+        "status=503 outcome=refused sends=0 service=llm\n";
+    const outcome found = run({"explain", "a1", "-"}, log);
+    CHECK(found.code == exit_code::done);
+    CHECK_THAT(found.out, Catch::Contains("version=3"));
+    CHECK_THAT(found.out, Catch::Contains("no server of service llm"));
+
+    const outcome missing = run({"explain", "a2", "-"}, log);
+    CHECK(missing.code == exit_code::refused);
+    CHECK_THAT(missing.error, Catch::Contains("check the id"));
+    CHECK(run({"explain", "a1", "/no/such/log"}).code == exit_code::refused);
+    CHECK(run({"explain", "a1"}).code == exit_code::usage);
+}
