End a connection of serve whose framing is in doubt

Cause: the threads' HTTP server left framing to Poco, which takes the first of two Content-Length headers, accepts a repeated Transfer-Encoding, and takes a damaged chunk for the end of the body; the bytes after it were read as another request. Both chunk decoders took a lone line feed in a chunk's extension as part of the line, where other programs see its end.

Ruled out: a fault of the new path's reader for the first three, which it refused before.

Change: connection_socket checks the bytes that Poco reads with the strict framing of h1: a head in doubt is answered with 400, and a body that did not end as it should ends the connection after the answer. Lines of chunks with control characters are damaged.

Before: the new rows of "a bad header block" were not answered with 400 (the test hung to its limit); "nothing after a damaged chunk is served" saw the hidden request at the engine for the lone line feed.

--- a/src/connection/h1/message_framing.cpp
+++ b/src/connection/h1/message_framing.cpp
@@ -285,6 +285,12 @@
     }
     line = input.substr(0, end);
     input.erase(0, end + 2);
+    // Other programs may take a lone line feed for the end of the line.
+    if (!std::ranges::all_of(line, is_field_character))
+    {
+        state_ = state::broken;
+        return false;
+    }
     return true;
 }
 
--- a/src/connection/http/connection_socket.cpp
+++ b/src/connection/http/connection_socket.cpp
@@ -92,6 +92,50 @@
     }
 }
 
+bool connection_socket::start_request()
+{
+    const auto end = find_head_end(pending_);
+    if (!end)
+    {
+        return false;
+    }
+    const std::string_view head{pending_.data(), *end};
+    Poco::Net::HTTPRequest parsed;
+    if (!is_strict_head(head) || !parse_head(head, parsed))
+    {
+        return false;
+    }
+    const auto framing = request_framing(parsed);
+    if (!framing)
+    {
+        return false;
+    }
+    header_left_ = *end;
+    body_ = body_decoder{*framing};
+    body_state_ = body_decoder::state::incomplete;
+    unchecked_.clear();
+    check_framing({});
+    return true;
+}
+
+void connection_socket::check_framing(std::string_view bytes)
+{
+    const std::size_t header = std::min(header_left_, bytes.size());
+    header_left_ -= header;
+    if (body_state_ != body_decoder::state::incomplete)
+    {
+        return;
+    }
+    unchecked_.append(bytes.substr(header));
+    std::string decoded;
+    body_state_ = body_.decode(unchecked_, decoded);
+}
+
+bool connection_socket::is_at_request_end() const
+{
+    return body_state_ == body_decoder::state::complete;
+}
+
 bool connection_socket::discard_arrived()
 {
     pending_.clear();
@@ -133,6 +177,7 @@
             std::min(pending_.size(), static_cast<std::size_t>(length));
         std::memcpy(buffer, pending_.data(), count);
         pending_.erase(0, count);
+        check_framing({static_cast<const char*>(buffer), count});
         return static_cast<int>(count);
     }
     const duration left = read_deadline_ - monotonic_now();
@@ -144,7 +189,14 @@
     {
         inner_.setReceiveTimeout(Poco::Timespan{left.count()});
     }
-    return inner_.receiveBytes(buffer, length, flags);
+    const int count = inner_.receiveBytes(buffer, length, flags);
+    if (count > 0)
+    {
+        check_framing(
+            {static_cast<const char*>(buffer),
+             static_cast<std::size_t>(count)});
+    }
+    return count;
 }
 
 int connection_socket::sendBytes(const void* buffer, int length, int flags)
--- a/src/connection/http/connection_socket.hpp
+++ b/src/connection/http/connection_socket.hpp
@@ -2,6 +2,7 @@
 #define HICKORYGAP_CONNECTION_HTTP_CONNECTION_SOCKET_HPP
 
 #include "common/time.hpp"
+#include "connection/h1/message_framing.hpp"
 
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/StreamSocket.h>
@@ -9,6 +10,7 @@
 
 #include <cstddef>
 #include <string>
+#include <string_view>
 
 namespace hickorygap
 {
@@ -39,6 +41,15 @@
     // Reads and drops what has arrived; true once the peer has closed.
     bool discard_arrived();
 
+    // A request with a buffered header block is going to be read. False when
+    // it is not certain where its body ends, so that no other request may
+    // follow on this connection.
+    bool start_request();
+
+    // Whether everything that was read since start_request is one request with
+    // a valid body, and perhaps bytes after it.
+    bool is_at_request_end() const;
+
     // Keeps bytes that a session has read beyond its request.
     void push_back(const char* data, std::size_t size);
 
@@ -80,10 +91,18 @@
 
 private:
     int receive_arrived(char* buffer, int length);
+    void check_framing(std::string_view bytes);
 
     Poco::Net::StreamSocket inner_;
     std::string pending_;
     time_point read_deadline_{duration::max()};
+
+    // Poco takes a damaged chunk for the end of the body, so the bytes that it
+    // reads are checked here too.
+    std::size_t header_left_ = 0;
+    body_decoder body_;
+    std::string unchecked_;
+    body_decoder::state body_state_ = body_decoder::state::incomplete;
 };
 
 } // namespace hickorygap
--- a/src/connection/http/http_server.cpp
+++ b/src/connection/http/http_server.cpp
@@ -568,6 +568,7 @@
     bool serve_in_session(
         connection_socket& socket, Poco::Net::HTTPServerSession& session)
     {
+        const bool certain = socket.start_request();
         Poco::Net::HTTPServerResponseImpl response{session};
         std::unique_ptr<Poco::Net::HTTPServerRequestImpl> request;
         try
@@ -588,7 +589,7 @@
         }
         try
         {
-            return serve_parsed(*request, response);
+            return serve_parsed(*request, response, certain);
         }
         catch (const std::exception& error)
         {
@@ -601,9 +602,9 @@
 
     bool serve_parsed(
         Poco::Net::HTTPServerRequestImpl& request,
-        Poco::Net::HTTPServerResponseImpl& response)
+        Poco::Net::HTTPServerResponseImpl& response, bool certain)
     {
-        if (!has_known_end(request))
+        if (!certain || !has_known_end(request))
         {
             response.setKeepAlive(false);
             send_refusal(
@@ -635,7 +636,8 @@
         }
         auto* socket = connection_socket::of(request);
         socket->set_read_deadline(monotonic_now() + linger_time);
-        return drop_unread_body(request.stream());
+        return drop_unread_body(request.stream()) &&
+               socket->is_at_request_end();
     }
 
     bool is_accepting()
--- a/tests/connection/h1/message_framing_test.cpp
+++ b/tests/connection/h1/message_framing_test.cpp
@@ -60,6 +60,9 @@
              HTTPResponse::HTTP_BAD_REQUEST},
             {"GET /a b HTTP/1.1\r\n\r\n", HTTPResponse::HTTP_BAD_REQUEST},
             {"GET / HTTP/2.0\r\n\r\n", HTTPResponse::HTTP_BAD_REQUEST},
+            {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+             "0;x\n\r\n\r\n",
+             HTTPResponse::HTTP_BAD_REQUEST},
             {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
              HTTPResponse::HTTP_BAD_REQUEST},
             {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/tests/connection/http/caller_handler_test.cpp
+++ b/tests/connection/http/caller_handler_test.cpp
@@ -113,6 +113,28 @@
     CHECK(engine.counts().requests == 1);
 }
 
+// Guards against bytes of a damaged body that are served as another request.
+TEST_CASE("nothing after a damaged chunk is served")
+{
+    const auto damaged = GENERATE(
+        as<std::string>{}, "zz\r\n", "2\r\n{}xx\r\n", "2\r\n{}\r\n-1\r\n",
+        "2\r\n{}\r\n0;x\n\r\n");
+    relay_fixture fixture{small_limits()};
+    engine_model& engine = fixture.add_engine("eng-1");
+    fixture.start();
+    raw_client client{fixture.server.port()};
+
+    client.send(
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n" + auth +
+        "Transfer-Encoding: chunked\r\n\r\n" + damaged +
+        chat_request_text(streamed_body));
+    client.read_response();
+
+    CAPTURE(damaged);
+    CHECK(client.at_end());
+    CHECK(engine.counts().requests == 0);
+}
+
 // Guards against a thread that is held by a caller who sends too little.
 TEST_CASE("a slow body is refused and ends the connection")
 {
--- a/tests/connection/http/http_server_test.cpp
+++ b/tests/connection/http/http_server_test.cpp
@@ -144,6 +144,12 @@
          {"POST / HTTP/1.1\r\nHost: test\r\n\r\n", 400},
          {"POST / HTTP/1.1\r\nContent-Length: 3\r\n"
           "Transfer-Encoding: chunked\r\n\r\n",
+          400},
+         {"POST / HTTP/1.1\r\nContent-Length: 0\r\nContent-Length: 30\r\n"
+          "\r\nGET /hidden HTTP/1.1\r\n\r\n",
+          400},
+         {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+          "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
           400}}));
     server_fixture fixture;
     raw_client client{fixture.server.port()};
@@ -157,6 +163,27 @@
     CHECK(client.at_end());
 }
 
+// Guards against bytes of a damaged body that are served as another request.
+TEST_CASE("a damaged chunk ends the connection after the answer")
+{
+    const std::string hidden = "GET /hidden HTTP/1.1\r\nHost: x\r\n\r\n";
+    const auto body = GENERATE_COPY(
+        as<std::string>{}, "zz\r\n" + hidden, "-1\r\n" + hidden,
+        "3\r\nabcd\r\n0\r\n\r\n" + hidden, "3;x\nabc\r\n" + hidden,
+        "ffffffffffffffffff\r\n" + hidden);
+    server_fixture fixture;
+    raw_client client{fixture.server.port()};
+
+    client.send(
+        "POST /first HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+        "\r\n" +
+        body);
+    client.read_response();
+
+    CAPTURE(body);
+    CHECK(client.at_end());
+}
+
 // Guards against idle connections that are kept for ever.
 TEST_CASE("an idle connection is closed after its time")
 {
