Tell an operator whose comment is not recorded

Cause: tickets with the same number and content are the same ticket, whatever their comments; the second one's comment was dropped without a word, so an audit could look for text that no record has.

Change: the receipt of a repeated ticket carries the recorded comment when the filed one differs; the log says comment_ignored, the command line prints it. The first comment stands, because accepted tickets never change.

Before: the new rows of the operators' tests failed (no such field).

--- a/src/process/commands/operator_commands.cpp
+++ b/src/process/commands/operator_commands.cpp
@@ -147,6 +147,12 @@
             ? "was accepted before with the same content"
             : "accepted",
         text(receipt, "accepted"), text(receipt, "digest"));
+    if (receipt.has("recorded_comment"))
+    {
+        out << fmt::format(
+            "  your comment was not recorded; the ticket keeps \"{}\"\n",
+            text(receipt, "recorded_comment"));
+    }
 }
 
 void print_tickets(const Object& list, std::ostream& out)
--- a/src/process/control/thread_operator_client.cpp
+++ b/src/process/control/thread_operator_client.cpp
@@ -34,16 +34,15 @@
 absl::StatusOr<ticket_receipt>
 make_receipt(const ticket& change, const proposal_result& result)
 {
-    ticket_receipt receipt;
     switch (result.status)
     {
     case wire::proposal_status::accepted:
     case wire::proposal_status::duplicate:
-        receipt.number = result.version;
-        receipt.accepted = result.accepted;
-        receipt.content_digest = change.document.content_digest;
-        receipt.duplicate = result.status == wire::proposal_status::duplicate;
-        return receipt;
+        return make_ticket_receipt(
+            change,
+            {reinterpret_cast<const char*>(result.recorded.data()),
+             result.recorded.size()},
+            result.accepted, result.status == wire::proposal_status::duplicate);
     case wire::proposal_status::conflict:
         return make_ticket_conflict(change.document.number, result.version + 1);
     case wire::proposal_status::invalid:
--- a/src/process/operators/operator_client.hpp
+++ b/src/process/operators/operator_client.hpp
@@ -4,6 +4,7 @@
 #include "process/decision_record/decision_query.hpp"
 #include "process/metrics/burn_report.hpp"
 #include "request/attempt/control_client.hpp"
+#include "version/configuration/ticket.hpp"
 #include "version/configuration/ticket_chain.hpp"
 
 #include <absl/status/statusor.h>
@@ -26,8 +27,18 @@
 
     // True when the same content had been accepted under the number before.
     bool duplicate = false;
+
+    // Set when the comment differs from the one that was accepted first, which
+    // stands: a comment is no content, and accepted tickets never change.
+    std::optional<std::string> recorded_comment;
 };
 
+// Receipt for a ticket that is accepted. recorded_text: the document that was
+// accepted first under its number.
+ticket_receipt make_ticket_receipt(
+    const ticket& filed, std::string_view recorded_text, unix_millis accepted,
+    bool duplicate);
+
 // What the fleet's members say about one of its instances.
 enum class instance_state
 {
--- a/src/process/operators/operator_handler.cpp
+++ b/src/process/operators/operator_handler.cpp
@@ -327,8 +327,9 @@
         return {http_status_of(status), error_json(status, true)};
     }
     log(log_level::info, subsystem::configuration,
-        "ticket accepted number={} duplicate={} digest={}", receipt->number,
-        receipt->duplicate, to_hex(receipt->content_digest));
+        "ticket accepted number={} duplicate={} comment_ignored={} digest={}",
+        receipt->number, receipt->duplicate,
+        receipt->recorded_comment.has_value(), to_hex(receipt->content_digest));
     return {HTTPResponse::HTTP_OK, to_json(*receipt)};
 }
 
--- a/src/process/operators/operator_json.cpp
+++ b/src/process/operators/operator_json.cpp
@@ -181,6 +181,10 @@
     set_time(*object, "accepted", receipt.accepted);
     object->set("digest", to_hex(receipt.content_digest));
     object->set("duplicate", receipt.duplicate);
+    if (receipt.recorded_comment)
+    {
+        object->set("recorded_comment", *receipt.recorded_comment);
+    }
     return text_of(object);
 }
 
--- a/tests/process/commands/commands_test.cpp
+++ b/tests/process/commands/commands_test.cpp
@@ -148,6 +148,11 @@
     result = fleet({"ticket", "file", "-"}, R"({ "ticket": 1 })");
     CHECK(result.code == exit_code::done);
     CHECK_THAT(result.out, Catch::Contains("was accepted before"));
+    result = fleet(
+        {"ticket", "file", "-"},
+        R"({"ticket": 1, "comment": "for the audit"})");
+    CHECK(result.code == exit_code::done);
+    CHECK_THAT(result.out, Catch::Contains("your comment was not recorded"));
     result = fleet({"ticket", "file", "-"}, R"({"ticket": 1, "voters": [1]})");
     CHECK(result.code == exit_code::refused);
     CHECK_THAT(result.error, Catch::Contains("next_free_number  2"));
--- a/tests/process/operators/operator_handler_test.cpp
+++ b/tests/process/operators/operator_handler_test.cpp
@@ -96,6 +96,12 @@
     CHECK(result.status == 200);
     CHECK(result.json->getValue<bool>("duplicate"));
     CHECK(result.json->getValue<int>("accepted_unix_ms") == 1000);
+    CHECK_FALSE(result.json->has("recorded_comment"));
+    // A comment is no content, but one that is dropped is told.
+    result = port.send("POST", path, R"({"ticket": 1, "comment": "again"})");
+    CHECK(result.status == 200);
+    CHECK(result.json->getValue<bool>("duplicate"));
+    CHECK(result.json->getValue<std::string>("recorded_comment").empty());
     result = port.send("POST", path, R"({"ticket": 1, "voters": [1]})");
     CHECK(result.status == 409);
     CHECK(result.error("kind") == "ticket_conflict");
--- a/tests/support/fake_operator_client.hpp
+++ b/tests/support/fake_operator_client.hpp
@@ -46,17 +46,15 @@
                 return make_ticket_conflict(
                     document.number, accepted.back().document.number + 1);
             }
-            return ticket_receipt{
-                document.number, record.accepted, document.content_digest,
-                true};
+            return make_ticket_receipt(
+                *parsed, record.document.text, record.accepted, true);
         }
         const unix_millis time = document.number * 1000;
         const digest previous =
             accepted.empty() ? digest{} : accepted.back().chain;
         accepted.push_back(
             {document, time, ticket_chain(previous, document, time)});
-        return ticket_receipt{
-            document.number, time, document.content_digest, false};
+        return make_ticket_receipt(*parsed, document.text, time, false);
     }
 
     absl::StatusOr<std::vector<accepted_ticket>> tickets() override
