--- a/tests/process/explain/request_trace_test.cpp
+++ b/tests/process/explain/request_trace_test.cpp
@@ -113,7 +113,17 @@
          {"answered by i-7: first event after 1078 ms, 2000 ms in all"}},
         {"r1 2026-03-15T17:00:00.006Z warning http request_ended id=a1 "
          "status=504 outcome=timed_out sends=1 backend=i-7 took_ms=600\n",
-         {"no answer within 600 ms from i-7"}},
+         {"no answer within 600 ms from i-7; 0 other attempts failed"}},
+        // A router that has just started.
+        {"r1 2026-03-15T17:00:00.000Z info configuration "
+         "configuration_applied version=3\n"
+         "r1 2026-03-15T17:00:05.000Z info process started role=router\n"
+         "r1 2026-03-15T17:00:05.700Z warning http request_ended id=a1 "
+         "status=503 outcome=no_configuration sends=0\n",
+         {"r1 had started 700 ms before and had no configuration yet"}},
+        {"r1 2026-03-15T17:00:00.006Z warning http request_ended id=a1 "
+         "status=0 outcome=caller_left events=6 took_ms=195\n",
+         {"the caller left after 195 ms and 6 events"}},
         {"r1 2026-03-15T17:00:00.006Z info http request_ended id=a1 "
          "status=404 outcome=no_route sends=0\n",
          {"ended with status 404: no_route"}},
