--- a/src/process/fleet_process/backend_list_reader.cpp
+++ b/src/process/fleet_process/backend_list_reader.cpp
@@ -33,12 +33,30 @@
 {
 }
 
-void backend_list_reader::read(done_function on_done)
+backend_list_reader::~backend_list_reader()
+{
+    loop_.cancel(pause_timer_);
+}
+
+void backend_list_reader::cancel()
+{
+    if (!is_reading())
+    {
+        return;
+    }
+    ++generation_;
+    on_done_ = nullptr;
+    loop_.cancel(pause_timer_);
+    loop_.destroy_later(std::move(call_));
+}
+
+void backend_list_reader::read(duration pause, done_function on_done)
 {
     if (is_reading())
     {
         return;
     }
+    pause_ = pause;
     on_done_ = std::move(on_done);
     gathered_.clear();
     page_count_ = 0;
@@ -50,11 +68,18 @@
     ++page_count_;
     call_ = std::make_unique<http_call>(
         loop_, server_, format_.page_target(page), page_time_limit,
-        [this](absl::StatusOr<http_call::result> result)
+        [this,
+         generation = generation_](absl::StatusOr<http_call::result> result)
         {
             // The call must not be destroyed from within its own callback.
-            loop_.defer([this, outcome = std::move(result)]() mutable
-                        { on_page(std::move(outcome)); });
+            loop_.defer(
+                [this, generation, outcome = std::move(result)]() mutable
+                {
+                    if (generation == generation_)
+                    {
+                        on_page(std::move(outcome));
+                    }
+                });
         });
 }
 
@@ -102,7 +127,8 @@
     }
     else
     {
-        request_page(page->next_page);
+        pause_timer_ = loop_.after(
+            pause_, [this, next = page->next_page] { request_page(next); });
     }
 }
 
--- a/src/process/fleet_process/backend_list_reader.hpp
+++ b/src/process/fleet_process/backend_list_reader.hpp
@@ -22,11 +22,16 @@
     backend_list_reader(
         event_loop& loop, const backend_list_format& format,
         numeric_address server);
+    ~backend_list_reader();
 
-    // Starts to read unless a read is under way. on_done is called once.
-    // Errors: those of http_call; overloaded when the server refuses the
-    // rate of calls; invalid_request.
-    void read(done_function on_done);
+    // Starts to read unless a read is under way, with a pause between the
+    // calls. on_done is called once, unless the read is cancelled. Errors:
+    // those of http_call; overloaded when the server refuses the rate of calls;
+    // invalid_request.
+    void read(duration pause, done_function on_done);
+
+    // Ends a read that is under way.
+    void cancel();
 
     bool is_reading() const
     {
@@ -48,7 +53,12 @@
     const backend_list_format& format_;
     numeric_address server_;
     done_function on_done_;
+    duration pause_{0};
+    timer_id pause_timer_ = 0;
     std::unique_ptr<http_call> call_;
+
+    // Grows with each cancelled read, whose last answer may still be due.
+    std::uint64_t generation_ = 0;
     std::vector<listed_backend> gathered_;
     std::size_t page_count_ = 0;
     std::size_t pages_ = 1;
--- a/src/process/gateway/fleet_follower.cpp
+++ b/src/process/gateway/fleet_follower.cpp
@@ -375,14 +375,19 @@
     }
 }
 
+// Interval between the calls of one router that keeps all of them together
+// within their share of the permitted rate.
+duration fleet_follower::lone_call_interval() const
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>{
+        std::max(routers_, 1U) / (list_calls_per_second_ * lone_rate_share)});
+}
+
 duration fleet_follower::lone_read_interval() const
 {
-    const double routers = std::max(routers_, 1U);
-    const double seconds = routers * static_cast<double>(list_reader_.pages()) /
-                           (list_calls_per_second_ * lone_rate_share);
     return std::max(
-        shortest_lone_read, std::chrono::duration_cast<duration>(
-                                std::chrono::duration<double>{seconds}));
+        shortest_lone_read, lone_call_interval() * static_cast<duration::rep>(
+                                                       list_reader_.pages()));
 }
 
 // Routers that lost their leader at the same time don't read at the same time:
@@ -392,11 +397,10 @@
 void fleet_follower::read_list_when_alone()
 {
     const time_point now = loop_.now();
-    // A router that has just started needs a list before there is a leader.
-    const bool has_list = has_own_list_ || backends_.version().sequence != 0;
-    if (has_list && leader_silence() <= leader_silence_limit)
+    if (leader_silence() <= leader_silence_limit)
     {
         is_alone_ = false;
+        list_reader_.cancel();
         return;
     }
     const duration interval = lone_read_interval();
@@ -412,6 +416,7 @@
     }
     next_lone_read_ = now + interval + random_duration(random_, interval / 4);
     list_reader_.read(
+        lone_call_interval(),
         [this](absl::StatusOr<std::vector<listed_backend>> list)
         {
             if (!list.ok())
@@ -425,7 +430,6 @@
             log(log_level::info, subsystem::routing,
                 "backend_list_read_alone size={} leader_silent_ms={}",
                 list->size(), leader_silence() / std::chrono::milliseconds{1});
-            has_own_list_ = true;
             backends_.replace(*list);
             observer_.on_backend_list(*list);
         });
--- a/src/process/gateway/fleet_follower.hpp
+++ b/src/process/gateway/fleet_follower.hpp
@@ -91,6 +91,7 @@
     void update_voters(std::span<const instance_id> voters);
     void count_routers();
     void read_list_when_alone();
+    duration lone_call_interval() const;
     duration lone_read_interval() const;
 
     event_loop& loop_;
@@ -115,7 +116,6 @@
     backend_list_reader list_reader_;
     time_point leader_heard_at_;
     bool is_alone_ = false;
-    bool has_own_list_ = false;
     time_point next_lone_read_;
     time_point next_status_;
     std::uint32_t routers_ = 0;
--- a/src/process/voter_node/router_feed.cpp
+++ b/src/process/voter_node/router_feed.cpp
@@ -16,9 +16,12 @@
 // leader or a voter that has vanished within 1.5 and 2.5 s.
 constexpr duration notice_interval = std::chrono::milliseconds{500};
 
-// Interval at which the leader reads the list of backend servers. A server
-// that leaves may get new requests for 3 s after the list shows it.
-constexpr duration list_interval = std::chrono::seconds{1};
+// Shortest interval at which the leader reads the list of backend servers. A
+// server that leaves may get new requests for 3 s after the list shows it.
+constexpr duration shortest_list_interval = std::chrono::seconds{1};
+
+// Share of the permitted rate of calls that the leader uses.
+constexpr double leader_rate_share = 0.5;
 
 // Share of the network link for complete documents. Loads and notices take
 // about a quarter of the narrowest link; the rest is for the group.
@@ -40,6 +43,7 @@
     : loop_{loop}
     , links_{links}
     , self_{instance_at(settings.instance.host)}
+    , list_calls_per_second_{settings.backend_list.calls_per_second}
     , list_reader_{loop, list_format, settings.backend_list.address}
     , transfers_{transfer_rate(settings)}
 {
@@ -55,7 +59,7 @@
 {
     if (voter_->raft().is_leader() && loop_.now() >= next_list_read_)
     {
-        next_list_read_ = loop_.now() + list_interval;
+        next_list_read_ = loop_.now() + list_interval();
         read_backend_list();
     }
     if (loop_.now() >= next_notice_)
@@ -276,10 +280,21 @@
 
 // The list of backend servers.
 
+// A list of many pages is read as often as the permitted rate allows.
+duration router_feed::list_interval() const
+{
+    const std::chrono::duration<double> seconds{
+        static_cast<double>(list_reader_.pages()) /
+        (list_calls_per_second_ * leader_rate_share)};
+    return std::max(
+        shortest_list_interval, std::chrono::duration_cast<duration>(seconds));
+}
+
 void router_feed::read_backend_list()
 {
-    list_reader_.read([this](absl::StatusOr<std::vector<listed_backend>> list)
-                      { on_backend_list(std::move(list)); });
+    list_reader_.read(
+        duration{0}, [this](absl::StatusOr<std::vector<listed_backend>> list)
+        { on_backend_list(std::move(list)); });
 }
 
 void router_feed::on_backend_list(
--- a/src/process/voter_node/router_feed.hpp
+++ b/src/process/voter_node/router_feed.hpp
@@ -64,6 +64,7 @@
     const std::string& configuration_frame(configuration_version held);
     const std::string& backend_list_frame(backend_list_version held);
 
+    duration list_interval() const;
     void read_backend_list();
     void on_backend_list(absl::StatusOr<std::vector<listed_backend>> list);
     void on_backends(instance_id from, const wire::backends_push_msg& push);
@@ -75,6 +76,7 @@
     voter_links& links_;
     instance_id self_;
     const routing_voter* voter_ = nullptr;
+    double list_calls_per_second_;
     backend_list_reader list_reader_;
     backend_list_replica backends_;
     document_history documents_;
