Move the operators' interface of a voter into a class of its own

voter_node.cpp mixed the group's upkeep with operators' calls; operator_service has the calls now, router_feed the routers, voter_node the rest. Behaviour is unchanged.

--- /dev/null
+++ b/src/process/voter_node/operator_service.cpp
@@ -0,0 +1,269 @@
+#include "process/voter_node/operator_service.hpp"
+
+#include "common/json.hpp"
+#include "common/logging.hpp"
+#include "common/status_text.hpp"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace hickorygap
+{
+
+namespace
+{
+
+using Poco::Net::HTTPResponse;
+
+// A filing or read that is not decided by then gets no clear answer.
+constexpr duration call_limit = std::chrono::seconds{3};
+
+// Largest head of an operator's call, in bytes.
+constexpr std::size_t max_head = std::size_t{16} * 1024;
+
+http_answer error_answer(HTTPResponse::HTTPStatus status, std::string_view text)
+{
+    http_answer answer;
+    answer.status = status;
+    answer.body = fmt::format("{{\"error\":{}}}", json_quote(text));
+    if (status == HTTPResponse::HTTP_SERVICE_UNAVAILABLE)
+    {
+        answer.fields.emplace_back("Retry-After", "0.3");
+    }
+    return answer;
+}
+
+http_answer unavailable(std::string_view text)
+{
+    return error_answer(HTTPResponse::HTTP_SERVICE_UNAVAILABLE, text);
+}
+
+http_answer accepted(configuration_version version)
+{
+    http_answer answer;
+    answer.body = fmt::format("{{\"version\":{}}}", version);
+    return answer;
+}
+
+} // namespace
+
+operator_service::operator_service(
+    event_loop& loop, const fleet_settings& settings,
+    const configuration_format& configurations, const operator_dialect& dialect,
+    metrics_registry& metrics, std::function<void()> on_change)
+    : loop_{loop}
+    , settings_{settings}
+    , configurations_{configurations}
+    , dialect_{dialect}
+    , metrics_{metrics}
+    , on_change_{std::move(on_change)}
+    , endpoint_{
+          loop,
+          {max_head, max_configuration_document},
+          [this](received_request request, const http_responder& respond)
+          { serve(std::move(request), respond); }}
+{
+}
+
+absl::Status operator_service::open(routing_voter& voter)
+{
+    voter_ = &voter;
+    return endpoint_.open(settings_.operators);
+}
+
+void operator_service::close()
+{
+    endpoint_.close();
+}
+
+void operator_service::finish_calls()
+{
+    finish_filings();
+    finish_reads();
+}
+
+void operator_service::serve(
+    received_request request, const http_responder& respond)
+{
+    switch (dialect_.action_of(*request.head))
+    {
+    case operator_action::file_configuration:
+        file(request, respond);
+        return;
+    case operator_action::read_configuration:
+        read(respond);
+        return;
+    case operator_action::unknown:
+        respond(error_answer(
+            HTTPResponse::HTTP_NOT_FOUND,
+            "no call of this name; check method and path"));
+        return;
+    }
+}
+
+// Sends the caller to the leader; false when this voter leads.
+bool operator_service::redirect(
+    const received_request& request, const http_responder& respond) const
+{
+    if (voter_->raft().is_leader())
+    {
+        return false;
+    }
+    const instance_id leader = voter_->raft().leader();
+    if (leader == 0 || leader == instance_at(settings_.instance.host))
+    {
+        respond(unavailable("no leader is known now; try again"));
+        return true;
+    }
+    http_answer answer;
+    answer.status = HTTPResponse::HTTP_TEMPORARY_REDIRECT;
+    answer.fields.emplace_back(
+        "Location", fmt::format(
+                        "http://{}:{}{}", host_of(leader),
+                        settings_.operators.port, request.head->getURI()));
+    respond(answer);
+    return true;
+}
+
+void operator_service::file(
+    const received_request& request, const http_responder& respond)
+{
+    const auto decoded = configurations_.decode(request.body);
+    if (!decoded.ok())
+    {
+        log(log_level::info, subsystem::configuration,
+            "configuration_refused bytes={} reason=\"{}\"", request.body.size(),
+            message_of(decoded.status()));
+        respond(error_answer(
+            HTTPResponse::HTTP_BAD_REQUEST, message_of(decoded.status())));
+        return;
+    }
+    const configuration_version version = (*decoded)->version();
+    if (version <= voter_->current().version)
+    {
+        // What is committed stays, so this needs no further agreement.
+        respond(accepted(version));
+        return;
+    }
+    if (redirect(request, respond))
+    {
+        return;
+    }
+    const auto number = voter_->file({version, request.body}, loop_.now());
+    if (!number.ok())
+    {
+        log(log_level::info, subsystem::configuration,
+            "configuration_postponed version={} reason=\"{}\"", version,
+            message_of(number.status()));
+        respond(unavailable(message_of(number.status())));
+        return;
+    }
+    filings_[*number] = {respond, version, loop_.now()};
+    on_change_();
+}
+
+void operator_service::read(const http_responder& respond)
+{
+    const auto number = voter_->start_read(loop_.now());
+    if (!number.ok())
+    {
+        respond(unavailable(message_of(number.status())));
+        return;
+    }
+    reads_[*number] = {respond, 0, loop_.now()};
+    on_change_();
+}
+
+void operator_service::count_call(const std::string& call, bool confirmed)
+{
+    metrics_
+        .find_counter(
+            "operator_calls", "Calls of operators that a majority decided.",
+            {{"call", call}, {"confirmed", confirmed ? "yes" : "no"}})
+        .add();
+}
+
+void operator_service::finish_filings()
+{
+    for (const store_outcome& outcome : voter_->take_filings())
+    {
+        auto call = filings_.extract(outcome.number);
+        if (call.empty())
+        {
+            continue;
+        }
+        count_call("file", outcome.confirmed);
+        log(log_level::info, subsystem::configuration,
+            "configuration_filed version={} confirmed={} took_ms={}",
+            call.mapped().version, outcome.confirmed,
+            (loop_.now() - call.mapped().since) / std::chrono::milliseconds{1});
+        call.mapped().respond(
+            outcome.confirmed
+                ? accepted(call.mapped().version)
+                : unavailable("leadership changed; file it again unchanged"));
+    }
+}
+
+void operator_service::finish_reads()
+{
+    for (const store_outcome& outcome : voter_->take_reads())
+    {
+        auto call = reads_.extract(outcome.number);
+        if (call.empty())
+        {
+            continue;
+        }
+        count_call("read", outcome.confirmed);
+        log(log_level::info, subsystem::configuration,
+            "configuration_read version={} bytes={} confirmed={} took_ms={}",
+            voter_->current().version, voter_->current().document.size(),
+            outcome.confirmed,
+            (loop_.now() - call.mapped().since) / std::chrono::milliseconds{1});
+        if (outcome.confirmed)
+        {
+            respond_with_configuration(call.mapped().respond);
+        }
+        else
+        {
+            call.mapped().respond(
+                unavailable("leadership changed; read again"));
+        }
+    }
+}
+
+void operator_service::respond_with_configuration(
+    const http_responder& respond) const
+{
+    const filed_configuration& current = voter_->current();
+    if (current.version == 0)
+    {
+        respond(error_answer(
+            HTTPResponse::HTTP_NOT_FOUND, "no configuration was filed yet"));
+        return;
+    }
+    http_answer answer;
+    answer.body = current.document;
+    respond(answer);
+}
+
+void operator_service::expire_calls()
+{
+    for (auto* calls : {&filings_, &reads_})
+    {
+        std::erase_if(
+            *calls,
+            [this](const auto& item)
+            {
+                if (loop_.now() - item.second.since < call_limit)
+                {
+                    return false;
+                }
+                item.second.respond(unavailable(
+                    "no majority of the voters answered in time; try again"));
+                return true;
+            });
+    }
+}
+
+} // namespace hickorygap
--- a/src/process/voter_node/voter_links.cpp
+++ b/src/process/voter_node/voter_links.cpp
@@ -158,8 +158,7 @@
     }
     std::ranges::sort(result);
     // A router that has just dialled anew may have an old link.
-    const auto [last, end] = std::ranges::unique(result);
-    result.erase(last, end);
+    result.erase(std::unique(result.begin(), result.end()), result.end());
     return result;
 }
 
--- a/src/process/voter_node/voter_node.cpp
+++ b/src/process/voter_node/voter_node.cpp
@@ -1,14 +1,11 @@
 #include "process/voter_node/voter_node.hpp"
 
 #include "common/error.hpp"
-#include "common/json.hpp"
 #include "common/logging.hpp"
 #include "common/random.hpp"
 #include "common/status_text.hpp"
 #include "process/consensus/file_log_storage.hpp"
 
-#include <fmt/format.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -18,8 +15,6 @@
 namespace
 {
 
-using Poco::Net::HTTPResponse;
-
 // Turn of the consensus clock; a fraction of its heartbeat.
 constexpr duration tick_interval = std::chrono::milliseconds{50};
 
@@ -35,39 +30,9 @@
 
 constexpr duration join_interval = std::chrono::milliseconds{250};
 
-// A filing or read that is not decided by then gets no clear answer.
-constexpr duration call_limit = std::chrono::seconds{3};
-
 // Time for open filings when the process ends.
 constexpr duration farewell = std::chrono::milliseconds{300};
 
-// Largest head of an operator's call, in bytes.
-constexpr std::size_t max_head = std::size_t{16} * 1024;
-
-http_answer error_answer(HTTPResponse::HTTPStatus status, std::string_view text)
-{
-    http_answer answer;
-    answer.status = status;
-    answer.body = fmt::format("{{\"error\":{}}}", json_quote(text));
-    if (status == HTTPResponse::HTTP_SERVICE_UNAVAILABLE)
-    {
-        answer.fields.emplace_back("Retry-After", "0.3");
-    }
-    return answer;
-}
-
-http_answer unavailable(std::string_view text)
-{
-    return error_answer(HTTPResponse::HTTP_SERVICE_UNAVAILABLE, text);
-}
-
-http_answer accepted(configuration_version version)
-{
-    http_answer answer;
-    answer.body = fmt::format("{{\"version\":{}}}", version);
-    return answer;
-}
-
 routing_voter_options
 voter_options(const fleet_settings& settings, instance_id self)
 {
@@ -107,9 +72,8 @@
               instance_id from, const wire::payloadUnion& payload,
               link_connection& link) { on_message(from, payload, link); }}
     , operators_{
-          loop, {max_head, max_configuration_document},
-          [this](received_request request, const http_responder& respond)
-          { serve(std::move(request), respond); }}
+          loop, settings_, *dialects_.configurations, *dialects_.operators,
+          metrics_, [this] { settle_soon(); }}
     , feed_{loop, links_, settings_, *dialects_.backend_list}
 {
 }
@@ -132,8 +96,7 @@
     {
         return status;
     }
-    if (absl::Status status = operators_.open(settings_.operators);
-        !status.ok())
+    if (absl::Status status = operators_.open(*voter_); !status.ok())
     {
         return status;
     }
@@ -151,7 +114,8 @@
 {
     operators_.close();
     loop_.after(
-        filings_.empty() ? duration{0} : farewell, [this] { loop_.stop(); });
+        operators_.has_open_filings() ? farewell : duration{0},
+        [this] { loop_.stop(); });
 }
 
 std::string voter_node::metrics_text()
@@ -182,7 +146,7 @@
     voter_->tick(loop_.now());
     settle();
     ask_to_join();
-    expire_calls();
+    operators_.expire_calls();
     feed_.tick();
 }
 
@@ -208,8 +172,7 @@
     {
         links_.send(message.destination, message.payload);
     }
-    finish_filings();
-    finish_reads();
+    operators_.finish_calls();
     note_leadership();
     if (voter_->current().version != committed_version_)
     {
@@ -246,189 +209,6 @@
     settle_soon();
 }
 
-// Operators.
-
-void voter_node::serve(received_request request, const http_responder& respond)
-{
-    switch (dialects_.operators->action_of(*request.head))
-    {
-    case operator_action::file_configuration:
-        file(request, respond);
-        return;
-    case operator_action::read_configuration:
-        read(respond);
-        return;
-    case operator_action::unknown:
-        respond(error_answer(
-            HTTPResponse::HTTP_NOT_FOUND,
-            "no call of this name; check method and path"));
-        return;
-    }
-}
-
-// Sends the caller to the leader; false when this voter leads.
-bool voter_node::redirect(
-    const received_request& request, const http_responder& respond) const
-{
-    if (voter_->raft().is_leader())
-    {
-        return false;
-    }
-    const instance_id leader = voter_->raft().leader();
-    if (leader == 0 || leader == self_)
-    {
-        respond(unavailable("no leader is known now; try again"));
-        return true;
-    }
-    http_answer answer;
-    answer.status = HTTPResponse::HTTP_TEMPORARY_REDIRECT;
-    answer.fields.emplace_back(
-        "Location", fmt::format(
-                        "http://{}:{}{}", host_of(leader),
-                        settings_.operators.port, request.head->getURI()));
-    respond(answer);
-    return true;
-}
-
-void voter_node::file(
-    const received_request& request, const http_responder& respond)
-{
-    const auto decoded = dialects_.configurations->decode(request.body);
-    if (!decoded.ok())
-    {
-        log(log_level::info, subsystem::configuration,
-            "configuration_refused bytes={} reason=\"{}\"", request.body.size(),
-            message_of(decoded.status()));
-        respond(error_answer(
-            HTTPResponse::HTTP_BAD_REQUEST, message_of(decoded.status())));
-        return;
-    }
-    const configuration_version version = (*decoded)->version();
-    if (version <= voter_->current().version)
-    {
-        // What is committed stays, so this needs no further agreement.
-        respond(accepted(version));
-        return;
-    }
-    if (redirect(request, respond))
-    {
-        return;
-    }
-    const auto number = voter_->file({version, request.body}, loop_.now());
-    if (!number.ok())
-    {
-        log(log_level::info, subsystem::configuration,
-            "configuration_postponed version={} reason=\"{}\"", version,
-            message_of(number.status()));
-        respond(unavailable(message_of(number.status())));
-        return;
-    }
-    filings_[*number] = {respond, version, loop_.now()};
-    settle_soon();
-}
-
-void voter_node::read(const http_responder& respond)
-{
-    const auto number = voter_->start_read(loop_.now());
-    if (!number.ok())
-    {
-        respond(unavailable(message_of(number.status())));
-        return;
-    }
-    reads_[*number] = {respond, 0, loop_.now()};
-    settle_soon();
-}
-
-void voter_node::count_call(const std::string& call, bool confirmed)
-{
-    metrics_
-        .find_counter(
-            "operator_calls", "Calls of operators that a majority decided.",
-            {{"call", call}, {"confirmed", confirmed ? "yes" : "no"}})
-        .add();
-}
-
-void voter_node::finish_filings()
-{
-    for (const store_outcome& outcome : voter_->take_filings())
-    {
-        auto call = filings_.extract(outcome.number);
-        if (call.empty())
-        {
-            continue;
-        }
-        count_call("file", outcome.confirmed);
-        log(log_level::info, subsystem::configuration,
-            "configuration_filed version={} confirmed={} took_ms={}",
-            call.mapped().version, outcome.confirmed,
-            (loop_.now() - call.mapped().since) / std::chrono::milliseconds{1});
-        call.mapped().respond(
-            outcome.confirmed
-                ? accepted(call.mapped().version)
-                : unavailable("leadership changed; file it again unchanged"));
-    }
-}
-
-void voter_node::finish_reads()
-{
-    for (const store_outcome& outcome : voter_->take_reads())
-    {
-        auto call = reads_.extract(outcome.number);
-        if (call.empty())
-        {
-            continue;
-        }
-        count_call("read", outcome.confirmed);
-        log(log_level::info, subsystem::configuration,
-            "configuration_read version={} bytes={} confirmed={} took_ms={}",
-            voter_->current().version, voter_->current().document.size(),
-            outcome.confirmed,
-            (loop_.now() - call.mapped().since) / std::chrono::milliseconds{1});
-        if (outcome.confirmed)
-        {
-            respond_with_configuration(call.mapped().respond);
-        }
-        else
-        {
-            call.mapped().respond(
-                unavailable("leadership changed; read again"));
-        }
-    }
-}
-
-void voter_node::respond_with_configuration(const http_responder& respond) const
-{
-    const filed_configuration& current = voter_->current();
-    if (current.version == 0)
-    {
-        respond(error_answer(
-            HTTPResponse::HTTP_NOT_FOUND, "no configuration was filed yet"));
-        return;
-    }
-    http_answer answer;
-    answer.body = current.document;
-    respond(answer);
-}
-
-void voter_node::expire_calls()
-{
-    for (auto* calls : {&filings_, &reads_})
-    {
-        std::erase_if(
-            *calls,
-            [this](const auto& item)
-            {
-                if (loop_.now() - item.second.since < call_limit)
-                {
-                    return false;
-                }
-                item.second.respond(unavailable(
-                    "no majority of the voters answered in time; try again"));
-                return true;
-            });
-    }
-}
-
 // Membership.
 
 void voter_node::ask_to_join()
