Let a new voter find the leader through voters that do not lead

From the voters' logs: two new machines started at 12.7 and 17.3 s and were not taken in before 33.2 s, when their changed seeds named the leader. Only the leader acts on a request to join, and the other voters dropped it. Three machines were replaced meanwhile, so three of five voters were gone.

Ruled out: the stalled disk (the group had its majority until the third loss), lost messages.

Change: a voter that does not lead answers a request to join with the voters it knows, and the new instance asks those too.

Before: "a new machine joins through voters that do not lead" fails.

--- a/src/process/routing_store/routing_voter.cpp
+++ b/src/process/routing_store/routing_voter.cpp
@@ -72,7 +72,12 @@
     now_ = now;
     if (message_in<wire::group_join_msg>(payload) != nullptr)
     {
-        joining_[from] = now;
+        receive_join(from);
+        return;
+    }
+    if (const auto* notice = message_in<wire::voter_notice_msg>(payload))
+    {
+        told_voters_ = notice->voters;
         return;
     }
     if (const auto* request = message_in<wire::read_request_msg>(payload))
@@ -174,6 +179,24 @@
     return number;
 }
 
+// Only the leader can add an instance. The others tell it who the voters are,
+// because its seeds need not name the leader.
+void routing_voter::receive_join(instance_id from)
+{
+    joining_[from] = now_;
+    const voter_list* list = raft_.configuration();
+    if (raft_.is_leader() || list == nullptr)
+    {
+        return;
+    }
+    wire::voter_notice_msg notice;
+    for (const voter_identity& voter : list->voters)
+    {
+        notice.voters.push_back(voter.instance);
+    }
+    outgoing_.push_back(make_outgoing(from, std::move(notice)));
+}
+
 // Reads of other voters.
 
 void routing_voter::receive_read(
--- a/src/process/routing_store/routing_voter.hpp
+++ b/src/process/routing_store/routing_voter.hpp
@@ -75,8 +75,8 @@
 
     void tick(time_point now);
 
-    // Handles consensus messages, group_join and reads of other voters; ignores
-    // others.
+    // Handles consensus messages, group_join and the answers to it, and reads
+    // of other voters; ignores others.
     void receive(
         instance_id from, const wire::payloadUnion& payload, time_point now);
 
@@ -116,6 +116,12 @@
         return !raft_.is_voter();
     }
 
+    // Voters that another one has named to this instance, which wants to join.
+    std::span<const instance_id> told_voters() const
+    {
+        return told_voters_;
+    }
+
 private:
     routing_voter(
         routing_voter_options options, std::unique_ptr<log_storage> storage,
@@ -124,6 +130,7 @@
     absl::Status advance();
     void propose_waiting();
     void end_filings(std::span<const std::uint64_t> numbers, bool confirmed);
+    void receive_join(instance_id from);
     void receive_read(instance_id from, const wire::read_request_msg& request);
     void receive_read_reply(const wire::read_reply_msg& reply);
     void reply_to_read(instance_id to, std::uint64_t read, bool confirmed);
@@ -177,6 +184,7 @@
 
     // Instances that asked to join, with the time of the last request.
     std::map<instance_id, time_point> joining_;
+    std::vector<instance_id> told_voters_;
     std::vector<store_outcome> filings_;
     std::vector<store_outcome> reads_;
     absl::Status state_status_;
--- a/src/process/voter_node/voter_node.cpp
+++ b/src/process/voter_node/voter_node.cpp
@@ -7,6 +7,7 @@
 #include "process/consensus/file_log_storage.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace hickorygap
@@ -230,6 +231,7 @@
             targets.push_back(voter.instance);
         }
     }
+    std::ranges::copy(voter_->told_voters(), std::back_inserter(targets));
     std::ranges::sort(targets);
     targets.erase(std::unique(targets.begin(), targets.end()), targets.end());
     for (const instance_id target : targets)
--- a/tests/process/routing_store/routing_cluster.hpp
+++ b/tests/process/routing_store/routing_cluster.hpp
@@ -94,10 +94,15 @@
             self.voter->tick(now_);
             if (self.voter->wants_to_join())
             {
-                for (instance_id seed = 1; seed <= 3; ++seed)
+                std::set<instance_id> targets{1, 2, 3};
+                targets.insert(
+                    self.voter->told_voters().begin(),
+                    self.voter->told_voters().end());
+                for (const instance_id target : targets)
                 {
                     network_.send(
-                        id, make_outgoing(seed, wire::group_join_msg{}), now_);
+                        id, make_outgoing(target, wire::group_join_msg{}),
+                        now_);
                 }
             }
             static_cast<void>(self.voter->flush());
--- a/tests/process/routing_store/routing_voter_test.cpp
+++ b/tests/process/routing_store/routing_voter_test.cpp
@@ -120,6 +120,32 @@
     }
 }
 
+// Failure: machines are replaced one after another while the seeds of the new
+// ones do not name the leader. Guards against a group that loses one voter
+// after another and gets none.
+TEST_CASE("a new machine joins through voters that do not lead")
+{
+    routing_cluster cluster{8};
+    settle(cluster);
+    // The leader moves until it is none of the seeds 1 to 3.
+    while (*cluster.leader() <= 3)
+    {
+        const instance_id leader = *cluster.leader();
+        cluster.kill(leader);
+        cluster.run(200);
+        cluster.start(leader);
+        cluster.run(200);
+        REQUIRE(cluster.leader());
+    }
+    const instance_id gone = *cluster.leader() == 4 ? 5 : 4;
+    cluster.kill(gone);
+    cluster.start(6);
+    cluster.run(500);
+    CHECK(cluster.voters().contains(6));
+    CHECK(cluster.votes() == 5);
+    CHECK(cluster.file_and_wait());
+}
+
 // Load: operators read a large configuration often. Guards against reads that
 // only the leader answers, over the link that carries its heartbeats, and
 // against an answer of a voter that a majority no longer hears.
