Leave a false answer alone once the request is at the next server

When the head of an answer shows that it is not the request's own, the attempt fails and the request goes to the next server at once; on_response then went on with the old answer's state and relayed the empty head of the new connection as a 200. It takes an answer that has arrived whole (garble "extra late": a second answer on a kept connection), and a route that may be sent again.

Change: read_head tells whether the attempt goes on.

--- a/src/process/gateway/exchange.cpp
+++ b/src/process/gateway/exchange.cpp
@@ -344,9 +344,9 @@
         reader.current() != response_reader::state::head_incomplete &&
         reader.current() != response_reader::state::broken)
     {
-        read_head();
-        if (connection_ == nullptr)
+        if (!read_head())
         {
+            // The request may be under way at another server by now.
             return;
         }
     }
@@ -374,7 +374,8 @@
     }
 }
 
-void exchange::read_head()
+// False when the attempt has failed.
+bool exchange::read_head()
 {
     head_read_ = true;
     const time_point now = context_.loop().now();
@@ -390,7 +391,7 @@
     }
     if (is_rejected())
     {
-        return;
+        return true;
     }
     // An answer to another request proves nothing about this one.
     if (answer_.attempt_id != call_.attempt_id)
@@ -399,15 +400,16 @@
             "crossed_answer id={} backend={} answered_id={}", call_.attempt_id,
             backend_name_, answer_.attempt_id);
         attempt_failed(dispatch_outcome::broken, true);
-        return;
+        return false;
     }
     const bool success = head.getStatus() < first_redirect;
     if (success && (!answer_.sealed || answer_.altered))
     {
         attempt_failed(dispatch_outcome::broken, true);
-        return;
+        return false;
     }
     relays_events_ = success && route_->kind == call_kind::streaming;
+    return true;
 }
 
 void exchange::relay_whole_answer()
--- a/src/process/gateway/exchange.hpp
+++ b/src/process/gateway/exchange.hpp
@@ -50,7 +50,7 @@
     void watch_attempt();
     void on_attempt_silent();
 
-    void read_head();
+    bool read_head();
     void try_another_connection();
     bool is_rejected() const;
     void relay_whole_answer();
--- a/tests/process/gateway/exchange_test.cpp
+++ b/tests/process/gateway/exchange_test.cpp
@@ -97,6 +97,39 @@
     CHECK_FALSE(caller.ended());
 }
 
+// Failure: a server answers with what belongs to another request, whole. Guards
+// against a success that nobody gave: the request is under way at the next
+// server when the first answer has been read.
+TEST_CASE("a false answer is not taken for that of the next server")
+{
+    const auto* false_fields =
+        GENERATE("Request-Id: a2\r\nReply-Seal: s\r\n", "Request-Id: a1\r\n");
+    gateway_fixture f{gateway_fixture::make_route(call_kind::repeatable, 2)};
+    int asked = 0;
+    backend_double::connection* second = nullptr;
+    const auto script =
+        [&](backend_double::connection& to, const received_request& /*got*/)
+    {
+        if (++asked == 1)
+        {
+            to.write(answer("200 OK", "false", false_fields));
+        }
+        else
+        {
+            second = &to;
+        }
+    };
+    f.add_backend(script);
+    f.add_backend(script);
+    caller_double& caller = f.call(gateway_fixture::request_text());
+    REQUIRE(f.run_until([&] { return second != nullptr; }));
+    f.run_for(20ms);
+    CHECK(caller.received().empty());
+    second->write(answer("200 OK", "true"));
+    REQUIRE(f.run_until([&] { return is_answered(caller); }));
+    CHECK_THAT(caller.received(), Catch::EndsWith("true"));
+}
+
 // Guards against a repeatable request that fails although another server can
 // answer it, and against a repeat of one that is not repeatable.
 TEST_CASE("what may be sent again follows from the kind and the proof")
