Use one copy of what the change wrote twice

Behaviour is unchanged but for the order of header lines in a router's own refusals.

- voter_list names its instances and an instance's rank; the notice, the answer to a request to join, the request to join, the election's turns and the order of transfers each had a loop of their own.
- random_duration is in common; fleet_follower, raft_node and peer_network drew the same.
- router_feed::deliver sends either kind of document; two halves of send_transfer and two caches of frames were alike.
- read_request_head parses a head strictly for the reader of h1 and for connection_socket of serve. http_server no longer repeats its check of the length, which had become dead.
- answer_relay writes refusals with encode_answer; the dialect gives fields instead of text.
- fleet_follower uses announce_state for its regular status; a nested condition and a second reset of a timer are gone.

Ruled out as different: soak_call and http_call (the soak needs raw requests and partial answers), the reads of routing_voter and voter (other states), random draws of membership (without the upper bound).

--- /dev/null
+++ b/src/common/random_duration.hpp
@@ -0,0 +1,19 @@
+#ifndef HICKORYGAP_COMMON_RANDOM_DURATION_HPP
+#define HICKORYGAP_COMMON_RANDOM_DURATION_HPP
+
+#include "common/random.hpp"
+#include "common/time.hpp"
+
+namespace hickorygap
+{
+
+// Uniform between zero and the longest, both included.
+inline duration random_duration(random_engine& random, duration longest)
+{
+    return duration{static_cast<duration::rep>(
+        random_below(random, static_cast<std::uint64_t>(longest.count()) + 1))};
+}
+
+} // namespace hickorygap
+
+#endif
--- a/src/connection/framing/peer_network.cpp
+++ b/src/connection/framing/peer_network.cpp
@@ -2,6 +2,7 @@
 
 #include "common/error.hpp"
 #include "common/logging.hpp"
+#include "common/random_duration.hpp"
 
 #include <Poco/Exception.h>
 
@@ -168,9 +169,8 @@
     // Jitter keeps many instances from connecting to a restarted one at once.
     peer.backoff = std::clamp(
         peer.backoff * 2, options_.min_backoff, options_.max_backoff);
-    const auto half = static_cast<std::uint64_t>(peer.backoff.count() / 2);
-    peer.next_attempt = now + duration{static_cast<duration::rep>(
-                                  half + random_below(random_, half + 1))};
+    const duration half = peer.backoff / 2;
+    peer.next_attempt = now + half + random_duration(random_, half);
     try
     {
         auto connection = std::make_unique<peer_connection>(
--- a/src/connection/h1/message_framing.cpp
+++ b/src/connection/h1/message_framing.cpp
@@ -197,6 +197,16 @@
     return framing_of(request, body_kind::none);
 }
 
+std::optional<body_framing>
+read_request_head(std::string_view head, Poco::Net::HTTPRequest& request)
+{
+    if (!is_strict_head(head) || !parse_head(head, request))
+    {
+        return std::nullopt;
+    }
+    return request_framing(request);
+}
+
 std::optional<body_framing> response_framing(
     const Poco::Net::HTTPResponse& response, std::string_view method)
 {
--- a/src/connection/h1/message_framing.hpp
+++ b/src/connection/h1/message_framing.hpp
@@ -56,6 +56,11 @@
 std::optional<body_framing>
 request_framing(const Poco::Net::HTTPRequest& request);
 
+// Parses a request's head, with its final empty line, and returns the framing
+// of its body. Nothing when either could be understood in another way.
+std::optional<body_framing>
+read_request_head(std::string_view head, Poco::Net::HTTPRequest& request);
+
 // Framing of the body of a response to a request with that method.
 std::optional<body_framing> response_framing(
     const Poco::Net::HTTPResponse& response, std::string_view method);
--- a/src/connection/h1/request_reader.cpp
+++ b/src/connection/h1/request_reader.cpp
@@ -41,11 +41,7 @@
         }
         const std::string_view head{input.data(), *end};
         auto parsed = std::make_unique<Poco::Net::HTTPRequest>();
-        if (!is_strict_head(head) || !parse_head(head, *parsed))
-        {
-            return fail(HTTPResponse::HTTP_BAD_REQUEST);
-        }
-        const auto framing = request_framing(*parsed);
+        const auto framing = read_request_head(head, *parsed);
         if (!framing)
         {
             return fail(HTTPResponse::HTTP_BAD_REQUEST);
--- a/src/connection/http/connection_socket.cpp
+++ b/src/connection/http/connection_socket.cpp
@@ -99,13 +99,8 @@
     {
         return false;
     }
-    const std::string_view head{pending_.data(), *end};
     Poco::Net::HTTPRequest parsed;
-    if (!is_strict_head(head) || !parse_head(head, parsed))
-    {
-        return false;
-    }
-    const auto framing = request_framing(parsed);
+    const auto framing = read_request_head({pending_.data(), *end}, parsed);
     if (!framing)
     {
         return false;
--- a/src/connection/http/http_server.cpp
+++ b/src/connection/http/http_server.cpp
@@ -114,20 +114,12 @@
     return body.eof() && !body.bad();
 }
 
-// Whether the end of the body is known, so that the next request can be
-// found. Both framings at once would let two servers disagree about it.
+// Whether the request says how its body ends, or has none by its method. That
+// what it says is unambiguous is checked by connection_socket.
 bool has_known_end(const Poco::Net::HTTPServerRequest& request)
 {
-    const bool chunked = request.getChunkedTransferEncoding();
-    const std::string length = request.get("Content-Length", "");
-    if (request.has("Content-Length") &&
-        (chunked || length.empty() ||
-         length.find_first_not_of("0123456789") != std::string::npos))
-    {
-        return false;
-    }
     const std::string& method = request.getMethod();
-    return chunked || request.hasContentLength() ||
+    return request.getChunkedTransferEncoding() || request.hasContentLength() ||
            !(method == "POST" || method == "PUT" || method == "PATCH");
 }
 
--- a/src/process/consensus/raft_node.cpp
+++ b/src/process/consensus/raft_node.cpp
@@ -1,6 +1,7 @@
 #include "process/consensus/raft_node.hpp"
 
 #include "common/logging.hpp"
+#include "common/random_duration.hpp"
 
 #include <algorithm>
 #include <functional>
@@ -217,17 +218,13 @@
     if (configuration_ && !configuration_->voters.empty())
     {
         count = configuration_->voters.size();
-        position = static_cast<std::uint64_t>(std::ranges::count_if(
-            configuration_->voters, [this](const voter_identity& voter)
-            { return voter.instance < options_.self; }));
+        position = configuration_->rank_of(options_.self);
     }
     const duration turn =
         options_.election_timeout / static_cast<duration::rep>(count + 1);
     const auto rank =
         static_cast<duration::rep>((position + hard_.term) % count);
-    const auto jitter = static_cast<duration::rep>(random_below(
-        random_, static_cast<std::uint64_t>(turn.count() / 2) + 1));
-    return rank * turn + duration{jitter};
+    return rank * turn + random_duration(random_, turn / 2);
 }
 
 void raft_node::start_pre_vote()
--- a/src/process/consensus/voter_list.cpp
+++ b/src/process/consensus/voter_list.cpp
@@ -24,6 +24,21 @@
     return std::ranges::find(learners, instance) != learners.end();
 }
 
+std::vector<instance_id> voter_list::instances() const
+{
+    std::vector<instance_id> result;
+    std::ranges::transform(
+        voters, std::back_inserter(result), &voter_identity::instance);
+    return result;
+}
+
+std::size_t voter_list::rank_of(instance_id instance) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        voters, [instance](const voter_identity& voter)
+        { return voter.instance < instance; }));
+}
+
 const lost_disk* voter_list::find_lost(instance_id instance) const
 {
     const auto found = std::ranges::find(lost, instance, &lost_disk::instance);
--- a/src/process/consensus/voter_list.hpp
+++ b/src/process/consensus/voter_list.hpp
@@ -50,6 +50,12 @@
     bool has_voter(instance_id instance, disk_id disk) const;
     bool has_learner(instance_id instance) const;
 
+    // Instances of the voters, in the order of the list.
+    std::vector<instance_id> instances() const;
+
+    // Number of voters on instances with lower numbers.
+    std::size_t rank_of(instance_id instance) const;
+
     // The record of a lost disk on that instance, or nullptr.
     const lost_disk* find_lost(instance_id instance) const;
 
--- a/src/process/gateway/answer_relay.cpp
+++ b/src/process/gateway/answer_relay.cpp
@@ -1,7 +1,7 @@
 #include "process/gateway/answer_relay.hpp"
 
 #include "common/logging.hpp"
-#include "connection/h1/request_reader.hpp"
+#include "connection/h1/http_endpoint.hpp"
 
 #include <fmt/format.h>
 
@@ -131,20 +131,19 @@
     HTTPResponse::HTTPStatus status, std::string_view text,
     std::optional<duration> retry_after)
 {
-    std::string answer = fmt::format(
-        "HTTP/1.1 {} {}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n",
-        static_cast<int>(status), HTTPResponse::getReasonForStatus(status),
-        text.size());
-    answer += dialect_.encode_answer_fields(attempt_id_);
+    http_answer answer;
+    answer.status = status;
+    answer.fields = dialect_.answer_fields(attempt_id_);
     if (retry_after)
     {
-        answer += fmt::format(
-            "Retry-After: {:.2f}\r\n",
-            std::chrono::duration<double>(*retry_after).count());
+        answer.fields.emplace_back(
+            "Retry-After",
+            fmt::format(
+                "{:.2f}", std::chrono::duration<double>(*retry_after).count()));
     }
-    answer += end_of_head();
-    answer += text;
-    caller_.send(answer);
+    answer.content_type = "text/plain";
+    answer.body = text;
+    caller_.send(encode_answer(answer, caller_.closes_after_answer()));
 }
 
 } // namespace hickorygap
--- a/src/process/gateway/exchange.cpp
+++ b/src/process/gateway/exchange.cpp
@@ -342,13 +342,10 @@
     response_reader& reader = connection_->reader();
     if (!head_read_ &&
         reader.current() != response_reader::state::head_incomplete &&
-        reader.current() != response_reader::state::broken)
+        reader.current() != response_reader::state::broken && !read_head())
     {
-        if (!read_head())
-        {
-            // The request may be under way at another server by now.
-            return;
-        }
+        // The request may be under way at another server by now.
+        return;
     }
     if (relays_events_)
     {
--- a/src/process/gateway/fleet_follower.cpp
+++ b/src/process/gateway/fleet_follower.cpp
@@ -2,6 +2,7 @@
 
 #include "common/compression.hpp"
 #include "common/logging.hpp"
+#include "common/random_duration.hpp"
 #include "common/status_text.hpp"
 #include "process/fleet_process/load_exchange.hpp"
 #include "version/routing/configuration_format.hpp"
@@ -15,7 +16,7 @@
 namespace
 {
 
-// Turn in which links and pulls are looked after.
+// Turn in which links and reads of the list are looked after.
 constexpr duration tick_interval = std::chrono::milliseconds{250};
 
 // Voters count on hearing a router this often.
@@ -45,13 +46,6 @@
 // Notices older than this don't count for the number of routers.
 constexpr duration count_expiry = std::chrono::seconds{6};
 
-// Uniform between zero and the longest, both included.
-duration random_duration(random_engine& random, duration longest)
-{
-    return duration{static_cast<duration::rep>(
-        random_below(random, static_cast<std::uint64_t>(longest.count()) + 1))};
-}
-
 } // namespace
 
 fleet_follower::fleet_follower(
@@ -121,7 +115,6 @@
 {
     timer_ = loop_.after(tick_interval, [this] { tick(); });
     const time_point now = loop_.now();
-    const bool status_due = now >= next_status_;
     for (auto& [voter, item] : voters_)
     {
         const bool open = item.link && item.link->is_open();
@@ -140,14 +133,11 @@
         {
             dial(voter, item);
         }
-        else if (status_due && item.link->is_ready())
-        {
-            send_status(item);
-        }
     }
-    if (status_due)
+    if (now >= next_status_)
     {
         next_status_ = now + status_interval;
+        announce_state();
         count_routers();
     }
     read_list_when_alone();
--- a/src/process/routing_store/routing_voter.cpp
+++ b/src/process/routing_store/routing_voter.cpp
@@ -190,10 +190,7 @@
         return;
     }
     wire::voter_notice_msg notice;
-    for (const voter_identity& voter : list->voters)
-    {
-        notice.voters.push_back(voter.instance);
-    }
+    notice.voters = list->instances();
     outgoing_.push_back(make_outgoing(from, std::move(notice)));
 }
 
--- a/src/process/voter_node/router_feed.cpp
+++ b/src/process/voter_node/router_feed.cpp
@@ -123,10 +123,7 @@
     message.leads = voter_->raft().holds_lease(loop_.now());
     if (const voter_list* list = voter_->raft().configuration())
     {
-        for (const voter_identity& voter : list->voters)
-        {
-            message.voters.push_back(voter.instance);
-        }
+        message.voters = list->instances();
     }
     message.routers = links_.routers();
     return make_payload(std::move(message));
@@ -194,12 +191,8 @@
     if (const voter_list* list = voter_->raft().configuration();
         list != nullptr && !list->voters.empty())
     {
-        const auto own = std::ranges::count_if(
-            list->voters, [this](const voter_identity& voter)
-            { return voter.instance < self_; });
-        const std::size_t first = routers.size() *
-                                  static_cast<std::size_t>(own) /
-                                  list->voters.size();
+        const std::size_t first =
+            routers.size() * list->rank_of(self_) / list->voters.size();
         for (std::size_t i = 0; i < routers.size(); ++i)
         {
             transfers_.add({routers[(first + i) % routers.size()], kind});
@@ -215,7 +208,6 @@
         transfers_.sent(send_transfer(*next));
     }
     loop_.cancel(transfer_timer_);
-    transfer_timer_ = 0;
     if (const auto wait = transfers_.wait(loop_.now()))
     {
         transfer_timer_ = loop_.after(*wait, [this] { send_transfers(); });
@@ -235,47 +227,36 @@
     }
     if (item.kind == transfer_kind::configuration)
     {
-        auto& state = documents->configuration;
-        if (!state.needs(documents_.newest()))
-        {
-            return 0;
-        }
-        const std::string& frame = configuration_frame(state.held());
-        state.on_sent(state.held(), documents_.newest());
-        link->send_frame(frame);
-        return frame.size();
-    }
-    auto& state = documents->backend_list;
-    if (!state.needs(backends_.version()))
-    {
-        return 0;
+        return deliver(
+            *link, documents->configuration, documents_, documents_.newest(),
+            configuration_frames_);
     }
-    const std::string& frame = backend_list_frame(state.held());
-    state.on_sent(state.held(), backends_.version());
-    link->send_frame(frame);
-    return frame.size();
+    return deliver(
+        *link, documents->backend_list, backends_, backends_.version(),
+        backend_list_frames_);
 }
 
-const std::string& router_feed::configuration_frame(configuration_version held)
+// Sends what takes the router from the version that it holds to the newest one
+// of the source. Encoded once for all routers that hold the same.
+template <typename Version, typename Source>
+std::size_t router_feed::deliver(
+    link_connection& link, delivery_state<Version>& state, const Source& source,
+    const Version& newest, std::map<Version, std::string>& frames)
 {
-    std::string& frame = configuration_frames_[held];
-    if (frame.empty())
+    if (!state.needs(newest))
     {
-        frame = link_connection::encode_frame(
-            self_, make_payload(*documents_.changes_since(held)));
+        return 0;
     }
-    return frame;
-}
-
-const std::string& router_feed::backend_list_frame(backend_list_version held)
-{
-    std::string& frame = backend_list_frames_[held];
+    const Version held = state.held();
+    std::string& frame = frames[held];
     if (frame.empty())
     {
         frame = link_connection::encode_frame(
-            self_, make_payload(*backends_.changes_since(held)));
+            self_, make_payload(*source.changes_since(held)));
     }
-    return frame;
+    state.on_sent(held, newest);
+    link.send_frame(frame);
+    return frame.size();
 }
 
 // The list of backend servers.
--- a/src/process/voter_node/router_feed.hpp
+++ b/src/process/voter_node/router_feed.hpp
@@ -61,8 +61,11 @@
     void offer(transfer_kind kind);
     void send_transfers();
     std::size_t send_transfer(const transfer& item);
-    const std::string& configuration_frame(configuration_version held);
-    const std::string& backend_list_frame(backend_list_version held);
+    template <typename Version, typename Source>
+    std::size_t deliver(
+        link_connection& link, delivery_state<Version>& state,
+        const Source& source, const Version& newest,
+        std::map<Version, std::string>& frames);
 
     duration list_interval() const;
     void read_backend_list();
--- a/src/process/voter_node/voter_node.cpp
+++ b/src/process/voter_node/voter_node.cpp
@@ -226,10 +226,7 @@
     }
     if (const voter_list* list = voter_->raft().configuration())
     {
-        for (const voter_identity& voter : list->voters)
-        {
-            targets.push_back(voter.instance);
-        }
+        std::ranges::copy(list->instances(), std::back_inserter(targets));
     }
     std::ranges::copy(voter_->told_voters(), std::back_inserter(targets));
     std::ranges::sort(targets);
--- a/src/request/dialect/request_dialect.hpp
+++ b/src/request/dialect/request_dialect.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace hickorygap
@@ -124,10 +125,9 @@
     virtual backend_answer
     decode_answer(const Poco::Net::HTTPResponse& response) const = 0;
 
-    // Header lines, each with its line end, that relate an answer of the
-    // router's own to the attempt.
-    virtual std::string
-    encode_answer_fields(const std::string& attempt_id) const = 0;
+    // Header fields that relate an answer of the router's own to the attempt.
+    virtual std::vector<std::pair<std::string, std::string>>
+    answer_fields(const std::string& attempt_id) const = 0;
 };
 
 } // namespace hickorygap
