Name a request's content in the line of a failed attempt

Lines named the attempt's id, which is new each time a caller sends a request again, so the hypotheses of docs/incidents/2026-12-04-crashing-requests.md could not be told apart.

Change: attempt_failed carries the fingerprint of caller, path and body; the tracker of requests that crash servers, which has the function for it, moves to a module of its own (request/blame), so that routers can use it too.

--- a/src/common/ids.hpp
+++ b/src/common/ids.hpp
@@ -33,7 +33,8 @@
 // configuration.
 using configuration_version = std::uint64_t;
 
-// Digest of a request's model and body; equal requests have equal values.
+// Digest of a request's content, see fingerprint_of; equal requests have equal
+// values.
 using request_fingerprint = std::uint64_t;
 
 // Importance of a request; lower values are served first.
--- a/src/connection/http/blame_guard.hpp
+++ b/src/connection/http/blame_guard.hpp
@@ -1,7 +1,7 @@
 #ifndef HICKORYGAP_CONNECTION_HTTP_BLAME_GUARD_HPP
 #define HICKORYGAP_CONNECTION_HTTP_BLAME_GUARD_HPP
 
-#include "request/attempt/shared_blame_tracker.hpp"
+#include "request/blame/shared_blame_tracker.hpp"
 
 namespace hickorygap
 {
--- a/src/connection/http/caller_handler.cpp
+++ b/src/connection/http/caller_handler.cpp
@@ -293,7 +293,7 @@
     }
     work.path = chat_path;
     work.streamed = parsed->stream;
-    work.fingerprint = fingerprint_of(parsed->model, work.body);
+    work.fingerprint = fingerprint_of({parsed->model, work.body});
     const auto answer_tokens =
         parsed->max_tokens == 0 ? default_answer_tokens : parsed->max_tokens;
     work.prompt_cost =
@@ -330,9 +330,8 @@
     {
         work.path.insert(0, "/");
     }
-    work.fingerprint = fingerprint_of(
-        work.target->name,
-        fmt::format("{} {}\n{}", work.method, work.path, work.body));
+    work.fingerprint =
+        fingerprint_of({work.target->name, work.method, work.path, work.body});
     const absl::Status key = read_idempotency_key(request, work);
     return key.ok() ? read_chat_name(request, {}, work) : key;
 }
--- a/src/connection/http/relay_context.hpp
+++ b/src/connection/http/relay_context.hpp
@@ -7,7 +7,7 @@
 #include "request/attempt/control_client.hpp"
 #include "request/attempt/relay_counters.hpp"
 #include "request/attempt/retry_budget.hpp"
-#include "request/attempt/shared_blame_tracker.hpp"
+#include "request/blame/shared_blame_tracker.hpp"
 
 #include <mutex>
 #include <optional>
--- a/src/process/control/blame_exchange.hpp
+++ b/src/process/control/blame_exchange.hpp
@@ -3,7 +3,7 @@
 
 #include "process/control/clock_reading.hpp"
 #include "process/membership/membership.hpp"
-#include "request/attempt/shared_blame_tracker.hpp"
+#include "request/blame/shared_blame_tracker.hpp"
 
 #include <map>
 #include <span>
--- a/src/process/control/control_node.hpp
+++ b/src/process/control/control_node.hpp
@@ -12,7 +12,7 @@
 #include "process/membership/version_sync.hpp"
 #include "process/replicated_state/proposal_client.hpp"
 #include "process/replicated_state/voter.hpp"
-#include "request/attempt/shared_blame_tracker.hpp"
+#include "request/blame/shared_blame_tracker.hpp"
 #include "request/placement/placement_service.hpp"
 
 #include <atomic>
--- a/src/process/gateway/exchange.cpp
+++ b/src/process/gateway/exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "common/logging.hpp"
 #include "common/status_text.hpp"
+#include "request/blame/blame_tracker.hpp"
 
 #include <fmt/format.h>
 
@@ -121,6 +122,10 @@
             "the API key is not known");
         return false;
     }
+    fingerprint_ = fingerprint_of(
+        {organisation_ == nullptr ? std::string_view{call_.api_key}
+                                  : std::string_view{organisation_->name},
+         path_of(*request_.head), request_.body});
     return true;
 }
 
@@ -630,10 +635,10 @@
     may_have_run_ = may_have_run_ || may_have_run;
     log(log_level::info, subsystem::attempt,
         "attempt_failed id={} backend={} outcome={} may_have_run={} send={} "
-        "events={} after_ms={:.0f}",
+        "events={} after_ms={:.0f} fingerprint={:016x}",
         call_.attempt_id, backend_name_, dispatch_outcome_name(outcome),
         may_have_run, sends_, relay_.events(),
-        milliseconds(context_.loop().now() - sent_at_));
+        milliseconds(context_.loop().now() - sent_at_), fingerprint_);
     end_attempt(outcome);
     if (may_send_again(history()) && take_repeat())
     {
--- a/src/process/gateway/exchange.hpp
+++ b/src/process/gateway/exchange.hpp
@@ -95,6 +95,9 @@
     caller_call call_;
     std::string service_;
 
+    // Of caller, path and body: the same for each attempt of the caller.
+    request_fingerprint fingerprint_ = 0;
+
     time_point arrived_;
     std::optional<time_point> caller_deadline_;
     timer_id deadline_timer_ = 0;
--- a/src/request/attempt/blame_tracker.cpp
+++ b/src/request/blame/blame_tracker.cpp
@@ -1,4 +1,4 @@
-#include "request/attempt/blame_tracker.hpp"
+#include "request/blame/blame_tracker.hpp"
 
 #include "common/hashing.hpp"
 
@@ -29,11 +29,16 @@
 } // namespace
 
 request_fingerprint
-fingerprint_of(std::string_view model, std::string_view body)
+fingerprint_of(std::initializer_list<std::string_view> parts)
 {
-    // The model's hash is the seed of the body's, so that the border between
-    // the two can't shift.
-    return hash_chat(hash_name(model), body);
+    // Each part's hash is the seed of the next one's, so that the borders
+    // between them can't shift.
+    request_fingerprint fingerprint = 0;
+    for (const std::string_view part : parts)
+    {
+        fingerprint = hash_chat(fingerprint, part);
+    }
+    return fingerprint;
 }
 
 blame_tracker::blame_tracker(blame_options options)
--- a/src/request/attempt/blame_tracker.hpp
+++ b/src/request/blame/blame_tracker.hpp
@@ -1,10 +1,11 @@
-#ifndef HICKORYGAP_REQUEST_ATTEMPT_BLAME_TRACKER_HPP
-#define HICKORYGAP_REQUEST_ATTEMPT_BLAME_TRACKER_HPP
+#ifndef HICKORYGAP_REQUEST_BLAME_BLAME_TRACKER_HPP
+#define HICKORYGAP_REQUEST_BLAME_BLAME_TRACKER_HPP
 
 #include "common/ids.hpp"
 #include "common/time.hpp"
 
 #include <cstddef>
+#include <initializer_list>
 #include <span>
 #include <string_view>
 #include <unordered_map>
@@ -27,9 +28,9 @@
     std::size_t capacity = 4096;
 };
 
-// Digest of a request's model and body.
+// Digest of what identifies a request's content, such as its model and body.
 request_fingerprint
-fingerprint_of(std::string_view model, std::string_view body);
+fingerprint_of(std::initializer_list<std::string_view> parts);
 
 // One crash with the fingerprint in flight, as instances tell each other.
 struct suspect_notice
--- a/src/request/attempt/shared_blame_tracker.hpp
+++ b/src/request/blame/shared_blame_tracker.hpp
@@ -1,7 +1,7 @@
-#ifndef HICKORYGAP_REQUEST_ATTEMPT_SHARED_BLAME_TRACKER_HPP
-#define HICKORYGAP_REQUEST_ATTEMPT_SHARED_BLAME_TRACKER_HPP
+#ifndef HICKORYGAP_REQUEST_BLAME_SHARED_BLAME_TRACKER_HPP
+#define HICKORYGAP_REQUEST_BLAME_SHARED_BLAME_TRACKER_HPP
 
-#include "request/attempt/blame_tracker.hpp"
+#include "request/blame/blame_tracker.hpp"
 
 #include <mutex>
 #include <utility>
--- a/tests/request/attempt/blame_tracker_test.cpp
+++ b/tests/request/blame/blame_tracker_test.cpp
@@ -1,4 +1,4 @@
-#include "request/attempt/blame_tracker.hpp"
+#include "request/blame/blame_tracker.hpp"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
