--- a/tests/process/gateway/gateway_fixture.hpp
+++ b/tests/process/gateway/gateway_fixture.hpp
@@ -78,10 +78,29 @@
         opened_ = listener_.open({"127.0.0.1", port}).ok();
     }
 
+    // The server ends with everything on it; nothing listens at its port.
+    void crash()
+    {
+        loop_.defer(
+            [this]
+            {
+                listener_.close();
+                for (const auto& each : connections_)
+                {
+                    each->close();
+                }
+            });
+        crashed_ = true;
+    }
+
     bool opened() const
     {
         return opened_;
     }
+    bool crashed() const
+    {
+        return crashed_;
+    }
     const std::vector<received_request>& requests() const
     {
         return requests_;
@@ -105,6 +124,7 @@
     std::vector<received_request> requests_;
     int ended_ = 0;
     bool opened_ = false;
+    bool crashed_ = false;
 };
 
 // The traffic path of a router without its links to the fleet: one port for
--- /dev/null
+++ b/tests/process/route_fleet/crashing_request_test.cpp
@@ -0,0 +1,155 @@
+#include "process/route_fleet/route_fleet_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+using namespace hickorygap;
+using namespace hickorygap::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::string_view document_form =
+    R"({{"version":7,"routes":[{{"name":"r1","host":"h.example",
+    "path_prefix":"/a/","kind":"{}","resumable":true,"timeout_ms":3000,
+    "target_latency_ms":500,"gap_target_ms":300,"service":"llm",
+    "max_attempts":3}}],
+    "services":[{{"name":"llm","max_connections":500}}],
+    "tenants":[{{"name":"t1","api_keys":["key-1"],"priority":1}}]}})";
+
+const std::string crashing_body = "draft with the fault";
+constexpr std::size_t routers = 3;
+constexpr std::size_t backends = 12;
+
+// What the fleet promises: no request ends more servers than this.
+constexpr std::size_t most_crashes = 3;
+
+// A server that ends when it begins the crashing request, or after some events
+// of its stream, and takes its time for the others.
+backend_double::script
+crashing_script(event_loop& loop, backend_double*& self, int events)
+{
+    return [&loop, &self,
+            events](backend_double::connection& to, const received_request& got)
+    {
+        const std::string fields = fmt::format(
+            "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nReply-Seal: s\r\n",
+            got.head->get("Request-Id"));
+        const std::string stream = fields +
+                                   "Content-Type: text/event-stream\r\n"
+                                   "Transfer-Encoding: chunked\r\n\r\n";
+        const auto event = [](int id)
+        {
+            const std::string text = fmt::format("id: {}\ndata: x\n\n", id);
+            return fmt::format("{:x}\r\n{}\r\n", text.size(), text);
+        };
+        if (got.body == crashing_body)
+        {
+            if (events > 0)
+            {
+                // After what the caller has already.
+                int last = std::stoi(got.head->get("Last-Event-Id", "0"));
+                to.write(stream);
+                for (int i = 0; i < events; ++i)
+                {
+                    to.write(event(++last));
+                }
+            }
+            self->crash();
+            return;
+        }
+        loop.after(
+            60ms,
+            [&to, fields, stream, event,
+             is_stream = got.body.starts_with("stream")]
+            {
+                to.write(
+                    is_stream ? stream + event(1) + "0\r\n\r\n"
+                              : fields + "Content-Length: 4\r\n\r\nfine");
+            });
+    };
+}
+
+std::string request_text(std::string_view id, std::string_view body)
+{
+    return gateway_fixture::request_text(
+        "Deadline-Ms: 3000\r\n", body, "POST", id);
+}
+
+bool is_answered(const caller_double& caller)
+{
+    return !caller.received().empty() || caller.ended();
+}
+
+} // namespace
+
+// Failure: a request crashes each server that runs it, and its caller sends it
+// again and again, under new ids and through any router. Guards against routers
+// that each let it end more servers, and against sound requests that are
+// refused because they were at the same servers.
+TEST_CASE("a request that crashes servers is stopped by all routers")
+{
+    struct row
+    {
+        std::string label;
+        std::string kind;
+        int events;
+    };
+    const auto tested = GENERATE(
+        row{"repeatable", "safe", 0}, row{"not repeatable", "unsafe", 0},
+        row{"stream", "streaming", 0},
+        row{"stream with events", "streaming", 2});
+    CAPTURE(tested.label);
+    route_fleet fleet{routers, fmt::format(document_form, tested.kind)};
+    std::vector<backend_double*> servers(backends, nullptr);
+    for (backend_double*& server : servers)
+    {
+        server = &fleet.add_backend(
+            crashing_script(fleet.loop(), server, tested.events));
+    }
+    fleet.await_readiness();
+    const std::string sound_body =
+        tested.kind == "streaming" ? "stream" : "plain";
+    std::vector<const caller_double*> sound;
+    for (std::size_t i = 0; i < 2 * backends; ++i)
+    {
+        const auto sound_call = [&](std::string_view label)
+        {
+            sound.push_back(&fleet.call(
+                i % routers,
+                request_text(
+                    fmt::format("{}{}", label, i),
+                    fmt::format("{} {}{}", sound_body, label, i))));
+        };
+        // One is under way at some server when that ends, one comes after.
+        sound_call("near");
+        fleet.run_for(10ms);
+        const caller_double& caller = fleet.call(
+            i % routers, request_text(fmt::format("p{}", i), crashing_body));
+        REQUIRE(run_until(
+            fleet.loop(), [&] { return is_answered(caller); }, 4s));
+        sound_call("after");
+        fleet.run_for(30ms);
+    }
+    const auto crashed =
+        std::ranges::count_if(servers, &backend_double::crashed);
+    CHECK(static_cast<std::size_t>(crashed) <= most_crashes);
+    REQUIRE(run_until(
+        fleet.loop(),
+        [&]
+        {
+            return std::ranges::all_of(
+                sound, [](const auto* each) { return is_answered(*each); });
+        },
+        4s));
+    const auto served = std::ranges::count_if(
+        sound, [](const caller_double* each)
+        { return each->received().starts_with("HTTP/1.1 200"); });
+    // A request that may not run twice is lost with its server.
+    const auto lost = tested.kind == "unsafe" ? crashed : 0;
+    CHECK(served + lost >= static_cast<std::ptrdiff_t>(sound.size()));
+}
--- /dev/null
+++ b/tests/process/route_fleet/route_fleet_fixture.hpp
@@ -0,0 +1,239 @@
+#ifndef HICKORYGAP_TESTS_PROCESS_ROUTE_FLEET_ROUTE_FLEET_FIXTURE_HPP
+#define HICKORYGAP_TESTS_PROCESS_ROUTE_FLEET_ROUTE_FLEET_FIXTURE_HPP
+
+#include "connection/h1/http_endpoint.hpp"
+#include "platform/configuration_document.hpp"
+#include "platform/control_calls.hpp"
+#include "platform/replica_list.hpp"
+#include "platform/request_fields.hpp"
+#include "process/gateway/gateway.hpp"
+#include "process/gateway/gateway_fixture.hpp"
+#include "process/voter_node/voter_node.hpp"
+#include "support/loopback.hpp"
+#include "support/temporary_folder.hpp"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace hickorygap::test
+{
+
+// A voter, routers with their links to it, and the platform's list of backend
+// servers, all on loopback and in one event loop.
+class route_fleet
+{
+public:
+    // document: the configuration that is filed before any router starts.
+    route_fleet(std::size_t routers, std::string document)
+        : document_{std::move(document)}
+        , list_server_{
+              loop_, request_limits{},
+              [this](
+                  const received_request& /*request*/,
+                  const http_responder& respond)
+              {
+                  http_answer answer;
+                  answer.body = list_text();
+                  respond(answer);
+              }}
+    {
+        REQUIRE(loop_.open().ok());
+        do
+        {
+            list_address_ = {"127.0.0.1", next_port()};
+        } while (!list_server_.open(list_address_).ok());
+        start_voter();
+        file_document();
+        for (std::size_t i = 0; i < routers; ++i)
+        {
+            add_router();
+        }
+    }
+
+    // The list shows the server from the leader's next read on.
+    backend_double& add_backend(const backend_double::script& on_request)
+    {
+        std::unique_ptr<backend_double> added;
+        std::uint16_t port = 0;
+        do
+        {
+            port = next_port();
+            added = std::make_unique<backend_double>(loop_, port, on_request);
+        } while (!added->opened());
+        ports_.push_back(port);
+        backends_.push_back(std::move(added));
+        return *backends_.back();
+    }
+
+    // Waits until each router has a configuration and a list.
+    void await_readiness()
+    {
+        for (const std::uint16_t port : readiness_ports_)
+        {
+            bool ready = false;
+            for (int attempt = 0; attempt < 100 && !ready; ++attempt)
+            {
+                caller_double asking{loop_, port};
+                asking.send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+                run_until(loop_, [&] { return !asking.received().empty(); });
+                ready = asking.received().find("200 OK") != std::string::npos;
+                if (!ready)
+                {
+                    run_for(std::chrono::milliseconds{50});
+                }
+            }
+            REQUIRE(ready);
+        }
+    }
+
+    caller_double& call(std::size_t router, const std::string& request)
+    {
+        callers_.push_back(
+            std::make_unique<caller_double>(loop_, caller_ports_.at(router)));
+        callers_.back()->send(request);
+        return *callers_.back();
+    }
+
+    // Ends a router and starts another one in its place.
+    void restart_router(std::size_t index)
+    {
+        routers_.at(index).reset();
+        run_for(std::chrono::milliseconds{20});
+        routers_[index] = make_router(index);
+        await_readiness();
+    }
+
+    void run_for(duration time)
+    {
+        const time_point limit = boot_now() + time;
+        while (boot_now() < limit)
+        {
+            loop_.turn(std::chrono::milliseconds{5});
+        }
+    }
+
+    event_loop& loop()
+    {
+        return loop_;
+    }
+
+private:
+    std::string list_text() const
+    {
+        std::string entries;
+        for (std::size_t i = 0; i < ports_.size(); ++i)
+        {
+            entries += fmt::format(
+                R"({}{{"id":"i-{}","service":"llm","address":"127.0.0.1:{}",)"
+                R"("zone":"domain-a","version":"v1","slots":8,)"
+                R"("state":"ready","cold_remaining_ms":0}})",
+                i == 0 ? "" : ",", i, ports_[i]);
+        }
+        return fmt::format(R"({{"instances":[{}],"next":null}})", entries);
+    }
+
+    fleet_settings common_settings(std::string host) const
+    {
+        fleet_settings settings;
+        settings.instance.host = std::move(host);
+        settings.peers.port = peer_port_;
+        settings.peers.seeds = {"127.0.0.1"};
+        settings.backend_list.address = list_address_;
+        settings.backend_list.calls_per_second = 50;
+        settings.retry.ratio = 0.2;
+        settings.retry.slack = 50;
+        return settings;
+    }
+
+    void start_voter()
+    {
+        do
+        {
+            peer_port_ = next_port();
+            fleet_settings settings = common_settings("127.0.0.1");
+            settings.storage.folder = folder_.path();
+            settings.storage.bootstrap = true;
+            settings.operators = {"127.0.0.1", next_port()};
+            operators_port_ = settings.operators.port;
+            voter_ = std::make_unique<voter_node>(
+                loop_, settings,
+                voter_dialects{&configurations_, &list_, &calls_});
+        } while (!voter_->open().ok());
+    }
+
+    void file_document()
+    {
+        std::string answer;
+        for (int attempt = 0; attempt < 50; ++attempt)
+        {
+            caller_double caller{loop_, operators_port_};
+            caller.send(fmt::format(
+                "PUT /config HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n"
+                "{}",
+                document_.size(), document_));
+            run_until(
+                loop_, [&] { return !caller.received().empty(); },
+                std::chrono::seconds{3});
+            answer = caller.received();
+            if (answer.find("200 OK") != std::string::npos)
+            {
+                return;
+            }
+            run_for(std::chrono::milliseconds{100});
+        }
+        FAIL("not filed: " << answer);
+    }
+
+    void add_router()
+    {
+        caller_ports_.push_back(0);
+        readiness_ports_.push_back(0);
+        routers_.push_back(make_router(routers_.size()));
+    }
+
+    std::unique_ptr<gateway> make_router(std::size_t index)
+    {
+        constexpr std::size_t first_host = 2;
+        std::unique_ptr<gateway> router;
+        do
+        {
+            fleet_settings settings =
+                common_settings(fmt::format("127.0.0.{}", index + first_host));
+            settings.callers = {"127.0.0.1", next_port()};
+            settings.readiness = {"127.0.0.1", next_port()};
+            caller_ports_[index] = settings.callers.port;
+            readiness_ports_[index] = settings.readiness.port;
+            router = std::make_unique<gateway>(
+                loop_, settings,
+                gateway_dialects{&requests_, &configurations_, &list_});
+        } while (!router->open().ok());
+        return router;
+    }
+
+    temporary_folder folder_;
+    event_loop loop_;
+    std::string document_;
+    platform::configuration_document configurations_;
+    platform::replica_list list_;
+    platform::control_calls calls_;
+    platform::request_fields requests_;
+    http_endpoint list_server_;
+    numeric_address list_address_;
+    std::uint16_t peer_port_ = 0;
+    std::uint16_t operators_port_ = 0;
+    std::unique_ptr<voter_node> voter_;
+    std::vector<std::uint16_t> caller_ports_;
+    std::vector<std::uint16_t> readiness_ports_;
+    std::vector<std::unique_ptr<gateway>> routers_;
+    std::vector<std::uint16_t> ports_;
+    std::vector<std::unique_ptr<backend_double>> backends_;
+    std::vector<std::unique_ptr<caller_double>> callers_;
+};
+
+} // namespace hickorygap::test
+
+#endif
