Cut off answers whose bytes have no end

What callers saw: nothing, until their time was over. A server that sends bytes that are no answer, in a head or a body, without end kept its request, and the router kept its bytes.

Cause: only the head's size, a chunk's line and the trailer were bounded. Interim heads, bodies, events without an end and the body of a rejection were not.

Change: a body that is held whole has at most 4 MiB, an event 256 KiB, at most 8 interim heads come before the final one; after that the answer is broken and the connection is closed. A rejection is acted upon after 20 ms also when its body goes on; a request whose time ends meanwhile has not run and is told so.

Test: gateway "bytes without end are cut off", nine cases; five of them failed before (interim heads, body without length, chunks, body of a rejection, event). In serve: http "a head without end is cut off" passed before as well, the library limits the number of fields; bodies and events had limits there already.

--- a/src/connection/h1/event_splitter.hpp
+++ b/src/connection/h1/event_splitter.hpp
@@ -1,6 +1,7 @@
 #ifndef HICKORYGAP_CONNECTION_H1_EVENT_SPLITTER_HPP
 #define HICKORYGAP_CONNECTION_H1_EVENT_SPLITTER_HPP
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -21,6 +22,9 @@
     bool is_comment = false;
 };
 
+// Longest event, in bytes; larger than any that an engine sends at a time.
+inline constexpr std::size_t max_event = std::size_t{256} * 1024;
+
 // Splits the body of a text/event-stream response into whole events.
 class event_splitter
 {
@@ -37,6 +41,13 @@
         return buffer_;
     }
 
+    // The bytes can't be an event any more: a faulty server may send bytes
+    // without end.
+    bool is_overlong() const
+    {
+        return buffer_.size() > max_event;
+    }
+
 private:
     std::string buffer_;
 };
--- a/src/connection/h1/response_reader.cpp
+++ b/src/connection/h1/response_reader.cpp
@@ -12,6 +12,9 @@
 
 constexpr int first_final_status = 200;
 
+// No server has a reason to send more before the final response.
+constexpr int max_interim_responses = 8;
+
 } // namespace
 
 response_reader::response_reader(std::string_view method)
@@ -42,7 +45,12 @@
         input.erase(0, *end);
         if (head_.getStatus() < first_final_status)
         {
-            // An interim response; the final one follows.
+            // The final response follows.
+            if (++interim_responses_ > max_interim_responses)
+            {
+                state_ = state::broken;
+                return state_;
+            }
             continue;
         }
         const auto framing = response_framing(head_, method_);
@@ -62,7 +70,8 @@
         {
             state_ = state::complete;
         }
-        else if (body == body_decoder::state::broken)
+        else if (
+            body == body_decoder::state::broken || body_.size() > max_held_body)
         {
             state_ = state::broken;
         }
--- a/src/connection/h1/response_reader.hpp
+++ b/src/connection/h1/response_reader.hpp
@@ -5,12 +5,17 @@
 
 #include <Poco/Net/HTTPResponse.h>
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
 namespace hickorygap
 {
 
+// Longest body that a reader holds, in bytes: as long as a request may be. A
+// faulty server may send bytes without end.
+inline constexpr std::size_t max_held_body = std::size_t{4} * 1024 * 1024;
+
 // Reads one response from a connection.
 class response_reader
 {
@@ -45,7 +50,8 @@
         return head_;
     }
 
-    // Bytes of the body that arrived and were not taken yet.
+    // Bytes of the body that arrived and were not taken yet. More than
+    // max_held_body of them break the response.
     std::string& body()
     {
         return body_;
@@ -60,6 +66,7 @@
     body_framing framing_;
     body_decoder decoder_;
     std::string body_;
+    int interim_responses_ = 0;
     state state_ = state::head_incomplete;
 };
 
--- a/src/process/gateway/answer_relay.hpp
+++ b/src/process/gateway/answer_relay.hpp
@@ -63,6 +63,12 @@
     // are left out. True when the stream has reached its end.
     bool send_events(response_reader& reader);
 
+    // The present server's bytes can't become an event any more.
+    bool is_overlong() const
+    {
+        return splitter_.is_overlong();
+    }
+
     // The stream is complete.
     void finish_stream(const Poco::Net::HTTPResponse& head);
 
--- a/src/process/gateway/exchange.cpp
+++ b/src/process/gateway/exchange.cpp
@@ -25,6 +25,9 @@
 // wait for the caller.
 constexpr std::size_t max_pending_bytes = std::size_t{128} * 1024;
 
+// A rejection is acted upon after so long, also when its body has not ended.
+constexpr duration rejection_body_time = std::chrono::milliseconds{20};
+
 // A request that waits in a server's queue is looked after this often.
 constexpr duration queue_check_interval = std::chrono::milliseconds{200};
 
@@ -317,6 +320,7 @@
     sent_at_ = context_.loop().now();
     head_read_ = false;
     relays_events_ = false;
+    awaits_rejection_end_ = false;
     relay_.start_attempt(backend_name_);
     context_.table().on_sent(backend_, sent_at_);
     context_.request_figures().on_sent();
@@ -403,7 +407,7 @@
     }
     if (connection_ != nullptr)
     {
-        may_have_run_ = true;
+        may_have_run_ = may_have_run_ || !is_rejected();
         end_attempt(
             relay_.has_started() ? dispatch_outcome::withdrawn
                                  : dispatch_outcome::silent);
@@ -467,11 +471,23 @@
     note_progress();
     if (is_rejected())
     {
-        // The connection can be kept once the rejection is read whole.
+        // The connection can be kept once the rejection is read whole, which
+        // is not worth a wait.
         if (reader.current() != response_reader::state::body_incomplete)
         {
             attempt_failed(dispatch_outcome::rejected, false);
         }
+        else if (!std::exchange(awaits_rejection_end_, true))
+        {
+            context_.loop().cancel(attempt_timer_);
+            attempt_timer_ = context_.loop().after(
+                rejection_body_time,
+                [this]
+                {
+                    attempt_timer_ = 0;
+                    attempt_failed(dispatch_outcome::rejected, false);
+                });
+        }
         return;
     }
     if (reader.current() == response_reader::state::broken)
@@ -576,7 +592,9 @@
         end_attempt(dispatch_outcome::answered);
         finish(HTTPResponse::HTTP_OK, request_outcome::answered);
     }
-    else if (reader.current() != response_reader::state::body_incomplete)
+    else if (
+        reader.current() != response_reader::state::body_incomplete ||
+        relay_.is_overlong())
     {
         attempt_failed(dispatch_outcome::broken, true);
     }
--- a/src/process/gateway/exchange.hpp
+++ b/src/process/gateway/exchange.hpp
@@ -119,6 +119,7 @@
     time_point progress_at_;
     bool head_read_ = false;
     bool relays_events_ = false;
+    bool awaits_rejection_end_ = false;
     backend_answer answer_;
 
     // All attempts.
--- a/tests/connection/http/repeatable_relay_test.cpp
+++ b/tests/connection/http/repeatable_relay_test.cpp
@@ -86,6 +86,44 @@
         std::vector{outcome::failed_after_start, outcome::completed});
 }
 
+// Failure: a backend server sends the fields of a head without end. Guards
+// against memory that fills up, and against a caller that waits for it.
+TEST_CASE("a head without end is cut off")
+{
+    constexpr std::size_t most_fields = 2'000'000;
+    std::atomic<std::size_t> fields = 0;
+    relay_fixture fixture;
+    fixture.add_scripted(
+        "calc-1", "calculator",
+        [&](exchange& got)
+        {
+            got.send("HTTP/1.1 200 OK\r\n");
+            try
+            {
+                for (; fields < most_fields; ++fields)
+                {
+                    got.send("X-Field: value\r\n");
+                }
+            }
+            catch (const Poco::Exception&)
+            {
+                // The caller has closed the connection.
+                return;
+            }
+        });
+    fixture.add_scripted(
+        "calc-2", "calculator",
+        [](exchange& got) { got.answer(200, "fine", got.attempt()); });
+    fixture.start();
+
+    const raw_response response = fixture.ask(calculator_request());
+
+    CHECK(response.status == 200);
+    CHECK(response.body == "fine");
+    REQUIRE(fixture.all_finished());
+    CHECK(fields < most_fields);
+}
+
 // Guards against lost or doubled events when a stream breaks while its engine
 // lives on.
 TEST_CASE("a broken stream goes on without loss or repetition")
--- a/tests/process/gateway/exchange_test.cpp
+++ b/tests/process/gateway/exchange_test.cpp
@@ -596,6 +596,83 @@
     CHECK(runs == 2);
 }
 
+// Failure: a server sends bytes that are no answer without end, in a head or a
+// body, until its connection closes. Guards against memory that fills up and
+// against callers that wait for such a server until their time is over.
+TEST_CASE("bytes without end are cut off")
+{
+    struct row
+    {
+        std::string label;
+        call_kind kind;
+        std::string start;
+        std::string repeated;
+    };
+    const std::string unframed = "HTTP/1.1 200 OK\r\n" + sealed;
+    const auto tested = GENERATE_COPY(
+        row{"garbage", call_kind::repeatable, "", "garbage "},
+        row{"fields of a head", call_kind::repeatable, unframed, "X-A: b\r\n"},
+        row{"interim heads", call_kind::repeatable, "",
+            "HTTP/1.1 102 Processing\r\n\r\n"},
+        row{"body without length", call_kind::repeatable, unframed + "\r\n",
+            "body "},
+        row{"chunks", call_kind::repeatable,
+            unframed + "Transfer-Encoding: chunked\r\n\r\n",
+            chunk(std::string(1000, 'b'))},
+        row{"size of a chunk", call_kind::repeatable,
+            unframed + "Transfer-Encoding: chunked\r\n\r\n", "0"},
+        row{"trailer", call_kind::repeatable,
+            unframed + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-A: b\r\n"},
+        row{"body of a rejection", call_kind::non_repeatable,
+            "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n\r\n", "body "},
+        row{"event", call_kind::streaming, stream_head, chunk("data: x ")});
+    CAPTURE(tested.label);
+    route routed = gateway_fixture::make_route(tested.kind, 2);
+    routed.timeout = 8s;
+    // Nobody waits for progress.
+    routed.target_latency = 8s;
+    routed.target_gap = 8s;
+    routed.resumable = true;
+    gateway_fixture fixture{routed};
+    std::vector<backend_double*> servers(2, nullptr);
+    std::size_t sends = 0;
+    std::size_t endless_bytes = 0;
+    for (backend_double*& server : servers)
+    {
+        server = &fixture.add_backend(
+            [&](connection& to, const received_request&)
+            {
+                if (++sends > 1)
+                {
+                    to.write(
+                        tested.kind == call_kind::streaming
+                            ? stream_head + chunk(event(1)) + "0\r\n\r\n"
+                            : answer("200 OK", "fine"));
+                    return;
+                }
+                to.write(tested.start);
+                std::string bytes;
+                while (bytes.size() < std::size_t{32} * 1024)
+                {
+                    bytes += tested.repeated;
+                }
+                to.write_without_end(bytes, endless_bytes);
+            });
+    }
+    const time_point start = boot_now();
+    const caller_double& caller =
+        fixture.call(gateway_fixture::request_text("Deadline-Ms: 8000\r\n"));
+    REQUIRE(fixture.run_until([&] { return is_answered(caller); }));
+    CHECK(status_of(caller) == "200");
+    CHECK(boot_now() - start < 900ms);
+    CHECK(sends == 2);
+    fixture.run_for(20ms);
+    CHECK(servers[0]->ended() + servers[1]->ended() == 1);
+    // What a request's body may have, and what two sockets hold.
+    constexpr std::size_t most_bytes = std::size_t{8} * 1024 * 1024;
+    CHECK(endless_bytes < most_bytes);
+}
+
 // Guards against a request that is lost behind another one on one connection.
 TEST_CASE("requests in a row on one connection are answered in order")
 {
--- a/tests/process/gateway/gateway_fixture.hpp
+++ b/tests/process/gateway/gateway_fixture.hpp
@@ -59,6 +59,24 @@
             stream_->close();
         }
 
+        // Writes the bytes again and again until the peer closes, as fast as
+        // it takes them; counts what it took.
+        void write_without_end(const std::string& bytes, std::size_t& count)
+        {
+            if (!stream_->is_open())
+            {
+                return;
+            }
+            if (stream_->pending_output() == 0)
+            {
+                stream_->write(bytes);
+                count += bytes.size();
+            }
+            owner_.loop_.after(
+                std::chrono::microseconds{100},
+                [this, bytes, &count] { write_without_end(bytes, count); });
+        }
+
     private:
         backend_double& owner_;
         std::unique_ptr<stream_connection> stream_;
