Give each process of the tests ports of its own

Cause: a scenario picked ports from a place that follows from its process id, tried them and let go of them. Two scenarios with ids 1571 apart pick neighbouring ports; a port of an instance that is killed looks free to the other one. All scenarios had the same fleet key and the same numbers of instances, so an instance of one could join the other.

Evidence: of eight pairs of scenarios with ids 1571 apart, the second one failed in seven ("i3 does not listen"). Ruled out: load; a single pair on an idle machine shows it.

Change: port_reservation gives ports in blocks that are locked by files for the life of the process; tests and the bench of fleets take all ports from it. A scenario's fleet key is its own.

--- a/tests/scenarios/runner/fleet.cpp
+++ b/tests/scenarios/runner/fleet.cpp
@@ -1,11 +1,11 @@
 #include "scenarios/runner/fleet.hpp"
 
 #include "common/hashing.hpp"
+#include "support/port_reservation.hpp"
 
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
 #include <fmt/format.h>
-#include <unistd.h>
 
 #include <chrono>
 #include <fstream>
@@ -18,23 +18,13 @@
 namespace
 {
 
-// Ports below the system's range for outgoing connections: a port of that
-// range may be taken by a connection between the time that it is picked and
-// the start of its process. The first port depends on the process, so that
-// scenarios that run at once don't pick the same ones.
-constexpr std::uint16_t lowest_port = 10000;
-constexpr std::uint16_t port_range = 20000;
-constexpr std::uint32_t ports_between_processes = 331;
-
 std::vector<std::uint16_t> pick_ports(std::size_t count)
 {
-    static std::uint32_t next =
-        static_cast<std::uint32_t>(::getpid()) * ports_between_processes;
+    static test::port_reservation reservation;
     std::vector<std::uint16_t> result;
     while (result.size() < count)
     {
-        const auto port =
-            static_cast<std::uint16_t>(lowest_port + next++ % port_range);
+        const std::uint16_t port = reservation.next();
         try
         {
             const Poco::Net::ServerSocket probe{
@@ -96,7 +86,11 @@
     : options_(std::move(options))
 {
     std::filesystem::create_directories(options_.work);
-    write_file(path("fleet-key"), "scenario-fleet-key-0123456789abcd");
+    // Of its own, so that no instance of another scenario is taken for a
+    // member.
+    write_file(
+        path("fleet-key"),
+        "scenario-fleet-key-" + to_hex(sha256(options_.work.string())));
     constexpr std::size_t ports_per_instance = 3;
     const auto picked = pick_ports(options_.instances * ports_per_instance);
     for (std::size_t i = 0; i < options_.instances; ++i)
--- a/tests/support/loopback.hpp
+++ b/tests/support/loopback.hpp
@@ -1,8 +1,8 @@
 #ifndef HICKORYGAP_TESTS_SUPPORT_LOOPBACK_HPP
 #define HICKORYGAP_TESTS_SUPPORT_LOOPBACK_HPP
 
-#include "common/random.hpp"
 #include "connection/event/stream_connection.hpp"
+#include "support/port_reservation.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -14,16 +14,12 @@
 namespace hickorygap::test
 {
 
-// A port below the range of outgoing connections, different for processes that
-// run at the same time. It may be taken; callers try until one is free.
+// A port of this process alone. It may be taken by a server of the test, or by
+// a program that does not take part; callers try until one is free.
 inline std::uint16_t next_port()
 {
-    constexpr std::uint16_t first = 20000;
-    constexpr std::uint16_t count = 10000;
-    static std::uint16_t offset =
-        static_cast<std::uint16_t>(random_seed() % count);
-    offset = static_cast<std::uint16_t>((offset + 1) % count);
-    return static_cast<std::uint16_t>(first + offset);
+    static port_reservation reservation;
+    return reservation.next();
 }
 
 // Runs the loop until the condition holds; false when it does not in time.
