Heed what servers say of new requests

New on the platform's pages: a server that leaves says so in all its answers, perhaps before the list shows it (DRAIN); one that turns a request away with 503 may say for how long it wants none from this router (BUDGET).

Cause of what was missing: both fields passed by unread. A server that left got requests until the list showed it; one that declined was asked again at once. Seen with a test: 11 of 11 requests went to the server that had declined for 0.6 and 1 s; all of ten to one that was leaving, where it was the only one.

Change: the two fields are read in platform/. The table of servers keeps them; no policy chooses such a server, as a last resort neither. When all servers have declined, requests are refused at once, as not run, and callers are told to come back when the first one takes requests, the most urgent rank first, each rank spread over a fifth of that time.

Tests: gateway "a server that says it is leaving gets no more requests" and "a server that turns requests away is left alone for its time" (both failed before), platform "what a backend server says of new requests is decoded", dispatch "servers that decline or leave are not chosen" and "callers come back when servers take requests again".

--- a/src/process/gateway/exchange.cpp
+++ b/src/process/gateway/exchange.cpp
@@ -527,6 +527,10 @@
     {
         context_.table().on_replaced(backend_, now);
     }
+    else
+    {
+        note_announcements();
+    }
     if (is_rejected())
     {
         return true;
@@ -541,6 +545,27 @@
     return true;
 }
 
+// What the answer says of the server's wish for requests.
+void exchange::note_announcements()
+{
+    const backend_record* server = context_.table().find(backend_);
+    if (answer_.leaving && server != nullptr && is_staying(*server))
+    {
+        log(log_level::info, subsystem::routing,
+            "backend_announces_leaving backend={} id={}", backend_name_,
+            call_.attempt_id);
+        context_.table().on_leaving(backend_);
+    }
+    if (answer_.declines_for)
+    {
+        log(log_level::info, subsystem::routing,
+            "backend_declines backend={} id={} for_ms={:.0f}", backend_name_,
+            call_.attempt_id, milliseconds(*answer_.declines_for));
+        context_.table().on_declined(
+            backend_, context_.loop().now() + *answer_.declines_for);
+    }
+}
+
 void exchange::relay_whole_answer()
 {
     const HTTPResponse& head = connection_->reader().head();
@@ -795,7 +820,10 @@
             HTTPResponse::HTTP_SERVICE_UNAVAILABLE, request_outcome::refused,
             "no backend server could take the request; it has not run",
             context_.advisor(service_).advice(
-                {time_left().value_or(route_->timeout), rank_below_first()},
+                {time_left().value_or(route_->timeout), rank_below_first(),
+                 time_until_accepted(
+                     context_.table().members(service_),
+                     context_.loop().now())},
                 context_.loop().now()));
         return;
     case final_answer::timed_out:
--- a/src/process/gateway/exchange.hpp
+++ b/src/process/gateway/exchange.hpp
@@ -58,6 +58,7 @@
 
     bool read_head();
     void try_another_connection();
+    void note_announcements();
     bool is_own_answer() const;
     bool is_rejected() const;
     void relay_whole_answer();
--- a/src/request/dialect/request_dialect.hpp
+++ b/src/request/dialect/request_dialect.hpp
@@ -97,6 +97,12 @@
     // The request was meant for another backend server.
     bool wrong_server = false;
 
+    // The server is about to stop and wants no new requests.
+    bool leaving = false;
+
+    // The server wants no requests from this router for so long.
+    std::optional<duration> declines_for;
+
     // The body is not in the form in which the server made it.
     bool altered = false;
 
--- a/src/request/dispatch/backend_table.cpp
+++ b/src/request/dispatch/backend_table.cpp
@@ -261,6 +261,25 @@
     average(record.failure_share, failed ? 1 : 0);
 }
 
+void backend_table::on_leaving(backend_server_id id)
+{
+    const auto found = records_.find(id);
+    if (found != records_.end())
+    {
+        found->second->announced_leaving = true;
+    }
+}
+
+void backend_table::on_declined(backend_server_id id, time_point until)
+{
+    const auto found = records_.find(id);
+    if (found != records_.end())
+    {
+        found->second->declines_until =
+            std::max(found->second->declines_until, until);
+    }
+}
+
 void backend_table::on_end(
     backend_server_id id, dispatch_outcome outcome, time_point now)
 {
@@ -356,6 +375,31 @@
            recent_failure_share(record, now) < failing_share;
 }
 
+bool is_staying(const backend_record& record)
+{
+    return !record.listed.leaving && !record.announced_leaving;
+}
+
+std::optional<duration> time_until_accepted(
+    std::span<const backend_record* const> members, time_point now)
+{
+    std::optional<duration> shortest;
+    for (const backend_record* record : members)
+    {
+        if (!is_staying(*record))
+        {
+            continue;
+        }
+        if (record->declines_until <= now)
+        {
+            return std::nullopt;
+        }
+        const duration left = record->declines_until - now;
+        shortest = std::min(shortest.value_or(left), left);
+    }
+    return shortest;
+}
+
 duration silence_of(const backend_record& record, time_point now)
 {
     return record.unanswered_since ? now - *record.unanswered_since
--- a/src/request/dispatch/backend_table.hpp
+++ b/src/request/dispatch/backend_table.hpp
@@ -125,6 +125,12 @@
     // It gets no requests before, unless no other server can take them.
     time_point avoided_until;
 
+    // It has said that it is leaving, perhaps before the list shows it.
+    bool announced_leaving = false;
+
+    // It has said that it wants no requests from this router before.
+    time_point declines_until;
+
     // Something was sent to it at this time and it has made no progress with
     // any request since.
     std::optional<time_point> unanswered_since;
@@ -172,6 +178,13 @@
     // A connection to the server could not be established.
     void on_unreachable(backend_server_id id, time_point now);
 
+    // The server said that it is leaving. Holds for good: another start of it
+    // has another identifier.
+    void on_leaving(backend_server_id id);
+
+    // The server wants no requests from this router before.
+    void on_declined(backend_server_id id, time_point until);
+
     // The server's address belongs to another one by now.
     void on_replaced(backend_server_id id, time_point now);
 
@@ -203,6 +216,14 @@
 // on.
 bool is_queueing(const backend_record& record, time_point now);
 
+// Whether the server stays, as far as it and the list say.
+bool is_staying(const backend_record& record);
+
+// Time until the first of the servers takes requests from this router again.
+// Nothing when some take them now, or when none of them stays.
+std::optional<duration> time_until_accepted(
+    std::span<const backend_record* const> members, time_point now);
+
 // Time for which the server has answered nothing although it holds requests.
 duration silence_of(const backend_record& record, time_point now);
 
--- a/src/request/dispatch/dispatch_policy.cpp
+++ b/src/request/dispatch/dispatch_policy.cpp
@@ -85,7 +85,7 @@
     std::size_t serving = 0;
     for (const backend_record* record : members)
     {
-        if (!record->listed.leaving)
+        if (is_staying(*record))
         {
             lowest_failure =
                 std::min(lowest_failure, recent_failure_share(*record, now));
@@ -101,7 +101,8 @@
     }
     for (const backend_record* record : members)
     {
-        if (record->listed.leaving || is_excluded(query, *record))
+        if (!is_staying(*record) || record->declines_until > now ||
+            is_excluded(query, *record))
         {
             continue;
         }
--- a/src/request/dispatch/retry_advisor.cpp
+++ b/src/request/dispatch/retry_advisor.cpp
@@ -21,6 +21,10 @@
 // come back together.
 constexpr double spread = 0.3;
 
+// Callers who are told when servers take requests again come back within so
+// much more than that time, the next rank within as much after them.
+constexpr double reopening_spread = 0.2;
+
 // Each rank waits so much longer than the one before it.
 constexpr double factor_per_rank = 0.5;
 constexpr std::uint32_t ranks = 2;
@@ -63,17 +67,21 @@
 
 duration retry_advisor::advice(const refused_caller& caller, time_point now)
 {
+    const auto rank = std::min(caller.rank_below_first, ranks);
+    const double drawn = std::uniform_real_distribution<>{}(random_);
+    if (caller.until_accepted)
+    {
+        return std::chrono::duration_cast<duration>(
+            *caller.until_accepted * (1 + reopening_spread * (rank + drawn)));
+    }
     const auto longest =
         std::chrono::duration_cast<duration>(caller.time_left * longest_part);
-    const double rank =
-        1 + factor_per_rank * std::min(caller.rank_below_first, ranks);
     const auto wait = std::chrono::duration_cast<duration>(
         (shortest_wait +
          std::max(longest - shortest_wait, duration{0}) * refused_share(now)) *
-        rank);
-    const double part =
-        1 - spread * std::uniform_real_distribution<>{}(random_);
-    return std::chrono::duration_cast<duration>(std::min(wait, longest) * part);
+        (1 + factor_per_rank * rank));
+    return std::chrono::duration_cast<duration>(
+        std::min(wait, longest) * (1 - spread * drawn));
 }
 
 } // namespace hickorygap
--- a/src/request/dispatch/retry_advisor.hpp
+++ b/src/request/dispatch/retry_advisor.hpp
@@ -5,6 +5,7 @@
 #include "common/time.hpp"
 
 #include <cstdint>
+#include <optional>
 
 namespace hickorygap
 {
@@ -17,6 +18,10 @@
 
     // Ranks between the most urgent requests that the service gets and its own.
     std::uint32_t rank_below_first = 0;
+
+    // Until the first server takes requests again, when all have said that they
+    // want none.
+    std::optional<duration> until_accepted = std::nullopt;
 };
 
 // Tells callers whose requests have not run when to come back, by how the
@@ -34,7 +39,8 @@
     // A request to the service ended, refused or not.
     void on_end(bool refused, time_point now);
 
-    // At most the part of its time that a caller waits.
+    // At most the part of its time that a caller waits, unless all servers have
+    // said for how long they want no requests.
     duration advice(const refused_caller& caller, time_point now);
 
 private:
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -324,6 +324,41 @@
     CHECK(request_fields{}.decode_answer(misdirected).wrong_server);
 }
 
+// Guards against a server that is leaving or turns requests away and is not
+// heard, and against a time that nobody has said.
+TEST_CASE("what a backend server says of new requests is decoded")
+{
+    struct row
+    {
+        int status;
+        std::string leaving;
+        std::string retry_after;
+        bool is_leaving;
+        std::optional<duration> declines_for;
+    };
+    const auto tested = GENERATE(
+        row{200, "1", "", true, {}}, row{503, "1", "2", true, 2s},
+        row{503, "", "0.25", false, 250ms}, row{503, "0", " 3 ", false, 3s},
+        row{429, "", "2", false, {}}, row{200, "", "2", false, {}},
+        row{503, "", "-1", false, {}}, row{503, "", "soon", false, {}},
+        row{503, "", "1e3", false, {}}, row{503, "", "nan", false, {}},
+        row{503, "", "99999999999999999999", false, 24h});
+    CAPTURE(tested.status, tested.leaving, tested.retry_after);
+    HTTPResponse response{static_cast<HTTPResponse::HTTPStatus>(tested.status)};
+    for (const auto& [name, value] :
+         {std::pair{"Server-Leaving", tested.leaving},
+          std::pair{"Retry-After", tested.retry_after}})
+    {
+        if (!value.empty())
+        {
+            response.set(name, value);
+        }
+    }
+    const backend_answer answer = request_fields{}.decode_answer(response);
+    CHECK(answer.leaving == tested.is_leaving);
+    CHECK(answer.declines_for == tested.declines_for);
+}
+
 // Guards against an operator's call that does something else.
 TEST_CASE("operators' calls are told apart")
 {
--- a/tests/process/gateway/exchange_test.cpp
+++ b/tests/process/gateway/exchange_test.cpp
@@ -54,6 +54,16 @@
                : caller.received().substr(start, length);
 }
 
+// Seconds in the field Retry-After of an answer; zero without one.
+double retry_after_of(const caller_double& caller)
+{
+    const std::string name = "Retry-After: ";
+    const std::size_t field = caller.received().find(name);
+    return field == std::string::npos
+               ? 0
+               : std::stod(caller.received().substr(field + name.size()));
+}
+
 bool is_answered(const caller_double& caller)
 {
     return !status_of(caller).empty() || caller.ended();
@@ -596,6 +606,127 @@
     CHECK(runs == 2);
 }
 
+// Failure: a server that is about to stop says so in its answers, and the list
+// shows it later. Guards against new requests that it gets meanwhile, and
+// against callers that wait for a server when only leaving ones are left.
+TEST_CASE("a server that says it is leaving gets no more requests")
+{
+    const auto [label, kind, first_answer] =
+        GENERATE(table<std::string, call_kind, std::string>({
+            {"success", call_kind::non_repeatable,
+             answer("200 OK", "", sealed + "Server-Leaving: 1\r\n")},
+            {"failure", call_kind::non_repeatable,
+             answer(
+                 "500 Internal Server Error", "",
+                 sealed + "Server-Leaving: 1\r\n")},
+            {"rejection", call_kind::non_repeatable,
+             answer(
+                 "503 Service Unavailable", "",
+                 "Request-Id: a1\r\nNot-Run: 1\r\nServer-Leaving: 1\r\n")},
+            {"stream", call_kind::streaming,
+             "HTTP/1.1 200 OK\r\n" + sealed +
+                 "Server-Leaving: 1\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                 chunk(event(1)) + "0\r\n\r\n"},
+        }));
+    CAPTURE(label);
+    const std::size_t others = GENERATE(0, 1);
+    CAPTURE(others);
+    gateway_fixture fixture{gateway_fixture::make_route(kind, 1)};
+    const backend_double& leaving = fixture.add_backend(
+        [text = first_answer](connection& to, const received_request&)
+        { to.write(text); });
+    const caller_double& first = fixture.call(gateway_fixture::request_text());
+    REQUIRE(fixture.run_until([&] { return is_answered(first); }));
+    for (std::size_t i = 0; i < others; ++i)
+    {
+        fixture.add_backend(
+            [is_stream = kind == call_kind::streaming](
+                connection& to, const received_request&)
+            {
+                to.write(
+                    is_stream ? stream_head + chunk(event(1)) + "0\r\n\r\n"
+                              : answer("200 OK", "fine"));
+            });
+    }
+    // The list is read again and shows nothing of it yet.
+    fixture.add_dead_backend();
+    for (int i = 0; i < 10; ++i)
+    {
+        const time_point start = boot_now();
+        const caller_double& caller =
+            fixture.call(gateway_fixture::request_text());
+        REQUIRE(fixture.run_until([&] { return is_answered(caller); }));
+        CHECK(boot_now() - start < 200ms);
+        CHECK(status_of(caller) == (others > 0 ? "200" : "503"));
+    }
+    CHECK(leaving.requests().size() == 1);
+}
+
+// Failure: a server turns requests away with 503 and says for how long. Guards
+// against requests that it gets within that time, and against callers that are
+// told to come back before any server takes them.
+TEST_CASE("a server that turns requests away is left alone for its time")
+{
+    const auto [label, retry_after, is_obeyed] =
+        GENERATE(table<std::string, std::string, bool>({
+            {"fraction", "0.6", true},
+            {"seconds", "1", true},
+            {"no number", "soon", false},
+            {"negative", "-1", false},
+        }));
+    CAPTURE(label);
+    const std::size_t others = GENERATE(0, 1);
+    CAPTURE(others);
+    route routed = gateway_fixture::make_route(call_kind::non_repeatable, 1);
+    routed.timeout = 9s;
+    gateway_fixture fixture{routed};
+    const backend_double& full = fixture.add_backend(
+        [text = answer(
+             "503 Service Unavailable", "",
+             "Request-Id: a1\r\nNot-Run: 1\r\nRetry-After: " + retry_after +
+                 "\r\n")](connection& to, const received_request&)
+        { to.write(text); });
+    const auto call = [&]() -> const caller_double&
+    {
+        const caller_double& caller = fixture.call(
+            gateway_fixture::request_text("Deadline-Ms: 9000\r\n"));
+        REQUIRE(fixture.run_until([&] { return is_answered(caller); }));
+        return caller;
+    };
+    call();
+    for (std::size_t i = 0; i < others; ++i)
+    {
+        fixture.add_backend([](connection& to, const received_request&)
+                            { to.write(answer("200 OK", "fine")); });
+    }
+    for (int i = 0; i < 20; ++i)
+    {
+        const caller_double& caller = call();
+        if (is_obeyed && others > 0)
+        {
+            CHECK(status_of(caller) == "200");
+        }
+        else if (is_obeyed)
+        {
+            CHECK(status_of(caller) == "503");
+            // Not before it takes requests again, and not all at that time.
+            const double wait = retry_after_of(caller);
+            const double limit = std::stod(retry_after);
+            CHECK(wait > limit - 0.3);
+            CHECK(wait < limit * 1.25);
+        }
+    }
+    CHECK((full.requests().size() == 1) == is_obeyed);
+    // Its time is over.
+    fixture.run_for(is_obeyed ? 1050ms : 0ms);
+    for (int i = 0; i < 20; ++i)
+    {
+        call();
+        fixture.run_for(is_obeyed ? 1050ms / 20 : 0ms);
+    }
+    CHECK(full.requests().size() > 1);
+}
+
 // Failure: a server sends bytes that are no answer without end, in a head or a
 // body, until its connection closes. Guards against memory that fills up and
 // against callers that wait for such a server until their time is over.
--- a/tests/request/dispatch/dispatch_policy_test.cpp
+++ b/tests/request/dispatch/dispatch_policy_test.cpp
@@ -68,6 +68,36 @@
 
 } // namespace
 
+// Load: servers that are full tell this router for how long they want nothing.
+// Guards against requests to them, as a last resort too, and against a wrong
+// time at which callers may come back.
+TEST_CASE("servers that decline or leave are not chosen")
+{
+    fixture f{3};
+    least_cost_policy cost{1};
+    prefix_affinity_policy affinity;
+    dispatch_policy* policy =
+        GENERATE_REF(static_cast<dispatch_policy*>(&cost), &affinity);
+    const auto members = f.table.members("reports");
+    f.table.on_declined(members[0]->id, f.now + 2s);
+    f.table.on_declined(members[0]->id, f.now + 1s);
+    f.table.on_leaving(members[1]->id);
+    CHECK_FALSE(time_until_accepted(members, f.now));
+    for (int i = 0; i < 20; ++i)
+    {
+        CHECK(f.choose(*policy, key).backend == members[2]);
+    }
+    f.table.on_declined(members[2]->id, f.now + 3s);
+    CHECK(f.choose(*policy, key).backend == nullptr);
+    CHECK(time_until_accepted(members, f.now) == 2s);
+    // The list still shows all of them.
+    f.table.replace(make_list(3));
+    CHECK(f.choose(*policy, key).backend == nullptr);
+    f.now = f.now + 2s;
+    CHECK_FALSE(time_until_accepted(members, f.now));
+    CHECK(f.choose(*policy, key).backend == members[0]);
+}
+
 // Load: many requests about a few popular prompts, seen by several routers.
 // Guards against routers that send the same prompt to different engines.
 TEST_CASE("requests about one prompt go to one engine on every router")
--- a/tests/request/dispatch/retry_advisor_test.cpp
+++ b/tests/request/dispatch/retry_advisor_test.cpp
@@ -54,6 +54,25 @@
     CHECK(advice <= most);
 }
 
+// Load: all servers are full and have said for how long. Guards against callers
+// who come back before, or all at that time, or the least urgent first.
+TEST_CASE("callers come back when servers take requests again")
+{
+    const std::uint32_t rank = GENERATE(0, 1, 2, 9);
+    CAPTURE(rank);
+    retry_advisor advisor{7};
+    const double later = 0.2 * std::min(rank, 2U);
+    std::vector<duration> waits;
+    for (int i = 0; i < 50; ++i)
+    {
+        waits.push_back(advisor.advice({1s, rank, 2s}, {1h}));
+    }
+    const auto [first, last] = std::ranges::minmax(waits);
+    CHECK(first >= 2s * (1 + later) - 1us);
+    CHECK(last <= 2s * (1.2 + later));
+    CHECK(last - first > 200ms);
+}
+
 TEST_CASE("urgent callers come back first")
 {
     const double share = GENERATE(0.0, 0.3);
