Send the first list of backend servers to one voter after the other

What callers saw: after all processes had been killed at 300 machines and 3,000 servers, the fleet served again 6 s later, through a second election.

Cause: the leader sends each version of the list to all other voters at once. The first one after a start is complete, 58 kB for each of four, beside the documents for routers that take half of the link (4.2 Mbit/s); heartbeats wait behind it, and the leader lost its majority 0.6 s after it had read the list.

Ruled out: a slow election (0.8 s after the start); reads starved by routers that read the list themselves (none did).

Change: the list goes to one voter after the other, in a quarter of the link.

Test: fleet_process "a long list leaves room for heartbeats on the leader's link".

--- a/src/process/fleet_process/transfer_queue.cpp
+++ b/src/process/fleet_process/transfer_queue.cpp
@@ -47,4 +47,15 @@
     return std::max(duration{0}, busy_until_ - now);
 }
 
+duration
+voter_transfer_interval(std::size_t bytes, double link_megabits_per_second)
+{
+    // Share of the leader's link.
+    constexpr double voter_share = 0.25;
+    constexpr double bytes_per_megabit = 1e6 / 8;
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>{
+        static_cast<double>(bytes) /
+        (link_megabits_per_second * bytes_per_megabit * voter_share)});
+}
+
 } // namespace hickorygap
--- a/src/process/fleet_process/transfer_queue.hpp
+++ b/src/process/fleet_process/transfer_queue.hpp
@@ -61,6 +61,12 @@
     std::deque<transfer> waiting_;
 };
 
+// Interval at which a leader sends a document of so many bytes to one voter
+// after the other, so that they take a fixed part of its link: heartbeats share
+// it, and documents for routers take half of it.
+duration
+voter_transfer_interval(std::size_t bytes, double link_megabits_per_second);
+
 } // namespace hickorygap
 
 #endif
--- a/src/process/voter_node/router_feed.cpp
+++ b/src/process/voter_node/router_feed.cpp
@@ -349,7 +349,7 @@
         "size={}",
         backends_.version().epoch, backends_.version().sequence,
         change->changed, change->removed, list->size());
-    send_to_voters(make_payload(*backends_.changes_since(previous)));
+    send_to_voters(*backends_.changes_since(previous));
     on_new_backend_list();
 }
 
@@ -370,14 +370,30 @@
     }
 }
 
-void router_feed::send_to_voters(const wire::payloadUnion& payload)
+// One after the other: the first list after a start is long, and heartbeats to
+// the voters wait behind what is sent to them.
+void router_feed::send_to_voters(const wire::backends_push_msg& changes)
 {
+    const duration interval = voter_transfer_interval(
+        changes.changes.size(), link_megabits_per_second_);
+    duration wait{0};
     for (const voter_identity& voter : voter_->raft().configuration()->voters)
     {
-        if (voter.instance != self_)
+        if (voter.instance == self_)
         {
-            links_.send(voter.instance, payload);
+            continue;
         }
+        if (wait == duration{0})
+        {
+            links_.send(voter.instance, make_payload(changes));
+        }
+        else
+        {
+            loop_.after(
+                wait, [this, to = voter.instance, changes]
+                { links_.send(to, make_payload(changes)); });
+        }
+        wait += interval;
     }
 }
 
--- a/src/process/voter_node/router_feed.hpp
+++ b/src/process/voter_node/router_feed.hpp
@@ -73,7 +73,7 @@
     void on_backend_list(absl::StatusOr<std::vector<listed_backend>> list);
     void on_backends(instance_id from, const wire::backends_push_msg& push);
     void on_new_backend_list();
-    void send_to_voters(const wire::payloadUnion& payload);
+    void send_to_voters(const wire::backends_push_msg& changes);
     void summarize_loads();
     void send_blame();
 
--- a/tests/process/fleet_process/transfer_queue_test.cpp
+++ b/tests/process/fleet_process/transfer_queue_test.cpp
@@ -127,3 +127,18 @@
     queue.sent(1000);
     CHECK_FALSE(queue.take({60s + 500ms}));
 }
+
+// Load: a start with some thousand backend servers. The first list took the
+// leader's link for longer than its voters wait for a heartbeat, and the fleet
+// served only after a second election. Guards against a list that goes to all
+// voters at once.
+TEST_CASE("a long list leaves room for heartbeats on the leader's link")
+{
+    const auto [bytes, megabits, shortest] =
+        GENERATE(table<std::size_t, double, duration>(
+            {{58'000, 4.2, 440ms}, {58'000, 1000, 1ms}, {100, 4.2, 0ms}}));
+    CAPTURE(bytes, megabits);
+    const duration interval = voter_transfer_interval(bytes, megabits);
+    CHECK(interval >= shortest);
+    CHECK(interval < shortest + 10ms);
+}
