--- a/src/process/explain/request_trace.cpp
+++ b/src/process/explain/request_trace.cpp
@@ -154,6 +154,13 @@
                 "it was not sent again because the fleet's allowance for "
                 "repeats was used up");
         }
+        else if (record.event == "request_is_quarantined")
+        {
+            output.push_back(fmt::format(
+                "it was not sent because servers had crashed under the same "
+                "request before; see the failed attempts with fingerprint {}",
+                record.field("fingerprint")));
+        }
         else if (
             record.event == "attempt_failed" ||
             record.event == "backend_unreachable")
--- a/src/process/gateway/crash_monitor.cpp
+++ b/src/process/gateway/crash_monitor.cpp
@@ -46,9 +46,9 @@
 void crash_monitor::check(backend_server_id backend)
 {
     const backend_record* record = pool_.table().find(backend);
-    if (record == nullptr)
+    if (record == nullptr || !is_staying(*record))
     {
-        // No longer listed: it left in an orderly way.
+        // A server that leaves ends sooner or later, with what is on it.
         unchecked_.erase(backend);
         return;
     }
--- a/tests/process/explain/request_trace_test.cpp
+++ b/tests/process/explain/request_trace_test.cpp
@@ -107,6 +107,12 @@
          "status=503 outcome=refused sends=0 service=llm "
          "refused_connections=3\n",
          {"no server of service llm could take it (3 connections refused)"}},
+        {"r1 2026-03-15T17:00:00.006Z info attempt request_is_quarantined "
+         "id=a1 fingerprint=00ab left_ms=9\n"
+         "r1 2026-03-15T17:00:00.006Z warning http request_ended id=a1 "
+         "status=503 outcome=quarantined sends=0\n",
+         {"servers had crashed under the same request before; see the failed "
+          "attempts with fingerprint 00ab"}},
         {"r1 2026-03-15T17:00:00.006Z info http request_ended id=a1 "
          "status=200 outcome=answered sends=1 backend=i-7 "
          "first_event_ms=1078 took_ms=2000\n",
--- a/tests/process/gateway/crash_monitor_test.cpp
+++ b/tests/process/gateway/crash_monitor_test.cpp
@@ -68,6 +68,40 @@
     CHECK(sends_to(servers) == calls);
 }
 
+// Guards against requests that are blamed for the planned end of a server.
+TEST_CASE("a server that leaves and ends has not crashed")
+{
+    const bool is_leaving = GENERATE(true, false);
+    CAPTURE(is_leaving);
+    gateway_fixture fixture{
+        gateway_fixture::make_route(call_kind::non_repeatable, 1)};
+    backend_double* server = nullptr;
+    server = &fixture.add_backend(
+        [is_leaving](connection& to, const received_request& got)
+        {
+            if (got.body == "answered")
+            {
+                to.write(fmt::format(
+                    "HTTP/1.1 200 OK\r\nRequest-Id: a1\r\nReply-Seal: s\r\n"
+                    "{}Content-Length: 0\r\n\r\n",
+                    is_leaving ? "Server-Leaving: 1\r\n" : ""));
+            }
+        });
+    const caller_double& held =
+        fixture.call(gateway_fixture::request_text("", "held"));
+    REQUIRE(fixture.run_until([&] { return server->requests().size() == 1; }));
+    const caller_double& answered =
+        fixture.call(gateway_fixture::request_text("", "answered"));
+    REQUIRE(fixture.run_until([&] { return is_answered(answered); }));
+    server->crash();
+    REQUIRE(fixture.run_until([&] { return is_answered(held); }));
+    fixture.run_for(20ms);
+    CHECK(
+        fixture.context().blame().is_suspect(
+            fixture.fingerprint("held"), fixture.context().loop().now()) !=
+        is_leaving);
+}
+
 // Load: servers with as many connections as they take; each refuses new ones
 // and drops some. Guards against taking that for crashes.
 TEST_CASE("a server that refuses further connections has not crashed")
