--- a/src/connection/h1/message_framing.hpp
+++ b/src/connection/h1/message_framing.hpp
@@ -13,6 +13,10 @@
 namespace hickorygap
 {
 
+// Field of answers that says when to come back, in seconds, RFC 9110 section
+// 10.2.3.
+inline constexpr std::string_view retry_after_field = "Retry-After";
+
 // How the end of a body is found.
 enum class body_kind
 {
--- a/src/connection/http/json_error.cpp
+++ b/src/connection/http/json_error.cpp
@@ -1,5 +1,7 @@
 #include "connection/http/json_error.hpp"
 
+#include "connection/h1/message_framing.hpp"
+
 #include <Poco/JSON/Object.h>
 
 #include <sstream>
@@ -92,7 +94,7 @@
     if (reason.retry_after > duration::zero())
     {
         response.set(
-            "Retry-After",
+            std::string{retry_after_field},
             std::to_string(retry_after_seconds(reason.retry_after)));
     }
     const std::string body = error_body(reason);
--- a/src/process/gateway/answer_relay.cpp
+++ b/src/process/gateway/answer_relay.cpp
@@ -2,6 +2,7 @@
 
 #include "common/logging.hpp"
 #include "connection/h1/http_endpoint.hpp"
+#include "connection/h1/message_framing.hpp"
 
 #include <fmt/format.h>
 
@@ -140,7 +141,7 @@
     if (retry_after)
     {
         answer.fields.emplace_back(
-            "Retry-After",
+            std::string{retry_after_field},
             fmt::format(
                 "{:.2f}", std::chrono::duration<double>(*retry_after).count()));
     }
--- a/src/process/voter_node/operator_service.cpp
+++ b/src/process/voter_node/operator_service.cpp
@@ -3,6 +3,7 @@
 #include "common/json.hpp"
 #include "common/logging.hpp"
 #include "common/status_text.hpp"
+#include "connection/h1/message_framing.hpp"
 
 #include <fmt/format.h>
 
@@ -29,7 +30,7 @@
     answer.body = fmt::format("{{\"error\":{}}}", json_quote(text));
     if (status == HTTPResponse::HTTP_SERVICE_UNAVAILABLE)
     {
-        answer.fields.emplace_back("Retry-After", "0.3");
+        answer.fields.emplace_back(std::string{retry_after_field}, "0.3");
     }
     return answer;
 }
