--- a/src/common/ids.hpp
+++ b/src/common/ids.hpp
@@ -37,6 +37,9 @@
 // fingerprints.
 using request_fingerprint = std::uint64_t;
 
+// Identifier of a part of a prompt, as callers name it.
+using prompt_part_id = std::uint64_t;
+
 // Priority of a request; lower values are served first.
 enum class rank : std::uint8_t
 {
--- a/src/process/gateway/exchange.cpp
+++ b/src/process/gateway/exchange.cpp
@@ -5,6 +5,7 @@
 #include "request/blame/blame_tracker.hpp"
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <algorithm>
 #include <utility>
@@ -53,6 +54,18 @@
     return target.substr(0, target.find('?'));
 }
 
+// Identifiers of the parts that other requests can have too. The last part of a
+// prompt belongs to the request or its chat alone.
+std::vector<prompt_part_id> shared_parts_of(std::span<const prompt_part> prompt)
+{
+    std::vector<prompt_part_id> parts;
+    for (std::size_t i = 0; i + 1 < prompt.size(); ++i)
+    {
+        parts.push_back(prompt[i].id);
+    }
+    return parts;
+}
+
 double milliseconds(duration value)
 {
     return std::chrono::duration<double, std::milli>(value).count();
@@ -699,10 +712,11 @@
     may_have_run_ = may_have_run_ || may_have_run;
     log(log_level::info, subsystem::attempt,
         "attempt_failed id={} backend={} outcome={} may_have_run={} send={} "
-        "events={} after_ms={:.0f} fingerprint={:016x}",
+        "events={} after_ms={:.0f} fingerprint={:016x} parts={:x}",
         call_.attempt_id, backend_name_, dispatch_outcome_name(outcome),
         may_have_run, sends_, relay_.events(),
-        milliseconds(context_.loop().now() - sent_at_), fingerprint_);
+        milliseconds(context_.loop().now() - sent_at_), fingerprint_,
+        fmt::join(shared_parts_of(call_.prompt), ","));
     end_attempt(outcome);
     if (outcome == dispatch_outcome::broken)
     {
--- a/src/request/dialect/request_dialect.hpp
+++ b/src/request/dialect/request_dialect.hpp
@@ -2,6 +2,7 @@
 #define HICKORYGAP_REQUEST_DIALECT_REQUEST_DIALECT_HPP
 
 #include "common/address.hpp"
+#include "common/ids.hpp"
 #include "common/time.hpp"
 
 #include <Poco/Net/HTTPRequest.h>
@@ -20,7 +21,7 @@
 // A part of a prompt that several requests can have in common.
 struct prompt_part
 {
-    std::uint64_t id = 0;
+    prompt_part_id id = 0;
     std::uint32_t tokens = 0;
 };
 
