--- a/tests/process/route_fleet/crashing_request_test.cpp
+++ b/tests/process/route_fleet/crashing_request_test.cpp
@@ -85,6 +85,42 @@
     return !caller.received().empty() || caller.ended();
 }
 
+const std::string crashing_part = "dead0:50";
+
+// The target: five crashes show the part, and three more requests may be under
+// way. Each of them can crash one server.
+constexpr std::size_t max_crashes_by_part = 8;
+
+// A server that crashes when it starts a request with the crashing part in its
+// prompt, and answers all others after a delay.
+backend_double::script
+crashing_part_script(event_loop& loop, backend_double*& self)
+{
+    return [&loop,
+            &self](backend_double::connection& to, const received_request& got)
+    {
+        if (got.head->get("Prompt-Prefix").find(crashing_part) !=
+            std::string::npos)
+        {
+            self->crash();
+            return;
+        }
+        loop.after(
+            60ms,
+            [&to, id = got.head->get("Request-Id"),
+             is_stream = got.body.starts_with("stream")]
+            {
+                to.write(fmt::format(
+                    "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nReply-Seal: s\r\n{}",
+                    id,
+                    is_stream ? "Content-Type: text/event-stream\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n"
+                                "f\r\nid: 1\ndata: x\n\n\r\n0\r\n\r\n"
+                              : "Content-Length: 4\r\n\r\nfine"));
+            });
+    };
+}
+
 } // namespace
 
 // Guards against routers that each let the same request crash more servers, and
@@ -154,3 +190,79 @@
     const auto lost = tested.kind == "unsafe" ? crashed : 0;
     CHECK(served + lost >= static_cast<std::ptrdiff_t>(healthy.size()));
 }
+
+// Guards against routers that recognise a crashing request only by its whole
+// content. One part of the prompt crashes every server that runs it, and no two
+// requests with that part are alike; healthy requests have the same caller and
+// the same other parts.
+TEST_CASE("a prompt part that crashes servers is quarantined by all routers")
+{
+    struct row
+    {
+        std::string label;
+        std::string kind;
+        std::string prompt;
+    };
+    const auto tested = GENERATE(
+        row{"first part", "safe", "{part},a1:500,{own}:20"},
+        row{"inner part", "streaming", "a1:500,{part},b2:90,{own}:20"},
+        row{"last shared part", "streaming", "a1:500,b2:90,{part},{own}:20"},
+        row{"only shared part", "unsafe", "{part},{own}:20"});
+    CAPTURE(tested.label);
+    constexpr std::size_t servers_of_part_test = 16;
+    constexpr std::size_t calls = 24;
+    route_fleet fleet{routers, fmt::format(document_template, tested.kind)};
+    std::vector<backend_double*> servers(servers_of_part_test, nullptr);
+    for (backend_double*& server : servers)
+    {
+        server = &fleet.add_backend(crashing_part_script(fleet.loop(), server));
+    }
+    fleet.await_readiness();
+    std::size_t sent = 0;
+    const auto call = [&](bool is_crashing) -> const caller_double&
+    {
+        ++sent;
+        std::string prompt = tested.prompt;
+        const auto replace = [&](std::string_view from, std::string_view to)
+        { prompt.replace(prompt.find(from), from.size(), to); };
+        replace("{part}", is_crashing ? crashing_part : "c3:50");
+        replace("{own}", fmt::format("{:x}", 0xf000 + sent));
+        return fleet.call(
+            sent % routers,
+            gateway_fixture::request_text(
+                fmt::format(
+                    "Deadline-Ms: 3000\r\nModel: m\r\nToken-Count: "
+                    "700,10\r\nPrompt-Prefix: {}\r\n",
+                    prompt),
+                fmt::format("stream {}", sent), "POST",
+                fmt::format("p{}", sent)));
+    };
+    std::vector<const caller_double*> healthy;
+    for (std::size_t i = 0; i < calls; ++i)
+    {
+        healthy.push_back(&call(false));
+        fleet.run_for(10ms);
+        const caller_double& crashing = call(true);
+        REQUIRE(run_until(
+            fleet.loop(), [&] { return is_answered(crashing); }, 4s));
+        healthy.push_back(&call(false));
+        fleet.run_for(200ms);
+    }
+    const auto crashed = static_cast<std::size_t>(
+        std::ranges::count_if(servers, &backend_double::crashed));
+    CHECK(crashed <= max_crashes_by_part);
+    REQUIRE(run_until(
+        fleet.loop(),
+        [&]
+        {
+            return std::ranges::all_of(
+                healthy, [](const auto* each) { return is_answered(*each); });
+        },
+        4s));
+    const auto served = static_cast<std::size_t>(std::ranges::count_if(
+        healthy, [](const caller_double* each)
+        { return each->received().starts_with("HTTP/1.1 200"); }));
+    // A non-repeatable request is lost with its server.
+    const std::size_t lost = tested.kind == "unsafe" ? crashed : 0;
+    CHECK(served + lost >= healthy.size());
+}
