Test answers without a length and streams that end inside an event

Ruled out: that a reset, or an end inside an event, is relayed as a complete response, with the connection, a length or chunks.

--- a/tests/process/gateway/exchange_test.cpp
+++ b/tests/process/gateway/exchange_test.cpp
@@ -404,6 +404,118 @@
     }
 }
 
+// Guards against a complete response that is taken for a broken one because it
+// has neither a length nor chunks, and against a truncated one that looks
+// complete to the caller.
+TEST_CASE("a response without a length ends with its connection")
+{
+    struct row
+    {
+        std::string label;
+        call_kind kind;
+        std::string body;
+        bool is_reset;
+        bool is_complete;
+    };
+    const auto tested = GENERATE(
+        row{"whole", call_kind::non_repeatable, "fine", false, true},
+        row{"empty", call_kind::non_repeatable, "", false, true},
+        row{"whole, reset", call_kind::non_repeatable, "fine", true, false},
+        row{"stream", call_kind::streaming, event(1) + event(2), false, true},
+        row{"stream, reset", call_kind::streaming, event(1) + event(2), true,
+            false},
+        row{"stream, cut in an event", call_kind::streaming,
+            event(1) + "id: 2\ndata: pi", false, false},
+        row{"stream, cut before the empty line", call_kind::streaming,
+            event(1) + "id: 2\ndata: piece 2\n", false, false});
+    CAPTURE(tested.label);
+    gateway_fixture fixture{gateway_fixture::make_route(tested.kind, 1)};
+    fixture.add_backend(
+        [&](connection& to, const received_request&)
+        {
+            to.write("HTTP/1.1 200 OK\r\n" + sealed + "\r\n" + tested.body);
+            // The reset must not overtake the bytes.
+            fixture.context().loop().after(
+                20ms, [&] { tested.is_reset ? to.reset() : to.close(); });
+        });
+    const caller_double& caller = fixture.call(gateway_fixture::request_text());
+    const bool is_stream = tested.kind == call_kind::streaming;
+    const std::string end = is_stream ? "0\r\n\r\n" : tested.body;
+    REQUIRE(fixture.run_until(
+        [&]
+        {
+            return caller.ended() || status_of(caller) == "502" ||
+                   caller.received().ends_with(end);
+        }));
+    fixture.run_for(50ms);
+    if (tested.is_complete)
+    {
+        CHECK(status_of(caller) == "200");
+        CHECK(caller.received().ends_with(end));
+        CHECK_FALSE(caller.ended());
+        // Callers can tell a complete response from a truncated one.
+        CHECK_THAT(
+            caller.received(),
+            Catch::Contains(
+                is_stream ? "Transfer-Encoding: chunked\r\n"
+                          : fmt::format(
+                                "Content-Length: {}\r\n", tested.body.size())));
+    }
+    else if (is_stream)
+    {
+        CHECK(caller.ended());
+        CHECK_FALSE(caller.received().ends_with(end));
+        CHECK_THAT(caller.received(), !Catch::Contains("id: 2\ndata: pi\r"));
+    }
+    else
+    {
+        CHECK(status_of(caller) == "502");
+    }
+}
+
+// Guards against a stream that ends inside an event and is taken for complete,
+// whichever way the end of its body is given: its rest must come from another
+// server.
+TEST_CASE("a stream that ends inside an event is resumed")
+{
+    const std::string text = event(1) + "id: 2\ndata: pi";
+    const auto [label, head, body] =
+        GENERATE_COPY(table<std::string, std::string, std::string>({
+            {"with its connection", "", text},
+            {"after its length",
+             fmt::format("Content-Length: {}\r\n", text.size()), text},
+            {"after its chunks", "Transfer-Encoding: chunked\r\n",
+             chunk(text) + "0\r\n\r\n"},
+        }));
+    CAPTURE(label);
+    route routed = gateway_fixture::make_route(call_kind::streaming, 2);
+    routed.resumable = true;
+    gateway_fixture fixture{routed};
+    std::size_t sends = 0;
+    for (int i = 0; i < 2; ++i)
+    {
+        fixture.add_backend(
+            [&, head = head,
+             body = body](connection& to, const received_request& request)
+            {
+                if (++sends == 1)
+                {
+                    to.write(
+                        "HTTP/1.1 200 OK\r\n" + sealed + head + "\r\n" + body);
+                    to.close();
+                    return;
+                }
+                CHECK(request.head->get("Last-Event-Id", "") == "1");
+                to.write("HTTP/1.1 200 OK\r\n" + sealed + "\r\n" + event(2));
+                to.close();
+            });
+    }
+    const caller_double& caller = fixture.call(gateway_fixture::request_text());
+    const std::string end = chunk(event(1)) + chunk(event(2)) + "0\r\n\r\n";
+    CHECK(fixture.run_until([&] { return caller.received().ends_with(end); }));
+    CHECK(sends == 2);
+}
+
 // Guards against streams that wait indefinitely for a server that has stopped
 // in the middle but still sends a byte or a comment now and then, and against
 // slow streams that are taken from a healthy server.
--- a/tests/process/gateway/gateway_fixture.hpp
+++ b/tests/process/gateway/gateway_fixture.hpp
@@ -29,6 +29,7 @@
     public:
         connection(backend_double& owner, const Poco::Net::StreamSocket& socket)
             : owner_{owner}
+            , socket_{socket}
             , stream_{std::make_unique<stream_connection>(
                   owner.loop_, socket, *this)}
         {
@@ -59,6 +60,13 @@
             stream_->close();
         }
 
+        // Ends the connection with a reset instead of an orderly close.
+        void reset()
+        {
+            socket_.setLinger(true, 0);
+            stream_->close();
+        }
+
         // Writes the bytes repeatedly until the peer closes the connection, as
         // fast as it reads them. `count` gets the number of bytes.
         void write_endlessly(const std::string& bytes, std::size_t& count)
@@ -79,6 +87,7 @@
 
     private:
         backend_double& owner_;
+        Poco::Net::StreamSocket socket_;
         std::unique_ptr<stream_connection> stream_;
         request_reader reader_;
     };
