Broadcast only what proves a quarantine, at the pace of the link

Cause: each change sent all crashes of all suspected parts to every router, every 20 ms at most: kilobytes, 200 times, over a link of 525 kB/s.

Change: routers get a proof for quarantined parts only, one request of each of the last six crashes; news at once, and the next ones when the last broadcast has taken its share of the link (broadcast_interval, as loads do).

A test of that load counts the entries.

--- a/src/process/fleet_process/fleet_crash_tracker.cpp
+++ b/src/process/fleet_process/fleet_crash_tracker.cpp
@@ -140,6 +140,15 @@
     entries.push_back(std::move(entry));
 }
 
+template <typename Entry>
+void push_unique(std::vector<Entry>& entries, const Entry& entry)
+{
+    if (std::ranges::find(entries, entry) == entries.end())
+    {
+        push_bounded(entries, entry);
+    }
+}
+
 void log_quarantine(request_fingerprint fingerprint, std::string_view source)
 {
     log(log_level::warning, subsystem::attempt,
@@ -256,8 +265,10 @@
         report, tracker_.repeated_crashes(time), time, max_broadcast_entries);
     add_quarantines(
         report, tracker_.quarantines(time), time, max_broadcast_entries);
-    add_part_suspects(
-        report, parts_.repeated_crashes(), time, max_broadcast_entries);
+    for (const prompt_part_id part : parts_.quarantined())
+    {
+        add_part_suspects(report, parts_.proof_against(part), time);
+    }
     std::vector<answered_part> cleared;
     std::ranges::copy_if(
         cleared_, std::back_inserter(cleared),
@@ -267,6 +278,32 @@
     return unless_empty(std::move(report));
 }
 
+std::optional<wire::blame_report_msg>
+fleet_crash_tracker::take_router_news(time_point now)
+{
+    const unix_millis time = tracker_time(now);
+    const auto changed = std::exchange(changed_requests_, {});
+    const auto is_unchanged = [&](const auto& entry)
+    { return std::ranges::find(changed, entry.fingerprint) == changed.end(); };
+    wire::blame_report_msg news;
+    auto suspects = tracker_.repeated_crashes(time);
+    std::erase_if(suspects, is_unchanged);
+    add_suspects(news, suspects, time, max_broadcast_entries);
+    auto quarantines = tracker_.quarantines(time);
+    std::erase_if(quarantines, is_unchanged);
+    add_quarantines(news, quarantines, time, max_broadcast_entries);
+    for (const prompt_part_id part : std::exchange(changed_parts_, {}))
+    {
+        if (parts_.is_quarantined(part))
+        {
+            add_part_suspects(news, parts_.proof_against(part), time);
+        }
+    }
+    add_answers(
+        news, std::exchange(newly_cleared_, {}), time, max_broadcast_entries);
+    return unless_empty(std::move(news));
+}
+
 std::optional<wire::blame_report_msg>
 fleet_crash_tracker::take_trials(time_point now)
 {
@@ -285,39 +322,43 @@
     const wire::blame_report_msg& report, time_point now)
 {
     const unix_millis time = tracker_time(now);
-    const bool requests_changed = merge_requests(report, time);
-    const bool parts_changed = merge_parts(report, time);
+    const std::uint64_t news_before = router_news_;
+    merge_requests(report, time);
+    merge_parts(report, time);
     for (const prompt_part_id part : report.trials)
     {
         log(log_level::info, subsystem::attempt,
             "part_trial_permitted part={:x}", part);
         parts_.permit_trial(part, time);
     }
-    return requests_changed || parts_changed;
+    return router_news_ > news_before;
 }
 
-bool fleet_crash_tracker::merge_requests(
+void fleet_crash_tracker::on_request_news(request_fingerprint fingerprint)
+{
+    ++router_news_;
+    push_unique(changed_requests_, fingerprint);
+}
+
+void fleet_crash_tracker::merge_requests(
     const wire::blame_report_msg& report, unix_millis now)
 {
-    const std::size_t repeated_before = tracker_.repeated_crashes(now).size();
-    bool has_new_quarantine = false;
-    const auto on_new_quarantine = [&](request_fingerprint fingerprint)
-    {
-        log_quarantine(fingerprint, "fleet");
-        has_new_quarantine = true;
-    };
     for (const auto& entry : report.suspects)
     {
-        const bool was_known = tracker_.is_quarantined(entry->fingerprint, now);
+        const request_fingerprint fingerprint = entry->fingerprint;
+        const bool was_known = tracker_.is_quarantined(fingerprint, now);
         suspect_notice notice;
-        notice.fingerprint = entry->fingerprint;
+        notice.fingerprint = fingerprint;
         notice.backend_server = entry->backend_server;
         notice.crashed = time_before(now, entry->ago_ms);
         notice.midway = entry->midway;
-        tracker_.merge(notice, now);
-        if (!was_known && tracker_.is_quarantined(entry->fingerprint, now))
+        if (tracker_.merge(notice, now) && tracker_.crashes(fingerprint) > 1)
         {
-            on_new_quarantine(entry->fingerprint);
+            on_request_news(fingerprint);
+        }
+        if (!was_known && tracker_.is_quarantined(fingerprint, now))
+        {
+            log_quarantine(fingerprint, "fleet");
         }
     }
     for (const auto& entry : report.quarantines)
@@ -328,18 +369,15 @@
             until)
         {
             tracker_.merge(quarantine{entry->fingerprint, until}, now);
-            on_new_quarantine(entry->fingerprint);
+            log_quarantine(entry->fingerprint, "fleet");
+            on_request_news(entry->fingerprint);
         }
     }
-    return has_new_quarantine ||
-           tracker_.repeated_crashes(now).size() > repeated_before;
 }
 
-bool fleet_crash_tracker::merge_parts(
+void fleet_crash_tracker::merge_parts(
     const wire::blame_report_msg& report, unix_millis now)
 {
-    const std::size_t repeated_before = parts_.repeated_crashes().size();
-    const std::size_t quarantined_before = parts_.quarantined();
     for (const auto& entry : report.parts_answered)
     {
         add_answer({entry->part, time_before(now, entry->ago_ms)});
@@ -360,8 +398,6 @@
         }
         add_part_crash(crash, now, "fleet");
     }
-    return parts_.repeated_crashes().size() != repeated_before ||
-           parts_.quarantined() != quarantined_before;
 }
 
 void fleet_crash_tracker::add_part_crash(
@@ -371,7 +407,18 @@
     std::ranges::copy_if(
         crash.parts, std::back_inserter(allowed),
         [&](prompt_part_id part) { return !parts_.is_quarantined(part); });
-    parts_.add(crash, now);
+    if (!parts_.add(crash, now))
+    {
+        return;
+    }
+    for (const prompt_part_id part : crash.parts)
+    {
+        if (parts_.is_quarantined(part))
+        {
+            ++router_news_;
+            push_unique(changed_parts_, part);
+        }
+    }
     for (const prompt_part_id part : allowed)
     {
         if (parts_.is_quarantined(part))
@@ -390,6 +437,12 @@
     {
         push_bounded(cleared_, answer);
     }
+    if (is_cleared && was_quarantined)
+    {
+        // Routers know only of quarantined parts.
+        ++router_news_;
+        push_bounded(newly_cleared_, answer);
+    }
     if (was_quarantined && !parts_.is_quarantined(answer.part))
     {
         log(log_level::warning, subsystem::attempt,
--- a/src/process/fleet_process/fleet_crash_tracker.hpp
+++ b/src/process/fleet_process/fleet_crash_tracker.hpp
@@ -6,6 +6,7 @@
 #include "request/blame/blame_tracker.hpp"
 #include "request/blame/part_crash_tracker.hpp"
 
+#include <cstdint>
 #include <optional>
 #include <span>
 #include <string_view>
@@ -67,11 +68,14 @@
     // nothing when there are none.
     std::optional<wire::blame_report_msg> full_report(time_point now) const;
 
-    // The leader's report for all routers: the quarantines, the crashes of
-    // requests and parts that have several, and the parts that were cleared
-    // lately. Nothing when there are none.
+    // The leader's report for all routers: the quarantines of requests and
+    // parts, the crashes of requests that have several, and the parts that were
+    // cleared lately. Nothing when there are none.
     std::optional<wire::blame_report_msg> router_report(time_point now) const;
 
+    // The part of router_report that changed since the last call.
+    std::optional<wire::blame_report_msg> take_router_news(time_point now);
+
     // The leader's permit for one router to try quarantined parts again;
     // nothing when no trial is due.
     std::optional<wire::blame_report_msg> take_trials(time_point now);
@@ -82,19 +86,20 @@
     // Number of parts in quarantine.
     std::size_t quarantined_parts() const
     {
-        return parts_.quarantined();
+        return parts_.quarantined().size();
     }
 
-    // Merges a report of another process. True when that changes the result of
-    // router_report.
+    // Merges a report of another process. True when it contains news for the
+    // routers.
     bool receive(const wire::blame_report_msg& report, time_point now);
 
 private:
-    bool merge_requests(const wire::blame_report_msg& report, unix_millis now);
-    bool merge_parts(const wire::blame_report_msg& report, unix_millis now);
+    void merge_requests(const wire::blame_report_msg& report, unix_millis now);
+    void merge_parts(const wire::blame_report_msg& report, unix_millis now);
     void add_part_crash(
         const part_crash& crash, unix_millis now, std::string_view source);
     bool add_answer(const answered_part& answer);
+    void on_request_news(request_fingerprint fingerprint);
 
     blame_tracker tracker_;
     part_crash_tracker parts_;
@@ -106,6 +111,13 @@
     // Answers that have cleared parts, for the reports to routers, the newest
     // last.
     std::vector<answered_part> cleared_;
+
+    // Number of changes that concern routers, and what changed since the last
+    // take_router_news.
+    std::uint64_t router_news_ = 0;
+    std::vector<request_fingerprint> changed_requests_;
+    std::vector<prompt_part_id> changed_parts_;
+    std::vector<answered_part> newly_cleared_;
 };
 
 // Converts a time of the monotonic clock, in milliseconds, for the tracker. The
--- a/src/process/fleet_process/load_exchange.cpp
+++ b/src/process/fleet_process/load_exchange.cpp
@@ -18,7 +18,7 @@
 {
 
 // Share of a network link that load messages may take.
-constexpr double load_link_share = 0.2;
+constexpr double broadcast_link_share = 0.2;
 
 // Largest value that a message can hold: each takes one byte.
 constexpr std::uint16_t max_encoded_value =
@@ -62,7 +62,7 @@
 
 } // namespace
 
-duration load_interval(
+duration broadcast_interval(
     std::size_t peers, std::size_t message_bytes,
     double link_megabits_per_second)
 {
@@ -70,9 +70,17 @@
     const double bytes = static_cast<double>(peers * message_bytes);
     const std::chrono::duration<double> seconds{
         bytes /
-        (link_megabits_per_second * bytes_per_megabit * load_link_share)};
+        (link_megabits_per_second * bytes_per_megabit * broadcast_link_share)};
+    return std::chrono::duration_cast<duration>(seconds);
+}
+
+duration load_interval(
+    std::size_t peers, std::size_t message_bytes,
+    double link_megabits_per_second)
+{
     return std::max(
-        shortest_load_interval, std::chrono::duration_cast<duration>(seconds));
+        shortest_load_interval,
+        broadcast_interval(peers, message_bytes, link_megabits_per_second));
 }
 
 load_codec::load_codec(const backend_list_replica& list)
--- a/src/process/fleet_process/load_exchange.hpp
+++ b/src/process/fleet_process/load_exchange.hpp
@@ -23,6 +23,12 @@
 inline constexpr duration shortest_load_interval =
     std::chrono::milliseconds{200};
 
+// Minimum interval at which an instance may send a message of this size to its
+// peers, so that such messages take at most a fixed share of its network link.
+duration broadcast_interval(
+    std::size_t peers, std::size_t message_bytes,
+    double link_megabits_per_second);
+
 // Interval at which an instance sends loads to its peers. With many peers it is
 // longer than shortest_load_interval, so that load messages take at most a
 // fixed share of the instance's network link.
--- a/src/process/voter_node/router_feed.cpp
+++ b/src/process/voter_node/router_feed.cpp
@@ -45,8 +45,6 @@
 constexpr duration changed_blame_interval = std::chrono::seconds{1};
 constexpr duration blame_settling_time = std::chrono::seconds{10};
 
-constexpr duration shortest_blame_interval = std::chrono::milliseconds{20};
-
 // Time that a relay has to deliver a version before the voters send it.
 constexpr duration relay_delivery_timeout = std::chrono::milliseconds{500};
 
@@ -121,7 +119,7 @@
         if (blame_.receive(*blame, loop_.now()))
         {
             blame_changed_at_ = loop_.now();
-            schedule_blame();
+            schedule_blame_news();
         }
     }
     else
@@ -412,19 +410,17 @@
     }
 }
 
-// Sends a new report at once, but not more often than at the shortest interval:
-// all routers report a crash at about the same time.
-void router_feed::schedule_blame()
+// Sends what changed at once, or when the last report has passed the link.
+void router_feed::schedule_blame_news()
 {
     if (blame_timer_ != 0)
     {
         return;
     }
-    const duration wait =
-        blame_sent_at_ + shortest_blame_interval - loop_.now();
+    const duration wait = blame_link_free_at_ - loop_.now();
     if (wait <= duration{0})
     {
-        send_blame();
+        broadcast_blame(blame_.take_router_news(loop_.now()));
         return;
     }
     blame_timer_ = loop_.after(
@@ -432,21 +428,35 @@
         [this]
         {
             blame_timer_ = 0;
-            send_blame();
+            broadcast_blame(blame_.take_router_news(loop_.now()));
         });
 }
 
 void router_feed::send_blame()
 {
-    blame_sent_at_ = loop_.now();
     const bool changed_lately =
         loop_.now() - blame_changed_at_ < blame_settling_time;
-    next_blame_ = loop_.now() +
-                  (changed_lately ? changed_blame_interval : blame_interval);
-    if (auto report = blame_.router_report(loop_.now()))
+    broadcast_blame(blame_.router_report(loop_.now()));
+    next_blame_ = std::max(
+        blame_link_free_at_,
+        loop_.now() +
+            (changed_lately ? changed_blame_interval : blame_interval));
+}
+
+void router_feed::broadcast_blame(
+    const std::optional<wire::blame_report_msg>& report)
+{
+    if (!report)
     {
-        links_.send_to_routers(make_payload(*std::move(report)));
+        return;
     }
+    const std::string frame = links_.encode(make_payload(*report));
+    links_.send_to_routers(
+        [&](instance_id /*router*/, const linked_router& /*state*/)
+        { return std::string_view{frame}; });
+    blame_link_free_at_ = loop_.now() + broadcast_interval(
+                                            links_.routers(), frame.size(),
+                                            link_megabits_per_second_);
 }
 
 // Permits one router to try quarantined parts of prompts again.
--- a/src/process/voter_node/router_feed.hpp
+++ b/src/process/voter_node/router_feed.hpp
@@ -77,8 +77,9 @@
     void on_new_backend_list();
     void send_to_voters(const wire::backends_push_msg& changes);
     void summarize_loads();
-    void schedule_blame();
+    void schedule_blame_news();
     void send_blame();
+    void broadcast_blame(const std::optional<wire::blame_report_msg>& report);
     void permit_trials();
 
     event_loop& loop_;
@@ -112,7 +113,8 @@
     time_point next_notice_;
     time_point next_list_read_;
     time_point next_blame_;
-    time_point blame_sent_at_;
+    // When the last report on crashes has passed the network link.
+    time_point blame_link_free_at_;
     time_point blame_changed_at_;
     timer_id blame_timer_ = 0;
     random_engine random_;
--- a/src/request/blame/blame_tracker.cpp
+++ b/src/request/blame/blame_tracker.cpp
@@ -282,12 +282,16 @@
     }
 }
 
-void blame_tracker::merge(const suspect_notice& notice, unix_millis now)
+std::size_t blame_tracker::crashes(request_fingerprint fingerprint) const
 {
-    if (notice.crashed + to_unix_millis(options_.suspicion_time) > now)
-    {
-        add_crash(notice, false, now);
-    }
+    const auto found = records_.find(fingerprint);
+    return found == records_.end() ? 0 : found->second.crashes.size();
+}
+
+bool blame_tracker::merge(const suspect_notice& notice, unix_millis now)
+{
+    return notice.crashed + to_unix_millis(options_.suspicion_time) > now &&
+           add_crash(notice, false, now);
 }
 
 void blame_tracker::merge(const quarantine& entry, unix_millis now)
--- a/src/request/blame/blame_tracker.hpp
+++ b/src/request/blame/blame_tracker.hpp
@@ -128,8 +128,12 @@
     // quarantined, seen by any instance.
     std::vector<suspect_notice> repeated_crashes(unix_millis now) const;
 
-    // Adds what another instance has seen. Idempotent.
-    void merge(const suspect_notice& notice, unix_millis now);
+    // Number of crashes that are known of the fingerprint.
+    std::size_t crashes(request_fingerprint fingerprint) const;
+
+    // Adds what another instance has seen. Idempotent. True when the crash was
+    // not known.
+    bool merge(const suspect_notice& notice, unix_millis now);
     void merge(const quarantine& entry, unix_millis now);
 
     // Quarantines in force, the one that ends last first.
--- a/src/request/blame/part_crash_tracker.cpp
+++ b/src/request/blame/part_crash_tracker.cpp
@@ -1,6 +1,7 @@
 #include "request/blame/part_crash_tracker.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace hickorygap
@@ -13,6 +14,10 @@
 // this.
 constexpr unix_millis same_crash_window_ms = 2000;
 
+// Limit of the crashes by which a quarantine is explained to other instances.
+// Twice the crash limit leaves room for crashes that are not in a row.
+constexpr std::ptrdiff_t max_proof_crashes = 6;
+
 unix_millis to_unix_millis(std::chrono::milliseconds time)
 {
     return static_cast<unix_millis>(time.count());
@@ -65,18 +70,19 @@
     if (same != crashes_.end())
     {
         // The other instance may know of more answers.
-        const auto cleared = std::ranges::partition(
+        std::vector<prompt_part_id> cleared;
+        std::ranges::copy_if(
+            same->parts, std::back_inserter(cleared),
+            [&](prompt_part_id part) { return !contains(added.parts, part); });
+        std::erase_if(
             same->parts,
-            [&](prompt_part_id part) { return contains(added.parts, part); });
-        const std::vector<prompt_part_id> removed(
-            cleared.begin(), cleared.end());
-        same->parts.erase(cleared.begin(), cleared.end());
+            [&](prompt_part_id part) { return contains(cleared, part); });
         if (same->parts.empty())
         {
             crashes_.erase(same);
         }
-        update_quarantines(removed);
-        return !removed.empty();
+        update_quarantines(cleared);
+        return !cleared.empty();
     }
     if (added.parts.empty() ||
         added.crashed + to_unix_millis(options_.quarantine_time) <= now)
@@ -175,31 +181,29 @@
     return due;
 }
 
-std::vector<part_crash> part_crash_tracker::repeated_crashes() const
+std::vector<part_crash>
+part_crash_tracker::proof_against(prompt_part_id part) const
 {
-    std::unordered_map<prompt_part_id, const part_crash*> first;
-    std::unordered_set<prompt_part_id> repeated;
-    for (const part_crash& crash : crashes_)
+    std::vector<part_crash> proof;
+    for (const part_crash* crash : evidence_against(part).crashes)
     {
-        for (const prompt_part_id part : crash.parts)
+        const auto same = std::ranges::find_if(
+            proof, [&](const part_crash& other)
+            { return is_same_server_crash(other, *crash); });
+        if (same == proof.end())
         {
-            const auto known = first.try_emplace(part, &crash).first;
-            if (!is_same_server_crash(*known->second, crash))
-            {
-                repeated.insert(part);
-            }
+            proof.push_back(*crash);
         }
-    }
-    std::vector<part_crash> result;
-    std::ranges::copy_if(
-        crashes_, std::back_inserter(result),
-        [&](const part_crash& crash)
+        else if (same->sent < crash->sent)
         {
-            return std::ranges::any_of(
-                crash.parts,
-                [&](prompt_part_id part) { return repeated.contains(part); });
-        });
-    return result;
+            *same = *crash;
+        }
+    }
+    if (proof.size() > max_proof_crashes)
+    {
+        proof.erase(proof.begin(), proof.end() - max_proof_crashes);
+    }
+    return proof;
 }
 
 std::vector<answered_part>
--- a/src/request/blame/part_crash_tracker.hpp
+++ b/src/request/blame/part_crash_tracker.hpp
@@ -106,13 +106,15 @@
     // trial_time.
     std::vector<prompt_part_id> take_due_trials(unix_millis now);
 
-    // All crashes that count, and those that count against a part with several
-    // crashes.
+    // All crashes that count.
     std::span<const part_crash> crashes() const
     {
         return crashes_;
     }
-    std::vector<part_crash> repeated_crashes() const;
+
+    // The crashes that justify the quarantine of the part, in short: one
+    // request of each server's crash, and only the latest crashes.
+    std::vector<part_crash> proof_against(prompt_part_id part) const;
 
     // Last known answers to requests with these parts.
     std::vector<answered_part>
@@ -122,9 +124,9 @@
     {
         return quarantined_.contains(part);
     }
-    std::size_t quarantined() const
+    const std::unordered_set<prompt_part_id>& quarantined() const
     {
-        return quarantined_.size();
+        return quarantined_;
     }
 
 private:
--- a/tests/process/fleet_process/fleet_crash_tracker_test.cpp
+++ b/tests/process/fleet_process/fleet_crash_tracker_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -45,7 +46,7 @@
         if (report && leader_.receive(*report, now))
         {
             ++broadcasts_;
-            broadcast(now);
+            broadcast(leader_.take_router_news(now), now);
         }
     }
 
@@ -60,7 +61,7 @@
                 leader_.receive(*report, now);
             }
         }
-        broadcast(now);
+        broadcast(leader_.router_report(now), now);
     }
 
     // Starts a router anew, to which the leader sends its report.
@@ -79,9 +80,10 @@
     }
 
 private:
-    void broadcast(time_point now)
+    void broadcast(
+        const std::optional<wire::blame_report_msg>& report, time_point now)
     {
-        if (const auto report = leader_.router_report(now))
+        if (report)
         {
             for (fleet_crash_tracker& router : routers_)
             {
@@ -310,3 +312,49 @@
     }
     CHECK_FALSE(group.router(2).has_news());
 }
+
+// Load: servers with many requests crash one after the other in a large fleet,
+// where the leader repeats each report for every router. Guards against reports
+// that saturate its link: with all crashes of all suspected parts in them, 200
+// routers lost their leader.
+TEST_CASE("routers get a short proof for quarantined parts only")
+{
+    constexpr std::size_t requests_per_server = 30;
+    constexpr std::size_t max_proof = 6;
+    fleet_crash_tracker router;
+    fleet_crash_tracker leader;
+    time_point now{1h};
+    for (request_fingerprint server = 1; server <= 8; ++server)
+    {
+        now = now + 1s;
+        for (std::size_t i = 0; i < requests_per_server; ++i)
+        {
+            // All have the part 0xa, one of them 0xdead; the others have a part
+            // that is in no other crash.
+            const prompt_part_id other = server * 1000 + i;
+            router.on_crash(
+                crash_of(other, server, now),
+                {{0xa, i == 0 ? prompt_part_id{0xdead} : other}, now - 100ms},
+                now);
+        }
+        router.on_answered(std::vector<prompt_part_id>{0xa}, now + 1ms);
+        const bool has_news = leader.receive(*router.take_report(now), now);
+        CHECK(has_news == (server >= 3));
+        const auto news = leader.take_router_news(now);
+        REQUIRE(news.has_value() == has_news);
+        if (news)
+        {
+            CHECK(
+                news->part_suspects.size() ==
+                std::min<std::size_t>(server, max_proof));
+            CHECK(news->suspects.empty());
+        }
+        CHECK_FALSE(leader.take_router_news(now));
+    }
+    fleet_crash_tracker other_router;
+    other_router.receive(*leader.router_report(now), now);
+    CHECK(other_router.quarantine_left(
+        9, std::vector<prompt_part_id>{0xa, 0xdead}, now));
+    CHECK_FALSE(
+        other_router.quarantine_left(9, std::vector<prompt_part_id>{0xa}, now));
+}
