Count an answer whose end comes after its last event

The parts of a short stream stayed suspected when the end of its body arrived after its last event, so a healthy part could be quarantined; and a 404 of a server counted as an answer, which could clear a crashing part.

Cause: the answer was settled only in the branch for new events, and by every status under 500. Change: settle at the end of the stream too, and only by a success.

A table in crash_monitor_test fails before in exactly these two rows of six and passes now.

--- a/src/process/fleet_process/load_exchange.cpp
+++ b/src/process/fleet_process/load_exchange.cpp
@@ -17,7 +17,7 @@
 namespace
 {
 
-// Share of a network link that load messages may take.
+// Share of a network link that messages of one kind to all peers may take.
 constexpr double broadcast_link_share = 0.2;
 
 // Largest value that a message can hold: each takes one byte.
--- a/src/process/gateway/exchange.cpp
+++ b/src/process/gateway/exchange.cpp
@@ -601,7 +601,7 @@
         failed ? dispatch_outcome::server_error : dispatch_outcome::answered;
     context_.table().on_first_byte(backend_, now - sent_at_);
     context_.blame().on_completed(fingerprint_);
-    if (!failed)
+    if (status < first_redirect)
     {
         answer_began_ = now;
         settle_answer();
@@ -629,12 +629,12 @@
     if (relay_.events() > events)
     {
         record_progress();
-        const time_point now = context_.loop().now();
-        answer_began_ = answer_began_.value_or(now);
-        if (complete || now - *answer_began_ >= settling_time)
-        {
-            settle_answer();
-        }
+        answer_began_ = answer_began_.value_or(progress_at_);
+    }
+    if (answer_began_ &&
+        (complete || progress_at_ - *answer_began_ >= settling_time))
+    {
+        settle_answer();
     }
     if (!had_started && relay_.has_started())
     {
--- a/tests/process/gateway/crash_monitor_test.cpp
+++ b/tests/process/gateway/crash_monitor_test.cpp
@@ -147,3 +147,53 @@
         fixture.fingerprint("dropped"), fixture.context().loop().now()));
     CHECK(dropped > 0);
 }
+
+// Guards against healthy parts that stay suspected, because an answer was not
+// counted whose end came after its last event, and against a crashing part that
+// is cleared by a response without an answer.
+TEST_CASE("only a complete or settled answer clears the parts of its prompt")
+{
+    struct row
+    {
+        std::string label;
+        std::string status;
+        std::vector<std::string> pieces;
+        bool is_cleared;
+    };
+    const std::string event = "f\r\nid: 1\ndata: x\n\n\r\n";
+    const std::string end = "0\r\n\r\n";
+    const auto tested = GENERATE_COPY(
+        row{"end with the last event", "200 OK", {event + end}, true},
+        row{"end after the last event", "200 OK", {event, end}, true},
+        row{"no end yet", "200 OK", {event}, false},
+        row{"no events", "200 OK", {end}, false},
+        row{"rejected as malformed", "404 Not Found", {end}, false},
+        row{"failed", "500 Internal Server Error", {end}, false});
+    CAPTURE(tested.label);
+    gateway_fixture fixture{
+        gateway_fixture::make_route(call_kind::streaming, 1)};
+    fixture.add_backend(
+        [&](connection& to, const received_request&)
+        {
+            to.write(fmt::format(
+                "HTTP/1.1 {}\r\nRequest-Id: a1\r\nReply-Seal: s\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n",
+                tested.status));
+            duration wait{0};
+            for (const std::string& piece : tested.pieces)
+            {
+                fixture.context().loop().after(
+                    wait, [&to, &piece] { to.write(piece); });
+                wait += 20ms;
+            }
+        });
+    fleet_crash_tracker& blame = fixture.context().blame();
+    const time_point now = fixture.context().loop().now();
+    blame.on_crash({1, 2, tracker_time(now)}, {{0xb}, now}, now);
+    REQUIRE(blame.take_report(now));
+    fixture.run_for(5ms);
+    fixture.call(gateway_fixture::request_text(
+        "Model: m\r\nToken-Count: 9,9\r\nPrompt-Prefix: b:5,c:4\r\n"));
+    fixture.run_for(100ms);
+    CHECK(blame.has_news() == tested.is_cleared);
+}
