Do not blame a part that was answered before for crashes of another one

Cause: a first part that most requests have is in the crashes of every crashing part. When crashes follow each other faster than sound requests are answered, it reaches the limit; two crashing parts have nothing in common but the first part, so it is refused by itself, and nothing sent can clear it.

Change: crashes with a quarantined part that was never answered do not count against one that was; such a part needs six crashes in a row instead of three; the proof for other routers names quarantined parts only. Ruled out: a faster trial alone, since it costs a server each time it is wrong.

--- a/src/request/blame/part_crash_tracker.cpp
+++ b/src/request/blame/part_crash_tracker.cpp
@@ -111,6 +111,9 @@
         std::erase_if(
             crashes_,
             [](const part_crash& crash) { return crash.parts.empty(); });
+    }
+    if (is_cleared || is_quarantined(answer.part))
+    {
         update_quarantine(answer.part);
     }
     return is_cleared;
@@ -128,7 +131,8 @@
             continue;
         }
         const evidence known = evidence_against(part);
-        if (end_of_quarantine(known) <= now || !applies_to(known, parts))
+        if (known.crashes.empty() || end_of_quarantine(known) <= now ||
+            !applies_to(part, known, parts))
         {
             continue;
         }
@@ -165,7 +169,7 @@
     {
         const evidence known = evidence_against(part);
         unix_millis delay = to_unix_millis(options_.trial_delay);
-        for (std::size_t i = options_.crash_limit;
+        for (std::size_t i = limit_for(part);
              i < known.crashes_in_row && known.last + delay <= now; ++i)
         {
             delay *= options_.trial_backoff;
@@ -203,6 +207,13 @@
     {
         proof.erase(proof.begin(), proof.end() - max_proof_crashes);
     }
+    // Other instances may not know that the other parts were answered.
+    for (part_crash& crash : proof)
+    {
+        std::erase_if(
+            crash.parts,
+            [&](prompt_part_id each) { return !is_quarantined(each); });
+    }
     return proof;
 }
 
@@ -226,7 +237,7 @@
     evidence result;
     for (const part_crash& crash : crashes_)
     {
-        if (!contains(crash.parts, part))
+        if (!contains(crash.parts, part) || is_explained_without(crash, part))
         {
             continue;
         }
@@ -261,30 +272,65 @@
     return counted.size();
 }
 
+// Whether a quarantined part that was never answered is in the crash, while
+// this part was answered before.
+bool part_crash_tracker::is_explained_without(
+    const part_crash& crash, prompt_part_id part) const
+{
+    return was_answered(part) && !quarantined_.empty() &&
+           std::ranges::any_of(
+               crashes_,
+               [&](const part_crash& other)
+               {
+                   return is_same_server_crash(other, crash) &&
+                          std::ranges::any_of(
+                              other.parts,
+                              [&](prompt_part_id each) {
+                                  return is_quarantined(each) &&
+                                         !was_answered(each);
+                              });
+               });
+}
+
+std::size_t part_crash_tracker::limit_for(prompt_part_id part) const
+{
+    return was_answered(part) ? options_.answered_crash_limit
+                              : options_.crash_limit;
+}
+
+// The suspected parts of a crash, this one included, that are as likely to be
+// its cause as this one.
+std::vector<prompt_part_id> part_crash_tracker::rivals_of(
+    prompt_part_id part, const part_crash& crash) const
+{
+    std::vector<prompt_part_id> rivals = crash.parts;
+    if (!was_answered(part))
+    {
+        std::erase_if(
+            rivals, [&](prompt_part_id each) { return was_answered(each); });
+    }
+    return rivals;
+}
+
 // Whether the quarantine of a part applies to a request with these parts.
 bool part_crash_tracker::applies_to(
-    const evidence& known, std::span<const prompt_part_id> parts) const
+    prompt_part_id part, const evidence& known,
+    std::span<const prompt_part_id> request) const
 {
     std::vector<prompt_part_id> common = known.crashes.front()->parts;
+    bool has_all_of_one = false;
     for (const part_crash* crash : known.crashes)
     {
+        const auto rivals = rivals_of(part, *crash);
         std::erase_if(
             common,
-            [&](prompt_part_id part) { return !contains(crash->parts, part); });
-    }
-    if (!contains_all(parts, common))
-    {
-        return false;
-    }
-    if (known.crashes_in_row > options_.crash_limit)
-    {
-        return true;
+            [&](prompt_part_id each) { return !contains(rivals, each); });
+        has_all_of_one = has_all_of_one || contains_all(request, rivals);
     }
     // At the limit, a request that lacks a suspected part of each crashed one
     // is let through: its answer may clear the quarantined part.
-    return std::ranges::any_of(
-        known.crashes, [&](const part_crash* crash)
-        { return contains_all(parts, crash->parts); });
+    return contains_all(request, common) &&
+           (known.crashes_in_row > limit_for(part) || has_all_of_one);
 }
 
 unix_millis part_crash_tracker::end_of_quarantine(const evidence& known) const
@@ -349,9 +395,15 @@
     update_quarantines(removed);
 }
 
-void part_crash_tracker::update_quarantines(
-    std::span<const prompt_part_id> parts)
+// Parts that were answered before come last, because the quarantines of the
+// others explain crashes.
+void part_crash_tracker::update_quarantines(std::vector<prompt_part_id> parts)
 {
+    std::ranges::copy_if(
+        quarantined_, std::back_inserter(parts),
+        [&](prompt_part_id part) { return was_answered(part); });
+    std::ranges::stable_sort(
+        parts, {}, [&](prompt_part_id part) { return was_answered(part); });
     for (const prompt_part_id part : parts)
     {
         update_quarantine(part);
@@ -361,8 +413,7 @@
 void part_crash_tracker::update_quarantine(prompt_part_id part)
 {
     const evidence known = evidence_against(part);
-    if (known.crashes_in_row >= options_.crash_limit &&
-        known.in_different_requests)
+    if (known.crashes_in_row >= limit_for(part) && known.in_different_requests)
     {
         quarantined_.insert(part);
         return;
--- a/src/request/blame/part_crash_tracker.hpp
+++ b/src/request/blame/part_crash_tracker.hpp
@@ -20,6 +20,10 @@
     // quarantined.
     std::size_t crash_limit = 3;
 
+    // The same for a part that was answered before: other parts of its requests
+    // are more likely to be the cause.
+    std::size_t answered_crash_limit = 6;
+
     // How long a crash counts against a part, and how long a quarantine lasts
     // after the last crash.
     std::chrono::milliseconds quarantine_time{std::chrono::minutes{10}};
@@ -75,12 +79,14 @@
 // are in a row when the later request was sent after the earlier crash; servers
 // that fail together, such as those of one rack, count as one crash.
 //
-// Parts that only accompany the crashing one are in the same crashes. A request
-// is therefore refused only if it has all parts that the crashed requests with
-// the quarantined part have in common; the others are let through, and their
-// answers clear the companions. A quarantined part is tried again with a single
-// request after some time, with exponential backoff, since without any requests
-// it could not be cleared.
+// Parts that only accompany the crashing one are in the same crashes. Those
+// that were answered before need more crashes to be quarantined, and crashes
+// with a quarantined part that was never answered do not count against them.
+// Besides, a request is refused only if it has all parts that the crashed
+// requests with the quarantined part have in common; the others are let
+// through, and their answers clear the companions. A quarantined part is tried
+// again with a single request after some time, with exponential backoff, since
+// without any requests it could not be cleared.
 //
 // Pure. Times may come from any clock, but always the same one.
 class part_crash_tracker
@@ -140,15 +146,25 @@
     };
 
     evidence evidence_against(prompt_part_id part) const;
+    bool
+    is_explained_without(const part_crash& crash, prompt_part_id part) const;
+    bool was_answered(prompt_part_id part) const
+    {
+        return answered_at(part).has_value();
+    }
+    std::size_t limit_for(prompt_part_id part) const;
+    std::vector<prompt_part_id>
+    rivals_of(prompt_part_id part, const part_crash& crash) const;
     static std::size_t count_in_row(std::vector<const part_crash*>& crashes);
     bool applies_to(
-        const evidence& known, std::span<const prompt_part_id> parts) const;
+        prompt_part_id part, const evidence& known,
+        std::span<const prompt_part_id> request) const;
     unix_millis end_of_quarantine(const evidence& known) const;
     std::optional<unix_millis> answered_at(prompt_part_id part) const;
     void remember_answer(const answered_part& answer);
     void make_room(unix_millis now);
     void update_quarantine(prompt_part_id part);
-    void update_quarantines(std::span<const prompt_part_id> parts);
+    void update_quarantines(std::vector<prompt_part_id> parts);
 
     part_crash_options options_;
     std::vector<part_crash> crashes_;
