Decode, log and count the request limits that backend servers name

A server in need names the requests per second that it accepts from the whole fleet (Server-Limit). Nothing read the field, so logs could not tell a limit that is overlooked from one that each router keeps for itself, or that is shared too late.

--- a/src/process/gateway/exchange.cpp
+++ b/src/process/gateway/exchange.cpp
@@ -589,6 +589,22 @@
         context_.table().on_declined(
             backend_, context_.loop().now() + *response_info_.declines_for);
     }
+    record_request_limit();
+}
+
+// Records the limit of requests that the response names. The limit of a server
+// ends with the first response without one.
+void exchange::record_request_limit()
+{
+    const std::optional<double> limit = response_info_.request_limit;
+    const bool is_unreadable = response_info_.names_request_limit && !limit;
+    if (!is_unreadable && context_.table().on_request_limit(backend_, limit))
+    {
+        log(log_level::info, subsystem::routing,
+            "backend_limit_changed backend={} id={} requests_per_second={}",
+            backend_name_, call_.attempt_id,
+            limit ? fmt::format("{:.3f}", *limit) : "none");
+    }
 }
 
 void exchange::relay_whole_response()
--- a/src/process/gateway/exchange.hpp
+++ b/src/process/gateway/exchange.hpp
@@ -59,6 +59,7 @@
     bool read_head();
     void try_another_connection();
     void record_announcements();
+    void record_request_limit();
     bool is_own_response() const;
     bool is_rejected() const;
     void relay_whole_response();
--- a/src/process/gateway/gateway.cpp
+++ b/src/process/gateway/gateway.cpp
@@ -115,6 +115,11 @@
             "backend_servers", "servers",
             "Backend servers known here, leaving ones included.")
         .set(static_cast<double>(context_.table().size()));
+    metrics
+        .find_gauge(
+            "limited_backend_servers", "servers",
+            "Backend servers that have named a limit of requests.")
+        .set(static_cast<double>(context_.table().limited_servers()));
     metrics
         .find_gauge(
             "quarantined_prompt", "parts",
--- a/src/request/dialect/request_dialect.hpp
+++ b/src/request/dialect/request_dialect.hpp
@@ -105,6 +105,11 @@
     // The server accepts no requests from this router for this time.
     std::optional<duration> declines_for;
 
+    // The response names a limit of requests, and that limit in requests per
+    // second from the whole fleet; nullopt when it can't be read.
+    bool names_request_limit = false;
+    std::optional<double> request_limit;
+
     // The body was modified after the server produced it.
     bool altered = false;
 
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -368,6 +368,32 @@
     CHECK(answer.declines_for == tested.declines_for);
 }
 
+// Guards against overlooking the limit of a backend server, and against taking
+// a malformed one for none.
+TEST_CASE("Server-Limit of a response is decoded")
+{
+    struct row
+    {
+        std::string text;
+        bool names_limit;
+        std::optional<double> limit;
+    };
+    const auto tested = GENERATE(
+        row{"", false, {}}, row{"4.25", true, 4.25}, row{" 3 ", true, 3.0},
+        row{"0", true, 0.0}, row{"-1", true, {}}, row{"many", true, {}},
+        row{"4.2;", true, {}});
+    CAPTURE(tested.text);
+    HTTPResponse response{HTTPResponse::HTTP_OK};
+    if (!tested.text.empty())
+    {
+        response.set("Server-Limit", tested.text);
+    }
+    const backend_response_info answer =
+        request_fields{}.decode_response(response);
+    CHECK(answer.names_request_limit == tested.names_limit);
+    CHECK(answer.request_limit == tested.limit);
+}
+
 // Guards against an operator's request that is mapped to the wrong action.
 TEST_CASE("operator requests are mapped to actions")
 {
