Share out the limits of backend servers among all routers

Cause: nothing read Server-Limit, so each router sent a limited server its usual share. Class: a bound of the whole fleet that no process of the fleet keeps.

Change: the leader has a token bucket for each limited server, and routers ask it for a permit before each request to one, naming up to four servers in their order of preference. All attempts go through exchange::dispatch, so retries and resumed streams ask too. What no server accepts is refused at once. A router without an answer in 60 ms gives itself permits at random times at half of its even share. Limits reach all routers with the leader's table; a new leader is told them by the routers. Limited servers are left out of the mean load, which otherwise sent long prompts away from the servers that hold their prefix.

--- a/src/process/gateway/exchange.cpp
+++ b/src/process/gateway/exchange.cpp
@@ -8,6 +8,7 @@
 #include <fmt/ranges.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace hickorygap
@@ -223,7 +224,8 @@
 {
     dispatch_query query;
     query.failure_domain = context_.settings().instance.failure_domain;
-    query.excluded = tried_backends_;
+    query.excluded = unavailable_backends_;
+    query.limited = limited_backends_;
     if (!route_->prompt_affinity || call_.prompt.empty())
     {
         return query;
@@ -237,17 +239,84 @@
     return query;
 }
 
-// Sends the request to a backend server if one can take it.
+// The server to send the request to; none when no server can take it. Servers
+// with a limit are skipped, unless they are the one that a permit was given
+// for; `skipped` gets the first of them in the order of preference.
+dispatch_choice exchange::choose_backend(
+    std::optional<backend_server_id> permitted,
+    std::vector<backend_server_id>& skipped)
+{
+    // A few candidates suffice: all servers that exceed their limits at the
+    // same time have little left to give.
+    constexpr std::size_t max_candidates = 4;
+    const auto members = context_.table().members(service_);
+    const router_limits& limits = context_.permits().limits();
+    unavailable_backends_ = tried_backends_;
+    limited_backends_.clear();
+    for (const backend_record* server : members)
+    {
+        if (limits.is_limited(server->id))
+        {
+            limited_backends_.push_back(server->id);
+        }
+    }
+    const auto choose = [&]
+    {
+        return context_.policy_for(*route_).choose(
+            members, make_query(), context_.loop().now());
+    };
+    dispatch_choice choice = choose();
+    while (choice.backend != nullptr && choice.backend->id != permitted &&
+           limits.is_limited(choice.backend->id))
+    {
+        skipped.push_back(choice.backend->id);
+        unavailable_backends_.push_back(choice.backend->id);
+        if (skipped.size() == max_candidates)
+        {
+            std::ranges::copy_if(
+                limited_backends_, std::back_inserter(unavailable_backends_),
+                [&](backend_server_id id) { return id != permitted; });
+        }
+        choice = choose();
+    }
+    return choice;
+}
+
+// Sends the request to a backend server if one can take it. Asks for a permit
+// first if the preferred server has a limit.
 void exchange::dispatch()
 {
     if (is_quarantined())
     {
         return;
     }
-    const auto members = context_.table().members(service_);
-    const dispatch_query query = make_query();
-    const dispatch_choice choice = context_.policy_for(*route_).choose(
-        members, query, context_.loop().now());
+    std::vector<backend_server_id> candidates;
+    const dispatch_choice choice = choose_backend(std::nullopt, candidates);
+    if (candidates.empty())
+    {
+        send_to(choice);
+        return;
+    }
+    permit_query_ = context_.permits().ask(
+        candidates,
+        [this](std::optional<backend_server_id> permitted)
+        {
+            permit_query_ = 0;
+            if (!ended_)
+            {
+                std::vector<backend_server_id> skipped;
+                send_to(choose_backend(permitted, skipped));
+            }
+        });
+}
+
+void exchange::withdraw_permit_query()
+{
+    context_.permits().cancel(std::exchange(permit_query_, 0));
+}
+
+void exchange::send_to(const dispatch_choice& choice)
+{
     if (choice.backend == nullptr)
     {
         give_up(dispatch_outcome::rejected);
@@ -458,6 +527,7 @@
     ended_ = true;
     context_.loop().cancel(deadline_timer_);
     context_.loop().cancel(attempt_timer_);
+    withdraw_permit_query();
     report_end(0, request_outcome::caller_left);
 }
 
@@ -589,16 +659,12 @@
         context_.table().on_declined(
             backend_, context_.loop().now() + *response_info_.declines_for);
     }
-    record_request_limit();
-}
-
-// Records the limit of requests that the response names. The limit of a server
-// ends with the first response without one.
-void exchange::record_request_limit()
-{
+    // The limit of a server ends with the first response without one.
+    const bool is_unreadable =
+        response_info_.names_request_limit && !response_info_.request_limit;
     const std::optional<double> limit = response_info_.request_limit;
-    const bool is_unreadable = response_info_.names_request_limit && !limit;
-    if (!is_unreadable && context_.table().on_request_limit(backend_, limit))
+    if (server != nullptr && !is_unreadable &&
+        context_.permits().on_response({backend_, limit}))
     {
         log(log_level::info, subsystem::routing,
             "backend_limit_changed backend={} id={} requests_per_second={}",
@@ -942,6 +1008,7 @@
     }
     context_.loop().cancel(deadline_timer_);
     context_.loop().cancel(attempt_timer_);
+    withdraw_permit_query();
     report_end(status, outcome);
     if (outcome == request_outcome::cut_midway)
     {
--- a/src/process/gateway/exchange.hpp
+++ b/src/process/gateway/exchange.hpp
@@ -45,7 +45,12 @@
 private:
     bool find_route();
     void choose_service();
+    dispatch_choice choose_backend(
+        std::optional<backend_server_id> permitted,
+        std::vector<backend_server_id>& skipped);
     void dispatch();
+    void send_to(const dispatch_choice& choice);
+    void withdraw_permit_query();
     void send_attempt(const dispatch_choice& choice);
     void set_deadline();
     bool is_overdue() const;
@@ -59,7 +64,6 @@
     bool read_head();
     void try_another_connection();
     void record_announcements();
-    void record_request_limit();
     bool is_own_response() const;
     bool is_rejected() const;
     void relay_whole_response();
@@ -113,6 +117,9 @@
     response_relay relay_;
     bool ended_ = false;
 
+    // Open query for a permit to send the request; zero for none.
+    std::uint32_t permit_query_ = 0;
+
     // State of the current attempt.
     backend_connection* connection_ = nullptr;
     backend_server_id backend_ = 0;
@@ -136,6 +143,12 @@
 
     // State across all attempts.
     std::vector<backend_server_id> tried_backends_;
+
+    // Servers that the current attempt can't be sent to.
+    std::vector<backend_server_id> unavailable_backends_;
+
+    // Servers of the service that have a limit.
+    std::vector<backend_server_id> limited_backends_;
     std::uint32_t sends_ = 0;
     std::uint32_t refused_connections_ = 0;
 
--- a/src/process/gateway/fleet_follower.cpp
+++ b/src/process/gateway/fleet_follower.cpp
@@ -101,6 +101,16 @@
     return absl::OkStatus();
 }
 
+// nullptr when no leader is linked.
+link_connection* fleet_follower::leader_link()
+{
+    const auto found = voters_.find(leader_);
+    return found != voters_.end() && found->second.link &&
+                   found->second.link->is_ready()
+               ? found->second.link.get()
+               : nullptr;
+}
+
 // The relay or the leader that receives this router's load reports; nullptr
 // when there is none.
 link_connection* fleet_follower::load_receiver()
@@ -109,11 +119,22 @@
     {
         return relay;
     }
-    const auto found = voters_.find(leader_);
-    return found != voters_.end() && found->second.link &&
-                   found->second.link->is_ready()
-               ? found->second.link.get()
-               : nullptr;
+    return leader_link();
+}
+
+// Requests go to the leader directly, because a relay would delay them.
+bool fleet_follower::send_permit_request(
+    const std::function<wire::permit_request_msg(bool is_informed)>&
+        make_request)
+{
+    link_connection* leader = leader_link();
+    if (leader == nullptr || leader_silence() > leader_silence_limit)
+    {
+        return false;
+    }
+    const bool is_informed = std::exchange(limits_told_, leader) == leader;
+    leader->send(make_payload(make_request(is_informed)));
+    return true;
 }
 
 // Reports the load of this router and, if it is a relay, of its group. The
@@ -312,6 +333,11 @@
     {
         observer_.on_blame(*blame);
     }
+    else if (
+        const auto* grant = message_in<wire::permit_grant_msg>(message.payload))
+    {
+        observer_.on_permit_grant(*grant);
+    }
     if (relay_.owns(link) && !std::exchange(relay_announced_, true))
     {
         // From now on the voters leave this router to its relay.
@@ -331,6 +357,10 @@
     {
         informed_leader_ = nullptr;
     }
+    if (limits_told_ == &link)
+    {
+        limits_told_ = nullptr;
+    }
     log(log_level::info, subsystem::network, "voter_lost host={}",
         host_of(link.peer()));
 }
--- a/src/process/gateway/fleet_follower.hpp
+++ b/src/process/gateway/fleet_follower.hpp
@@ -11,6 +11,7 @@
 #include "request/dispatch/backend_table.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -51,6 +52,9 @@
     // Crashes that a voter knows of.
     virtual void on_blame(const wire::blame_report_msg& report) = 0;
 
+    // An answer of the leader to a query for a permit, or its table of limits.
+    virtual void on_permit_grant(const wire::permit_grant_msg& grant) = 0;
+
     // Number of routers in the fleet, this one included.
     virtual void on_router_count(std::uint32_t routers) = 0;
 };
@@ -77,6 +81,13 @@
     // There are new crashes for take_blame to report.
     void report_blame();
 
+    // Sends what the function returns to the leader. The function gets whether
+    // the leader already knows all limits of this router. False when there is
+    // no link to a leader.
+    bool send_permit_request(
+        const std::function<wire::permit_request_msg(bool is_informed)>&
+            make_request);
+
     // Time since the last message from a leader, direct or through the relay.
     duration leader_silence() const;
 
@@ -98,6 +109,7 @@
 
     void tick();
     void report_loads();
+    link_connection* leader_link();
     void dial(instance_id voter, voter_link& item);
     void announce_state();
     void on_notice(link_connection& link, const wire::voter_notice_msg& notice);
@@ -144,6 +156,9 @@
     // The link on which the current leader got the full crash report.
     const link_connection* informed_leader_ = nullptr;
 
+    // The link on which the current leader was told all limits.
+    const link_connection* limits_told_ = nullptr;
+
     // Relay that the leader's last notice assigns; zero for none, self_ when
     // this router is a relay.
     instance_id assigned_relay_ = 0;
--- a/src/process/gateway/gateway.cpp
+++ b/src/process/gateway/gateway.cpp
@@ -47,6 +47,9 @@
                  const http_responder& respond) { respond_readiness(respond); }}
 {
     context_.crashes().set_on_news([this] { follower_.report_blame(); });
+    context_.permits().set_send(
+        [this](const auto& make_request)
+        { return follower_.send_permit_request(make_request); });
 }
 
 gateway::~gateway() = default;
@@ -119,7 +122,7 @@
         .find_gauge(
             "limited_backend_servers", "servers",
             "Backend servers that have named a limit of requests.")
-        .set(static_cast<double>(context_.table().limited_servers()));
+        .set(static_cast<double>(context_.permits().limits().size()));
     metrics
         .find_gauge(
             "quarantined_prompt", "parts",
@@ -194,6 +197,11 @@
     }
 }
 
+void gateway::on_permit_grant(const wire::permit_grant_msg& grant)
+{
+    context_.permits().on_grant(grant);
+}
+
 void gateway::on_router_count(std::uint32_t routers)
 {
     context_.set_router_count(routers);
--- a/src/process/gateway/gateway_context.cpp
+++ b/src/process/gateway/gateway_context.cpp
@@ -44,6 +44,7 @@
     , dialect_{dialect}
     , random_{random_seed()}
     , pool_{loop, table_}
+    , permits_{loop, random_()}
     , cost_policy_{random_()}
     , started_at_{loop.now()}
 {
@@ -88,6 +89,7 @@
 void gateway_context::set_router_count(std::uint32_t routers)
 {
     routers_ = std::max(routers, 1U);
+    permits_.limits().set_routers(routers_);
     for (auto& [service, retry_budget] : retry_budgets_)
     {
         retry_budget->set_routers(routers_);
--- a/src/process/gateway/gateway_context.hpp
+++ b/src/process/gateway/gateway_context.hpp
@@ -7,6 +7,7 @@
 #include "process/fleet_settings/fleet_settings.hpp"
 #include "process/gateway/backend_pool.hpp"
 #include "process/gateway/crash_monitor.hpp"
+#include "process/gateway/permit_client.hpp"
 #include "process/gateway/request_metrics.hpp"
 #include "process/metrics/metrics_registry.hpp"
 #include "request/dialect/request_dialect.hpp"
@@ -71,6 +72,12 @@
         return crashes_;
     }
 
+    // Permits to send requests to backend servers with a limit.
+    permit_client& permits()
+    {
+        return permits_;
+    }
+
     // False before the first backend list has arrived.
     bool has_backend_list() const
     {
@@ -133,6 +140,7 @@
     backend_table table_;
     backend_pool pool_;
     fleet_crash_tracker blame_;
+    permit_client permits_;
     crash_monitor crashes_{pool_, blame_};
     metrics_registry metrics_;
     request_metrics traffic_metrics_{metrics_};
--- /dev/null
+++ b/src/process/gateway/permit_client.hpp
@@ -0,0 +1,89 @@
+#ifndef HICKORYGAP_PROCESS_GATEWAY_PERMIT_CLIENT_HPP
+#define HICKORYGAP_PROCESS_GATEWAY_PERMIT_CLIENT_HPP
+
+#include "connection/event/event_loop.hpp"
+#include "messages/codec.hpp"
+#include "request/rate_limit/router_limits.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <span>
+
+namespace hickorygap
+{
+
+// Obtains permits to send requests to backend servers with a limit: from the
+// leader, or from this router's own share while no leader answers.
+class permit_client
+{
+public:
+    // The loop must outlive the client.
+    permit_client(event_loop& loop, std::uint64_t seed);
+    ~permit_client();
+    permit_client(const permit_client&) = delete;
+    permit_client& operator=(const permit_client&) = delete;
+
+    // Sends a request to the leader; false when there is no link to one.
+    // is_informed: the leader already knows all limits of this router.
+    using send_function = std::function<bool(
+        const std::function<wire::permit_request_msg(bool is_informed)>&)>;
+    void set_send(send_function send);
+
+    // A response named this limit, or none. True when it is new.
+    bool on_response(const backend_limit& limit);
+
+    // Asks for a permit to send one request to the first of the servers that
+    // accepts it. The function gets that server, or nullopt when none accepts
+    // the request; it is called after this returns. Returns the number of the
+    // query.
+    using answer_function =
+        std::function<void(std::optional<backend_server_id>)>;
+    std::uint32_t
+    ask(std::span<const backend_server_id> candidates,
+        answer_function on_answer);
+
+    // Withdraws a query; its function is not called any more.
+    void cancel(std::uint32_t number);
+
+    void on_grant(const wire::permit_grant_msg& grant);
+
+    router_limits& limits()
+    {
+        return limits_;
+    }
+    const router_limits& limits() const
+    {
+        return limits_;
+    }
+
+private:
+    struct query
+    {
+        std::vector<backend_server_id> candidates;
+        answer_function on_answer;
+        timer_id timer = 0;
+    };
+
+    bool send(std::uint32_t number);
+    bool is_leader_silent() const;
+    std::optional<backend_server_id>
+    take_own_permit(std::span<const backend_server_id> candidates);
+    void answer_from_own_share(std::uint32_t number);
+
+    event_loop& loop_;
+    router_limits limits_;
+    send_function send_;
+    std::map<std::uint32_t, query> queries_;
+    std::uint32_t last_number_ = 0;
+
+    // The last query timed out; the next one that goes to the leader does so at
+    // that time.
+    bool timed_out_ = false;
+    time_point next_trial_;
+};
+
+} // namespace hickorygap
+
+#endif
--- a/src/process/voter_node/router_feed.cpp
+++ b/src/process/voter_node/router_feed.cpp
@@ -1,7 +1,9 @@
 #include "process/voter_node/router_feed.hpp"
 
+#include "common/hashing.hpp"
 #include "common/logging.hpp"
 #include "common/status_text.hpp"
+#include "process/fleet_process/limit_messages.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -60,6 +62,8 @@
     , list_calls_per_second_{settings.backend_list.calls_per_second}
     , list_reader_{loop, list_format, settings.backend_list.address}
     , documents_{loop, links, self_, settings.peers.link_megabits_per_second, backends_}
+    , blame_broadcast_{loop, links, settings.peers.link_megabits_per_second}
+    , limit_broadcast_{loop, links, settings.peers.link_megabits_per_second}
     , random_{random_seed()}
 {
 }
@@ -122,6 +126,11 @@
             schedule_blame_news();
         }
     }
+    else if (
+        const auto* request = message_in<wire::permit_request_msg>(payload))
+    {
+        on_permit_request(*request, link);
+    }
     else
     {
         return false;
@@ -131,6 +140,11 @@
 
 void router_feed::update_metrics(metrics_registry& metrics) const
 {
+    metrics
+        .find_gauge(
+            "limited_backend_servers", "servers",
+            "Backend servers whose limits this leader distributes.")
+        .set(static_cast<double>(limits_.size()));
     metrics.find_gauge("live", "routers", "Routers that reported lately.")
         .set(links_.routers());
     metrics
@@ -228,6 +242,9 @@
 void router_feed::on_leadership_change()
 {
     next_list_read_ = loop_.now();
+    // The routers tell a new leader the limits that they know.
+    constexpr int term_shift = 32;
+    limits_ = rate_limit_allocator{voter_->raft().term() << term_shift};
     // The next notice goes to all routers.
     notice_count_ = 0;
     send_notices();
@@ -272,6 +289,10 @@
         {
             link.send(make_payload(*std::move(report)));
         }
+        if (limits_.size() > 0)
+        {
+            link.send(make_payload(make_limit_table()));
+        }
         schedule_relay_plan();
         return;
     }
@@ -364,6 +385,15 @@
         change->changed, change->removed, list->size());
     send_to_voters(*backends_.changes_since(previous));
     on_new_backend_list();
+    std::vector<backend_server_id> listed;
+    for (const listed_backend& backend : *list)
+    {
+        listed.push_back(hash_name(backend.id));
+    }
+    if (limits_.keep_only(listed))
+    {
+        schedule_limits();
+    }
 }
 
 void router_feed::on_backends_push(
@@ -410,25 +440,17 @@
     }
 }
 
-// Sends what changed at once, or when the last report has passed the link.
 void router_feed::schedule_blame_news()
 {
-    if (blame_timer_ != 0)
-    {
-        return;
-    }
-    const duration wait = blame_link_free_at_ - loop_.now();
-    if (wait <= duration{0})
-    {
-        broadcast_blame(blame_.take_router_news(loop_.now()));
-        return;
-    }
-    blame_timer_ = loop_.after(
-        wait,
-        [this]
+    blame_broadcast_.schedule(
+        [this]() -> std::optional<wire::payloadUnion>
         {
-            blame_timer_ = 0;
-            broadcast_blame(blame_.take_router_news(loop_.now()));
+            auto report = blame_.take_router_news(loop_.now());
+            if (!report)
+            {
+                return std::nullopt;
+            }
+            return make_payload(*std::move(report));
         });
 }
 
@@ -436,27 +458,60 @@
 {
     const bool changed_lately =
         loop_.now() - blame_changed_at_ < blame_settling_time;
-    broadcast_blame(blame_.router_report(loop_.now()));
+    if (auto report = blame_.router_report(loop_.now()))
+    {
+        blame_broadcast_.send(make_payload(*std::move(report)));
+    }
     next_blame_ = std::max(
-        blame_link_free_at_,
+        blame_broadcast_.link_free_at(),
         loop_.now() +
             (changed_lately ? changed_blame_interval : blame_interval));
 }
 
-void router_feed::broadcast_blame(
-    const std::optional<wire::blame_report_msg>& report)
+// Limits of backend servers.
+
+// Only a leader with a lease gives permits, so that two leaders never give them
+// at the same time.
+void router_feed::on_permit_request(
+    const wire::permit_request_msg& request, link_connection& link)
 {
-    if (!report)
+    if (!voter_->raft().holds_lease(loop_.now()))
     {
         return;
     }
-    const std::string frame = links_.encode(make_payload(*report));
-    links_.send_to_routers(
-        [&](instance_id /*router*/, const linked_router& /*state*/)
-        { return std::string_view{frame}; });
-    blame_link_free_at_ = loop_.now() + broadcast_interval(
-                                            links_.routers(), frame.size(),
-                                            link_megabits_per_second_);
+    if (limits_.observe(decode_limits(request.observed), loop_.now()))
+    {
+        schedule_limits();
+    }
+    if (request.number == 0)
+    {
+        return;
+    }
+    wire::permit_grant_msg grant;
+    if (request.table_version != limits_.version())
+    {
+        grant = make_limit_table();
+    }
+    grant.table_version = limits_.version();
+    grant.number = request.number;
+    grant.backend = limits_.take(request.candidates, loop_.now()).value_or(0);
+    link.send(make_payload(std::move(grant)));
+}
+
+wire::permit_grant_msg router_feed::make_limit_table() const
+{
+    const limit_table table = limits_.table();
+    wire::permit_grant_msg message;
+    message.table_version = table.version;
+    message.has_limits = true;
+    message.limits = encode_limits(table.limits);
+    return message;
+}
+
+void router_feed::schedule_limits()
+{
+    limit_broadcast_.schedule([this]
+                              { return make_payload(make_limit_table()); });
 }
 
 // Permits one router to try quarantined parts of prompts again.
--- a/src/process/voter_node/router_feed.hpp
+++ b/src/process/voter_node/router_feed.hpp
@@ -13,6 +13,8 @@
 #include "process/fleet_settings/fleet_settings.hpp"
 #include "process/metrics/metrics_registry.hpp"
 #include "process/routing_store/routing_voter.hpp"
+#include "process/voter_node/paced_broadcast.hpp"
+#include "request/rate_limit/rate_limit_allocator.hpp"
 
 #include <map>
 #include <optional>
@@ -79,7 +81,10 @@
     void summarize_loads();
     void schedule_blame_news();
     void send_blame();
-    void broadcast_blame(const std::optional<wire::blame_report_msg>& report);
+    void on_permit_request(
+        const wire::permit_request_msg& request, link_connection& link);
+    wire::permit_grant_msg make_limit_table() const;
+    void schedule_limits();
     void permit_trials();
 
     event_loop& loop_;
@@ -96,6 +101,7 @@
     load_aggregator loads_;
     backend_failure_tracker health_;
     fleet_crash_tracker blame_;
+    rate_limit_allocator limits_{0};
 
     timer_id relay_plan_timer_ = 0;
 
@@ -113,10 +119,9 @@
     time_point next_notice_;
     time_point next_list_read_;
     time_point next_blame_;
-    // When the last report on crashes has passed the network link.
-    time_point blame_link_free_at_;
+    paced_broadcast blame_broadcast_;
+    paced_broadcast limit_broadcast_;
     time_point blame_changed_at_;
-    timer_id blame_timer_ = 0;
     random_engine random_;
 };
 
--- a/src/request/dispatch/backend_table.cpp
+++ b/src/request/dispatch/backend_table.cpp
@@ -284,22 +284,6 @@
     }
 }
 
-bool backend_table::on_request_limit(
-    backend_server_id id, std::optional<double> requests_per_second)
-{
-    const auto found = records_.find(id);
-    return found != records_.end() &&
-           std::exchange(found->second->request_limit, requests_per_second) !=
-               requests_per_second;
-}
-
-std::size_t backend_table::limited_servers() const
-{
-    return static_cast<std::size_t>(std::ranges::count_if(
-        records_, [](const auto& item)
-        { return item.second->request_limit.has_value(); }));
-}
-
 void backend_table::on_end(
     backend_server_id id, dispatch_outcome outcome, time_point now)
 {
--- a/src/request/dispatch/backend_table.hpp
+++ b/src/request/dispatch/backend_table.hpp
@@ -138,10 +138,6 @@
     // The server asked this router to send no requests before this time.
     time_point declines_until;
 
-    // Requests per second that the server accepts from the whole fleet, by its
-    // last response to this router; nullopt without a limit.
-    std::optional<double> request_limit;
-
     // Time since which requests have been in flight at the server without
     // progress on any of them.
     std::optional<time_point> unanswered_since;
@@ -198,14 +194,6 @@
     // The server asked for no requests from this router before `until`.
     void on_declined(backend_server_id id, time_point until);
 
-    // The server named this limit in a response, or none. True when that is a
-    // change.
-    bool on_request_limit(
-        backend_server_id id, std::optional<double> requests_per_second);
-
-    // Servers that have named a limit.
-    std::size_t limited_servers() const;
-
     // Another server has taken over the server's address.
     void on_replaced(backend_server_id id, time_point now);
 
--- a/src/request/dispatch/dispatch_policy.cpp
+++ b/src/request/dispatch/dispatch_policy.cpp
@@ -47,9 +47,10 @@
 // failure domains is slower and is charged for.
 constexpr double own_domain_factor = 0.9;
 
-bool is_excluded(const dispatch_query& query, const backend_record& record)
+bool contains(
+    std::span<const backend_server_id> servers, const backend_record& record)
 {
-    return std::ranges::find(query.excluded, record.id) != query.excluded.end();
+    return std::ranges::find(servers, record.id) != servers.end();
 }
 
 bool is_responsive(
@@ -84,9 +85,13 @@
     double total = 0;
     double slots = 0;
     std::size_t in_service = 0;
+    const bool all_limited = std::ranges::all_of(
+        members, [&](const backend_record* record)
+        { return contains(query.limited, *record); });
     for (const backend_record* record : members)
     {
-        if (is_in_service(*record))
+        if (is_in_service(*record) &&
+            (all_limited || !contains(query.limited, *record)))
         {
             lowest_failure =
                 std::min(lowest_failure, recent_failure_share(*record, now));
@@ -103,7 +108,7 @@
     for (const backend_record* record : members)
     {
         if (!is_in_service(*record) || record->declines_until > now ||
-            is_excluded(query, *record))
+            contains(query.excluded, *record))
         {
             continue;
         }
--- a/src/request/dispatch/dispatch_policy.hpp
+++ b/src/request/dispatch/dispatch_policy.hpp
@@ -23,9 +23,14 @@
     // Failure domain of this router.
     std::string_view failure_domain;
 
-    // Servers that must not be chosen because this request was already sent to
-    // them.
+    // Servers that must not be chosen: they have had this request, or have a
+    // limit that is used up.
     std::span<const backend_server_id> excluded;
+
+    // Servers with a limit of requests. They hold few requests whatever the
+    // load of the service is, so the mean load is that of the others, unless
+    // all have a limit.
+    std::span<const backend_server_id> limited = {};
 };
 
 // Why a server was chosen; written to the decision log.
--- /dev/null
+++ b/src/request/rate_limit/router_limits.hpp
@@ -0,0 +1,92 @@
+#ifndef HICKORYGAP_REQUEST_RATE_LIMIT_ROUTER_LIMITS_HPP
+#define HICKORYGAP_REQUEST_RATE_LIMIT_ROUTER_LIMITS_HPP
+
+#include "common/random.hpp"
+#include "common/time.hpp"
+#include "request/rate_limit/backend_limit.hpp"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace hickorygap
+{
+
+// The limits of backend servers as one router knows them.
+//
+// Permits to send requests to servers with a limit come from the leader, see
+// rate_limit_allocator. A router that hears no leader gives itself permits at
+// random times, at half of its even share of each limit: so the fleet keeps
+// within the limits even if other routers still have a leader. Such permits are
+// lost when they are not used in time, because routers that saved them up could
+// use them all at the same moment.
+//
+// Has no clock of its own; all times are passed in.
+class router_limits
+{
+public:
+    explicit router_limits(std::uint64_t seed);
+
+    // Number of routers that share the limits without a leader; at least 1.
+    void set_routers(std::uint32_t routers);
+
+    // A response named this limit, or none. True when that is news for the
+    // leader.
+    bool on_response(const backend_limit& limit);
+
+    // Takes the table of the leader. It replaces all limits except those that
+    // take_observed has not returned yet.
+    void on_table(const limit_table& table);
+
+    bool is_limited(backend_server_id backend) const
+    {
+        return servers_.contains(backend);
+    }
+
+    // Whether this router gives itself a permit for the server now, which it
+    // uses up. Only without a leader.
+    bool take_own_permit(backend_server_id backend, time_point now);
+
+    // The limits to report to the leader: those read since the last call, or
+    // all that are known here, for a new leader.
+    std::vector<backend_limit> take_observed();
+    std::vector<backend_limit> take_all();
+
+    // Version of the leader's table that this router has.
+    std::uint64_t table_version() const
+    {
+        return table_version_;
+    }
+
+    // Servers with a limit.
+    std::size_t size() const
+    {
+        return servers_.size();
+    }
+
+private:
+    struct server
+    {
+        double requests_per_second = 0;
+
+        // When this router gives itself the next permit.
+        std::optional<time_point> next_permit;
+    };
+
+    bool is_observed(backend_server_id backend) const;
+    duration time_to_permit(const server& known);
+
+    random_engine random_;
+    std::uint32_t routers_ = 1;
+    absl::flat_hash_map<backend_server_id, server> servers_;
+
+    // Read from responses since the last take_observed.
+    std::vector<backend_limit> observed_;
+    std::uint64_t table_version_ = 0;
+};
+
+} // namespace hickorygap
+
+#endif
--- a/tests/process/gateway/fleet_follower_test.cpp
+++ b/tests/process/gateway/fleet_follower_test.cpp
@@ -65,6 +65,9 @@
     {
         blame += report.suspects.size();
     }
+    void on_permit_grant(const wire::permit_grant_msg& /*grant*/) override
+    {
+    }
     void on_router_count(std::uint32_t /*routers*/) override
     {
     }
--- a/tests/process/route_fleet/server_limit_test.cpp
+++ b/tests/process/route_fleet/server_limit_test.cpp
@@ -39,8 +39,7 @@
               is_limited ? fmt::format("Server-Limit: {:.1f}\r\n", limit) : ""}
     {
         fleet.add_backend(
-            [this](
-                backend_double::connection& to, const received_request& got)
+            [this](backend_double::connection& to, const received_request& got)
             {
                 arrivals_.push_back(loop_.now());
                 to.write(fmt::format(
@@ -54,8 +53,7 @@
     std::ptrdiff_t arrivals(time_point begin, time_point end) const
     {
         return std::ranges::count_if(
-            arrivals_,
-            [&](time_point at) { return at >= begin && at < end; });
+            arrivals_, [&](time_point at) { return at >= begin && at < end; });
     }
 
     // Largest number of requests in one window that begins at `begin` or later.
@@ -85,9 +83,9 @@
 
 } // namespace
 
-// Guards against routers that ignore the limit of a backend server, or that each
-// take it for their own: an overloaded server then gets several times what it
-// accepts. What no server accepts must be refused at once.
+// Guards against routers that ignore the limit of a backend server, or that
+// each take it for their own: an overloaded server then gets several times what
+// it accepts. What no server accepts must be refused at once.
 TEST_CASE("all routers together keep within the limit of a backend server")
 {
     struct row
@@ -120,11 +118,10 @@
         const std::size_t router =
             i % 2 == 0 ? 0 : static_cast<std::size_t>(i / 2) % routers;
         calls.emplace_back(
-            fleet.loop().now(),
-            &fleet.call(
-                router, gateway_fixture::request_text(
-                            "Deadline-Ms: 3000\r\n", "", "GET",
-                            fmt::format("q{}", i))));
+            fleet.loop().now(), &fleet.call(
+                                    router, gateway_fixture::request_text(
+                                                "Deadline-Ms: 3000\r\n", "",
+                                                "GET", fmt::format("q{}", i))));
         fleet.run_for(12ms);
         // Refused or not, the answer is there at once.
         if (const std::size_t earlier = calls.size() / 2;
@@ -136,12 +133,14 @@
     std::ptrdiff_t used = 0;
     for (std::size_t i = 0; i < tested.limited; ++i)
     {
-        CHECK(static_cast<double>(servers[i]->most_in_window(steady)) <=
-              max_requests);
+        CHECK(
+            static_cast<double>(servers[i]->most_in_window(steady)) <=
+            max_requests);
         used += servers[i]->arrivals(steady, steady + window);
     }
-    CHECK(static_cast<double>(used) >=
-          tested.min_use * static_cast<double>(tested.limited) * limit * 4);
+    CHECK(
+        static_cast<double>(used) >=
+        tested.min_use * static_cast<double>(tested.limited) * limit * 4);
     const auto refused = std::ranges::count_if(
         calls, [](const auto& each)
         { return each.second->received().find(" 503 ") != std::string::npos; });
