--- a/tests/process/route_fleet/route_fleet_fixture.hpp
+++ b/tests/process/route_fleet/route_fleet_fixture.hpp
@@ -55,7 +55,8 @@
     }
 
     // The server is in the list from the next read by the leader on.
-    backend_double& add_backend(const backend_double::script& on_request)
+    backend_double& add_backend(
+        const backend_double::script& on_request, std::string version = "v1")
     {
         std::unique_ptr<backend_double> added;
         std::uint16_t port = 0;
@@ -65,6 +66,7 @@
             added = std::make_unique<backend_double>(loop_, port, on_request);
         } while (!added->opened());
         ports_.push_back(port);
+        versions_.push_back(std::move(version));
         backends_.push_back(std::move(added));
         return *backends_.back();
     }
@@ -115,9 +117,9 @@
         {
             entries += fmt::format(
                 R"({}{{"id":"i-{}","service":"llm","address":"127.0.0.1:{}",)"
-                R"("zone":"domain-a","version":"v1","slots":8,)"
+                R"("zone":"domain-a","version":"{}","slots":8,)"
                 R"("state":"ready","cold_remaining_ms":0}})",
-                i == 0 ? "" : ",", i, ports_[i]);
+                i == 0 ? "" : ",", i, ports_[i], versions_[i]);
         }
         return fmt::format(R"({{"instances":[{}],"next":null}})", entries);
     }
@@ -210,6 +212,7 @@
     std::vector<std::uint16_t> caller_ports_;
     std::vector<std::unique_ptr<gateway>> routers_;
     std::vector<std::uint16_t> ports_;
+    std::vector<std::string> versions_;
     std::vector<std::unique_ptr<backend_double>> backends_;
     std::vector<std::unique_ptr<caller_double>> callers_;
 };
--- /dev/null
+++ b/tests/process/route_fleet/stream_version_test.cpp
@@ -0,0 +1,120 @@
+#include "process/route_fleet/route_fleet_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+using namespace hickorygap;
+using namespace hickorygap::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::string_view document =
+    R"({"version":7,"routes":[{"name":"r1","host":"h.example",
+    "path_prefix":"/a/","kind":"streaming","resumable":true,"timeout_ms":5000,
+    "target_latency_ms":500,"gap_target_ms":300,"service":"llm",
+    "max_attempts":3}],
+    "services":[{"name":"llm","max_connections":500}],
+    "tenants":[{"name":"t1","api_keys":["key-1"],"priority":1}]})";
+
+constexpr std::size_t routers = 2;
+constexpr int servers_per_version = 3;
+constexpr int streams = 24;
+
+// A server that writes its version into each event. A stream that it begins
+// breaks off after two events, one that it resumes ends in order after two.
+backend_double::script versioned_script(std::string version)
+{
+    return [version = std::move(version)](
+               backend_double::connection& to, const received_request& got)
+    {
+        const int last = std::stoi(got.head->get("Last-Event-Id", "0"));
+        std::string text = fmt::format(
+            "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nReply-Seal: s\r\n"
+            "Content-Type: text/event-stream\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n",
+            got.head->get("Request-Id"));
+        for (int id = last + 1; id <= last + 2; ++id)
+        {
+            const std::string event =
+                fmt::format("id: {}\ndata: {}\n\n", id, version);
+            text += fmt::format("{:x}\r\n{}\r\n", event.size(), event);
+        }
+        to.write(text + (last == 0 ? "" : "0\r\n\r\n"));
+        if (last == 0)
+        {
+            to.close();
+        }
+    };
+}
+
+bool holds_both_versions(const std::string& text)
+{
+    return text.find("data: v1") != std::string::npos &&
+           text.find("data: v2") != std::string::npos;
+}
+
+std::string stream_request(std::string_view id, std::string_view fields)
+{
+    return gateway_fixture::request_text(
+        fmt::format("Deadline-Ms: 5000\r\n{}", fields), "", "POST", id);
+}
+
+} // namespace
+
+// Guards against streams that hold events of two software versions, whose parts
+// do not fit together: when a router goes on after a server has broken off, and
+// when the caller takes the stream up at any router. Streams that can go on
+// must go on.
+TEST_CASE("a stream goes on only at the version that began it")
+{
+    route_fleet fleet{routers, std::string{document}};
+    for (int i = 0; i < servers_per_version; ++i)
+    {
+        fleet.add_backend(versioned_script("v1"), "v1");
+        fleet.add_backend(versioned_script("v2"), "v2");
+    }
+    fleet.await_readiness();
+    const auto await = [&](const caller_double& caller)
+    {
+        REQUIRE(run_until(
+            fleet.loop(),
+            [&]
+            {
+                return caller.ended() ||
+                       caller.received().ends_with("0\r\n\r\n") ||
+                       caller.received().find(" 503 ") != std::string::npos;
+            },
+            3s));
+    };
+    int resumed = 0;
+    for (int i = 0; i < streams; ++i)
+    {
+        const std::string id = fmt::format("s{}", i);
+        const caller_double& first = fleet.call(0, stream_request(id, ""));
+        await(first);
+        CHECK_FALSE(holds_both_versions(first.received()));
+        const bool is_complete = first.received().ends_with("0\r\n\r\n");
+        CHECK(is_complete);
+        // As if the connection had broken after two events.
+        const caller_double& next = fleet.call(
+            static_cast<std::size_t>(i) % routers,
+            stream_request(
+                id + "-again",
+                fmt::format("Last-Event-Id: 2\r\nResumes: {}\r\n", id)));
+        await(next);
+        CHECK_FALSE(holds_both_versions(first.received() + next.received()));
+        resumed += next.received().ends_with("0\r\n\r\n") ? 1 : 0;
+    }
+    CHECK(resumed == streams);
+    // Nobody knows this stream, so its version must not be guessed.
+    const caller_double& unknown = fleet.call(
+        1, stream_request(
+               "u-again", "Last-Event-Id: 2\r\nResumes: never-seen\r\n"));
+    await(unknown);
+    CHECK(unknown.received().find(" 503 ") != std::string::npos);
+}
