--- a/src/process/gateway/exchange.cpp
+++ b/src/process/gateway/exchange.cpp
@@ -346,6 +346,12 @@
         [this](std::optional<backend_server_id> permitted)
         {
             permit_query_ = 0;
+            if (!permitted)
+            {
+                log(log_level::info, subsystem::attempt,
+                    "permit_denied id={} service={}", call_.attempt_id,
+                    service_);
+            }
             if (!ended_)
             {
                 std::vector<backend_server_id> skipped;
