--- a/src/process/gateway/stream_version_client.cpp
+++ b/src/process/gateway/stream_version_client.cpp
@@ -44,7 +44,7 @@
         wire::stream_sent_msg message;
         message.stream = stream;
         message.version = version;
-        send_(make_payload(std::move(message)));
+        send_(make_payload(message));
     }
 }
 
@@ -61,7 +61,7 @@
         wire::stream_query_msg message;
         message.number = number;
         message.stream = stream;
-        item.open_answers = send_(make_payload(std::move(message)));
+        item.open_answers = send_(make_payload(message));
         wait = item.open_answers > 0 ? answer_timeout : wait;
     }
     item.timer =
--- a/src/process/voter_node/router_feed.cpp
+++ b/src/process/voter_node/router_feed.cpp
@@ -140,7 +140,7 @@
         wire::stream_answer_msg answer;
         answer.number = query->number;
         answer.version = streams_.find(query->stream, loop_.now()).value_or(0);
-        link.send(make_payload(std::move(answer)));
+        link.send(make_payload(answer));
     }
     else
     {
