Keep the open queries of a router in one class, and reuse what the project has

permit_client and stream_version_client each had a map of queries with numbers, timers and a destructor; open_queries is that map, once. paced_broadcast repeated peer_links::send_to_routers, which now returns the size of the frame. The lists of servers that a choice leaves out were members of exchange, though only the choice needs them; the query is built once for all its rounds. is_answered stood in two tests of the fleet.

--- a/src/process/fleet_process/peer_links.cpp
+++ b/src/process/fleet_process/peer_links.cpp
@@ -107,11 +107,12 @@
     }
 }
 
-void peer_links::send_to_routers(const wire::payloadUnion& payload)
+std::size_t peer_links::send_to_routers(const wire::payloadUnion& payload)
 {
     const std::string frame = encode(payload);
     send_to_routers([&frame](instance_id, const linked_router&)
                     { return std::string_view{frame}; });
+    return frame.size();
 }
 
 std::string peer_links::encode(const wire::payloadUnion& payload) const
--- a/src/process/fleet_process/peer_links.hpp
+++ b/src/process/fleet_process/peer_links.hpp
@@ -71,8 +71,9 @@
         std::function<std::string_view(instance_id, const linked_router&)>;
     void send_to_routers(const frame_function& frame_for);
 
-    // Sends a message to all live routers.
-    void send_to_routers(const wire::payloadUnion& payload);
+    // Sends a message to all live routers. Returns the size of its frame, in
+    // bytes.
+    std::size_t send_to_routers(const wire::payloadUnion& payload);
 
     // Encodes a message of this instance for send_to_routers.
     std::string encode(const wire::payloadUnion& payload) const;
--- a/src/process/gateway/exchange.cpp
+++ b/src/process/gateway/exchange.cpp
@@ -260,8 +260,6 @@
 {
     dispatch_query query;
     query.failure_domain = context_.settings().instance.failure_domain;
-    query.excluded = unavailable_backends_;
-    query.limited = limited_backends_;
     if (!route_->prompt_affinity || call_.prompt.empty())
     {
         return query;
@@ -287,38 +285,38 @@
     constexpr std::size_t max_candidates = 4;
     const auto members = context_.table().members(service_);
     const router_limits& limits = context_.permits().limits();
-    unavailable_backends_ = tried_backends_;
-    limited_backends_.clear();
+    std::vector<backend_server_id> excluded = tried_backends_;
+    std::vector<backend_server_id> limited;
     for (const backend_record* server : members)
     {
         if (limits.is_limited(server->id))
         {
-            limited_backends_.push_back(server->id);
+            limited.push_back(server->id);
         }
-    }
-    for (const backend_record* server : members)
-    {
         if (stream_version_ &&
             hash_name(server->listed.version) != *stream_version_)
         {
-            unavailable_backends_.push_back(server->id);
+            excluded.push_back(server->id);
         }
     }
+    dispatch_query query = make_query();
+    query.limited = limited;
     const auto choose = [&]
     {
+        query.excluded = excluded;
         return context_.policy_for(*route_).choose(
-            members, make_query(), context_.loop().now());
+            members, query, context_.loop().now());
     };
     dispatch_choice choice = choose();
     while (choice.backend != nullptr && choice.backend->id != permitted &&
            limits.is_limited(choice.backend->id))
     {
         skipped.push_back(choice.backend->id);
-        unavailable_backends_.push_back(choice.backend->id);
+        excluded.push_back(choice.backend->id);
         if (skipped.size() == max_candidates)
         {
             std::ranges::copy_if(
-                limited_backends_, std::back_inserter(unavailable_backends_),
+                limited, std::back_inserter(excluded),
                 [&](backend_server_id id) { return id != permitted; });
         }
         choice = choose();
--- a/src/process/gateway/exchange.hpp
+++ b/src/process/gateway/exchange.hpp
@@ -152,12 +152,6 @@
 
     // State across all attempts.
     std::vector<backend_server_id> tried_backends_;
-
-    // Servers that the current attempt can't be sent to.
-    std::vector<backend_server_id> unavailable_backends_;
-
-    // Servers of the service that have a limit.
-    std::vector<backend_server_id> limited_backends_;
     std::uint32_t sends_ = 0;
     std::uint32_t refused_connections_ = 0;
 
--- a/src/process/gateway/permit_client.cpp
+++ b/src/process/gateway/permit_client.cpp
@@ -22,17 +22,10 @@
 permit_client::permit_client(event_loop& loop, std::uint64_t seed)
     : loop_{loop}
     , limits_{seed}
+    , queries_{loop}
 {
 }
 
-permit_client::~permit_client()
-{
-    for (auto& [number, item] : queries_)
-    {
-        loop_.cancel(item.timer);
-    }
-}
-
 void permit_client::set_send(send_function send)
 {
     send_ = std::move(send);
@@ -44,29 +37,25 @@
     {
         return false;
     }
-    send(0);
+    send(0, {});
     return true;
 }
 
 // Sends what was observed, and the query if the number is not zero.
-bool permit_client::send(std::uint32_t number)
+bool permit_client::send(
+    std::uint32_t number, std::span<const backend_server_id> candidates)
 {
-    return send_ && send_(
-                        [&](bool is_informed)
-                        {
-                            wire::permit_request_msg request;
-                            request.number = number;
-                            request.table_version = limits_.table_version();
-                            request.observed = encode_limits(
-                                is_informed ? limits_.take_observed()
-                                            : limits_.take_all());
-                            if (number != 0)
-                            {
-                                request.candidates =
-                                    queries_.at(number).candidates;
-                            }
-                            return request;
-                        });
+    const auto make_request = [&](bool is_informed)
+    {
+        wire::permit_request_msg request;
+        request.number = number;
+        request.candidates.assign(candidates.begin(), candidates.end());
+        request.table_version = limits_.table_version();
+        request.observed = encode_limits(
+            is_informed ? limits_.take_observed() : limits_.take_all());
+        return request;
+    };
+    return send_ && send_(make_request);
 }
 
 bool permit_client::is_leader_silent() const
@@ -88,47 +77,33 @@
 }
 
 std::uint32_t permit_client::ask(
-    std::span<const backend_server_id> candidates, answer_function on_answer)
+    std::span<const backend_server_id> candidates,
+    open_queries::result_function on_result)
 {
-    const std::uint32_t number = ++last_number_;
-    query& item = queries_[number];
-    item.candidates.assign(candidates.begin(), candidates.end());
-    item.on_answer = std::move(on_answer);
-    if (is_leader_silent() || !send(number))
+    const std::uint32_t number = queries_.add(std::move(on_result));
+    const bool is_sent = !is_leader_silent() && send(number, candidates);
+    if (is_sent)
     {
-        item.timer = loop_.after(
-            duration{0}, [this, number] { answer_from_own_share(number); });
-        return number;
+        next_trial_ = loop_.now() + trial_interval;
     }
-    next_trial_ = loop_.now() + trial_interval;
-    item.timer = loop_.after(
-        answer_timeout,
-        [this, number]
+    queries_.set_timeout(
+        number, is_sent ? answer_timeout : duration{0},
+        [this, number, is_sent,
+         own_candidates = std::vector(candidates.begin(), candidates.end())]
         {
-            if (!std::exchange(timed_out_, true))
+            if (is_sent && !std::exchange(timed_out_, true))
             {
                 log(log_level::warning, subsystem::routing,
                     "permit_not_answered");
             }
-            answer_from_own_share(number);
+            queries_.finish(number, take_own_permit(own_candidates));
         });
     return number;
 }
 
-void permit_client::answer_from_own_share(std::uint32_t number)
-{
-    auto item = queries_.extract(number);
-    item.mapped().on_answer(take_own_permit(item.mapped().candidates));
-}
-
 void permit_client::cancel(std::uint32_t number)
 {
-    const auto found = queries_.find(number);
-    if (found != queries_.end())
-    {
-        loop_.cancel(found->second.timer);
-        queries_.erase(found);
-    }
+    queries_.cancel(number);
 }
 
 void permit_client::on_grant(const wire::permit_grant_msg& grant)
@@ -142,13 +117,8 @@
         return;
     }
     timed_out_ = false;
-    auto item = queries_.extract(grant.number);
-    if (item.empty())
-    {
-        return;
-    }
-    loop_.cancel(item.mapped().timer);
-    item.mapped().on_answer(
+    queries_.on_answer(
+        grant.number,
         grant.backend == 0 ? std::nullopt : std::optional{grant.backend});
 }
 
--- a/src/process/gateway/permit_client.hpp
+++ b/src/process/gateway/permit_client.hpp
@@ -3,11 +3,11 @@
 
 #include "connection/event/event_loop.hpp"
 #include "messages/codec.hpp"
+#include "process/gateway/open_queries.hpp"
 #include "request/rate_limit/router_limits.hpp"
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <optional>
 #include <span>
 
@@ -21,9 +21,6 @@
 public:
     // The loop must outlive the client.
     permit_client(event_loop& loop, std::uint64_t seed);
-    ~permit_client();
-    permit_client(const permit_client&) = delete;
-    permit_client& operator=(const permit_client&) = delete;
 
     // Sends a request to the leader; false when there is no link to one.
     // is_informed: the leader already knows all limits of this router.
@@ -38,11 +35,9 @@
     // accepts it. The function gets that server, or nullopt when none accepts
     // the request; it is called after this returns. Returns the number of the
     // query.
-    using answer_function =
-        std::function<void(std::optional<backend_server_id>)>;
     std::uint32_t
     ask(std::span<const backend_server_id> candidates,
-        answer_function on_answer);
+        open_queries::result_function on_result);
 
     // Withdraws a query; its function is not called any more.
     void cancel(std::uint32_t number);
@@ -59,24 +54,16 @@
     }
 
 private:
-    struct query
-    {
-        std::vector<backend_server_id> candidates;
-        answer_function on_answer;
-        timer_id timer = 0;
-    };
-
-    bool send(std::uint32_t number);
+    bool
+    send(std::uint32_t number, std::span<const backend_server_id> candidates);
     bool is_leader_silent() const;
     std::optional<backend_server_id>
     take_own_permit(std::span<const backend_server_id> candidates);
-    void answer_from_own_share(std::uint32_t number);
 
     event_loop& loop_;
     router_limits limits_;
     send_function send_;
-    std::map<std::uint32_t, query> queries_;
-    std::uint32_t last_number_ = 0;
+    open_queries queries_;
 
     // The last query timed out; the next one that goes to the leader does so at
     // that time.
--- a/src/process/gateway/stream_version_client.cpp
+++ b/src/process/gateway/stream_version_client.cpp
@@ -15,17 +15,10 @@
 
 stream_version_client::stream_version_client(event_loop& loop)
     : loop_{loop}
+    , queries_{loop}
 {
 }
 
-stream_version_client::~stream_version_client()
-{
-    for (auto& [number, item] : queries_)
-    {
-        loop_.cancel(item.timer);
-    }
-}
-
 void stream_version_client::set_send(send_function send)
 {
     send_ = std::move(send);
@@ -48,62 +41,38 @@
     }
 }
 
-std::uint32_t
-stream_version_client::find(stream_id stream, answer_function on_answer)
+std::uint32_t stream_version_client::find(
+    stream_id stream, open_queries::result_function on_result)
 {
-    const std::uint32_t number = ++last_number_;
-    query& item = queries_[number];
-    item.on_answer = std::move(on_answer);
-    duration wait{0};
+    const std::uint32_t number = queries_.add(std::move(on_result));
     const auto known = own_.find(stream, loop_.now());
+    std::size_t voters = 0;
     if (!known && send_)
     {
         wire::stream_query_msg message;
         message.number = number;
         message.stream = stream;
-        item.open_answers = send_(make_payload(message));
-        wait = item.open_answers > 0 ? answer_timeout : wait;
+        voters = send_(make_payload(message));
+        queries_.set_recipients(number, voters);
     }
-    item.timer =
-        loop_.after(wait, [this, number, known] { finish(number, known); });
+    queries_.set_timeout(
+        number, voters > 0 ? answer_timeout : duration{0},
+        [this, number, known] { queries_.finish(number, known); });
     return number;
 }
 
-void stream_version_client::finish(
-    std::uint32_t number, std::optional<software_version_id> found)
-{
-    auto item = queries_.extract(number);
-    loop_.cancel(item.mapped().timer);
-    item.mapped().on_answer(found);
-}
-
 void stream_version_client::cancel(std::uint32_t number)
 {
-    const auto found = queries_.find(number);
-    if (found != queries_.end())
-    {
-        loop_.cancel(found->second.timer);
-        queries_.erase(found);
-    }
+    queries_.cancel(number);
 }
 
 // A voter that has just started does not know the stream, so only the last
 // negative answer counts.
 void stream_version_client::on_answer(const wire::stream_answer_msg& answer)
 {
-    const auto found = queries_.find(answer.number);
-    if (found == queries_.end())
-    {
-        return;
-    }
-    if (answer.version != 0)
-    {
-        finish(answer.number, answer.version);
-    }
-    else if (--found->second.open_answers == 0)
-    {
-        finish(answer.number, std::nullopt);
-    }
+    queries_.on_answer(
+        answer.number,
+        answer.version == 0 ? std::nullopt : std::optional{answer.version});
 }
 
 } // namespace hickorygap
--- a/src/process/gateway/stream_version_client.hpp
+++ b/src/process/gateway/stream_version_client.hpp
@@ -3,12 +3,11 @@
 
 #include "connection/event/event_loop.hpp"
 #include "messages/codec.hpp"
+#include "process/gateway/open_queries.hpp"
 #include "request/dispatch/stream_versions.hpp"
 
 #include <cstdint>
 #include <functional>
-#include <map>
-#include <optional>
 
 namespace hickorygap
 {
@@ -20,9 +19,6 @@
 public:
     // The loop must outlive the client.
     explicit stream_version_client(event_loop& loop);
-    ~stream_version_client();
-    stream_version_client(const stream_version_client&) = delete;
-    stream_version_client& operator=(const stream_version_client&) = delete;
 
     // Sends a message to all linked voters; returns their number.
     using send_function = std::function<std::size_t(const wire::payloadUnion&)>;
@@ -36,9 +32,8 @@
     // Finds the version that began the stream. The function gets nullopt when
     // nobody knows it; it is called after this returns. Returns the number of
     // the query.
-    using answer_function =
-        std::function<void(std::optional<software_version_id>)>;
-    std::uint32_t find(stream_id stream, answer_function on_answer);
+    std::uint32_t
+    find(stream_id stream, open_queries::result_function on_result);
 
     // Withdraws a query; its function is not called any more.
     void cancel(std::uint32_t number);
@@ -46,20 +41,10 @@
     void on_answer(const wire::stream_answer_msg& answer);
 
 private:
-    struct query
-    {
-        answer_function on_answer;
-        std::size_t open_answers = 0;
-        timer_id timer = 0;
-    };
-
-    void finish(std::uint32_t number, std::optional<software_version_id> found);
-
     event_loop& loop_;
     send_function send_;
     stream_versions own_;
-    std::map<std::uint32_t, query> queries_;
-    std::uint32_t last_number_ = 0;
+    open_queries queries_;
 };
 
 } // namespace hickorygap
--- a/src/process/voter_node/paced_broadcast.cpp
+++ b/src/process/voter_node/paced_broadcast.cpp
@@ -3,7 +3,6 @@
 #include "process/fleet_process/load_exchange.hpp"
 
 #include <algorithm>
-#include <string>
 #include <utility>
 
 namespace hickorygap
@@ -42,13 +41,10 @@
 
 void paced_broadcast::send(const wire::payloadUnion& payload)
 {
-    const std::string frame = links_.encode(payload);
-    links_.send_to_routers(
-        [&](instance_id /*router*/, const linked_router& /*state*/)
-        { return std::string_view{frame}; });
-    link_free_at_ = loop_.now() + broadcast_interval(
-                                      links_.routers(), frame.size(),
-                                      link_megabits_per_second_);
+    const std::size_t bytes = links_.send_to_routers(payload);
+    link_free_at_ =
+        loop_.now() +
+        broadcast_interval(links_.routers(), bytes, link_megabits_per_second_);
 }
 
 } // namespace hickorygap
--- a/tests/process/route_fleet/crashing_request_test.cpp
+++ b/tests/process/route_fleet/crashing_request_test.cpp
@@ -80,11 +80,6 @@
         "Deadline-Ms: 3000\r\n", body, "POST", id);
 }
 
-bool is_answered(const caller_double& caller)
-{
-    return !caller.received().empty() || caller.ended();
-}
-
 const std::string crashing_part = "dead0:50";
 
 // The target: five crashes show the part, and three more requests may be under
--- a/tests/process/route_fleet/route_fleet_fixture.hpp
+++ b/tests/process/route_fleet/route_fleet_fixture.hpp
@@ -217,6 +217,12 @@
     std::vector<std::unique_ptr<caller_double>> callers_;
 };
 
+// Whether the caller has a response, or has lost its connection.
+inline bool is_answered(const caller_double& caller)
+{
+    return !caller.received().empty() || caller.ended();
+}
+
 } // namespace hickorygap::test
 
 #endif
--- a/tests/process/route_fleet/server_limit_test.cpp
+++ b/tests/process/route_fleet/server_limit_test.cpp
@@ -76,11 +76,6 @@
     std::vector<time_point> arrivals_;
 };
 
-bool is_answered(const caller_double& caller)
-{
-    return !caller.received().empty() || caller.ended();
-}
-
 } // namespace
 
 // Guards against routers that ignore the limit of a backend server, or that
