Transfer the limits of backend servers without rounding

Cause: messages carried requests per 1,000 s as integers, so the leader's table had another value than the server's responses once a limit has more than three decimals, and each such response would have been reported as news. The test failed before for 4.23456789 and 1e9, and passes.

--- a/src/process/fleet_process/limit_messages.cpp
+++ b/src/process/fleet_process/limit_messages.cpp
@@ -1,26 +1,8 @@
 #include "process/fleet_process/limit_messages.hpp"
 
-#include <algorithm>
-#include <cmath>
-#include <limits>
-
 namespace hickorygap
 {
 
-namespace
-{
-
-constexpr double thousand = 1000;
-
-std::uint32_t to_thousandths(double value)
-{
-    constexpr double max = std::numeric_limits<std::uint32_t>::max();
-    return static_cast<std::uint32_t>(
-        std::min(std::round(value * thousand), max));
-}
-
-} // namespace
-
 std::vector<wire::server_limit>
 encode_limits(std::span<const backend_limit> limits)
 {
@@ -28,8 +10,7 @@
     for (const backend_limit& limit : limits)
     {
         result.emplace_back(
-            limit.backend,
-            to_thousandths(limit.requests_per_second.value_or(0)),
+            limit.backend, limit.requests_per_second.value_or(0),
             !limit.requests_per_second);
     }
     return result;
@@ -44,8 +25,7 @@
         backend_limit decoded{limit.backend(), std::nullopt};
         if (!limit.is_lifted())
         {
-            decoded.requests_per_second =
-                limit.requests_per_1000_s() / thousand;
+            decoded.requests_per_second = limit.requests_per_second();
         }
         result.push_back(decoded);
     }
--- a/src/process/fleet_process/limit_messages.hpp
+++ b/src/process/fleet_process/limit_messages.hpp
@@ -10,8 +10,7 @@
 namespace hickorygap
 {
 
-// Conversions between the limits of backend servers and their messages. Rates
-// are rounded to thousandths.
+// Conversions between the limits of backend servers and their messages.
 std::vector<wire::server_limit>
 encode_limits(std::span<const backend_limit> limits);
 std::vector<backend_limit>
--- /dev/null
+++ b/tests/process/fleet_process/limit_messages_test.cpp
@@ -0,0 +1,15 @@
+#include "process/fleet_process/limit_messages.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace hickorygap;
+
+// Guards against a limit that differs between the leader's table and the
+// server's responses: routers would report it as news with each response.
+TEST_CASE("limits are the same after their transfer")
+{
+    const auto limit = GENERATE(
+        as<std::optional<double>>{}, std::nullopt, 0.0, 0.2, 4.23456789, 1e9);
+    const std::vector<backend_limit> limits{{7, limit}};
+    CHECK(decode_limits(encode_limits(limits)) == limits);
+}
