Learn limits from each query for a permit, and send only their changes

Cause: each answer to a query repeated the whole table whenever it had changed, 2 kB to each of 500 queries a second on a link of 525 kB a second, and the first change after an election made all routers forget the limits that the new leader had not heard of.

Change: a query names the limits that its router knows of the candidates, and the leader learns those that it misses before it permits anything; nothing has to be told to a new leader any more. Limits travel as changes since a version. A limit ends only when a response shows it, its server has been missing from the list for 20 s, or the leader says so. A router trusts its own response for 1 s over changes that were on their way.

Ruled out: telling all limits with each change of a link (does not cover a lost report).

--- a/src/process/fleet_process/limit_messages.cpp
+++ b/src/process/fleet_process/limit_messages.cpp
@@ -32,4 +32,38 @@
     return result;
 }
 
+wire::permit_request_msg
+encode_query(const permit_query& query, std::uint32_t number)
+{
+    wire::permit_request_msg message;
+    message.number = number;
+    message.limits_version = query.version;
+    message.candidates = encode_limits(query.candidates);
+    message.observed = encode_limits(query.observed);
+    return message;
+}
+
+permit_query decode_query(const wire::permit_request_msg& message)
+{
+    return {
+        message.limits_version, decode_limits(message.candidates),
+        decode_limits(message.observed)};
+}
+
+wire::permit_grant_msg encode_changes(const limit_changes& changes)
+{
+    wire::permit_grant_msg message;
+    message.limits_version = changes.version;
+    message.base_version = changes.base_version;
+    message.limits = encode_limits(changes.limits);
+    return message;
+}
+
+limit_changes decode_changes(const wire::permit_grant_msg& message)
+{
+    return {
+        message.limits_version, message.base_version,
+        decode_limits(message.limits)};
+}
+
 } // namespace hickorygap
--- a/src/process/fleet_process/limit_messages.hpp
+++ b/src/process/fleet_process/limit_messages.hpp
@@ -16,6 +16,16 @@
 std::vector<backend_limit>
 decode_limits(std::span<const wire::server_limit> limits);
 
+// Conversions of queries for permits. number: identifies the query at its
+// router; zero if it only reports limits.
+wire::permit_request_msg
+encode_query(const permit_query& query, std::uint32_t number);
+permit_query decode_query(const wire::permit_request_msg& message);
+
+// Conversions of changes of the limits. The message answers no query yet.
+wire::permit_grant_msg encode_changes(const limit_changes& changes);
+limit_changes decode_changes(const wire::permit_grant_msg& message);
+
 } // namespace hickorygap
 
 #endif
--- a/src/process/gateway/fleet_follower.cpp
+++ b/src/process/gateway/fleet_follower.cpp
@@ -122,18 +122,14 @@
     return leader_link();
 }
 
-// Requests go to the leader directly, because a relay would delay them.
-bool fleet_follower::send_permit_request(
-    const std::function<wire::permit_request_msg(bool is_informed)>&
-        make_request)
+bool fleet_follower::send_to_leader(const wire::payloadUnion& payload)
 {
     link_connection* leader = leader_link();
     if (leader == nullptr || leader_silence() > leader_silence_limit)
     {
         return false;
     }
-    const bool is_informed = std::exchange(limits_told_, leader) == leader;
-    leader->send(make_payload(make_request(is_informed)));
+    leader->send(payload);
     return true;
 }
 
@@ -371,10 +367,6 @@
     {
         informed_leader_ = nullptr;
     }
-    if (limits_told_ == &link)
-    {
-        limits_told_ = nullptr;
-    }
     log(log_level::info, subsystem::network, "voter_lost host={}",
         host_of(link.peer()));
 }
--- a/src/process/gateway/fleet_follower.hpp
+++ b/src/process/gateway/fleet_follower.hpp
@@ -11,7 +11,6 @@
 #include "request/dispatch/backend_table.hpp"
 
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -84,12 +83,9 @@
     // There are new crashes for take_blame to report.
     void report_blame();
 
-    // Sends what the function returns to the leader. The function gets whether
-    // the leader already knows all limits of this router. False when there is
-    // no link to a leader.
-    bool send_permit_request(
-        const std::function<wire::permit_request_msg(bool is_informed)>&
-            make_request);
+    // Sends a message to the leader directly, because a relay would delay it.
+    // False when there is no link to a leader that was heard lately.
+    bool send_to_leader(const wire::payloadUnion& payload);
 
     // Sends a message to all linked voters; returns their number.
     std::size_t send_to_voters(const wire::payloadUnion& payload);
@@ -162,9 +158,6 @@
     // The link on which the current leader got the full crash report.
     const link_connection* informed_leader_ = nullptr;
 
-    // The link on which the current leader was told all limits.
-    const link_connection* limits_told_ = nullptr;
-
     // Relay that the leader's last notice assigns; zero for none, self_ when
     // this router is a relay.
     instance_id assigned_relay_ = 0;
--- a/src/process/gateway/gateway.cpp
+++ b/src/process/gateway/gateway.cpp
@@ -49,9 +49,8 @@
     context_.crashes().set_on_news([this] { follower_.report_blame(); });
     context_.streams().set_send([this](const wire::payloadUnion& payload)
                                 { return follower_.send_to_voters(payload); });
-    context_.permits().set_send(
-        [this](const auto& make_request)
-        { return follower_.send_permit_request(make_request); });
+    context_.permits().set_send([this](const wire::payloadUnion& payload)
+                                { return follower_.send_to_leader(payload); });
 }
 
 gateway::~gateway() = default;
--- a/src/process/gateway/permit_client.cpp
+++ b/src/process/gateway/permit_client.cpp
@@ -33,7 +33,7 @@
 
 bool permit_client::on_response(const backend_limit& limit)
 {
-    if (!limits_.on_response(limit))
+    if (!limits_.on_response(limit, loop_.now()))
     {
         return false;
     }
@@ -45,17 +45,13 @@
 bool permit_client::send(
     std::uint32_t number, std::span<const backend_server_id> candidates)
 {
-    const auto make_request = [&](bool is_informed)
+    if (!send_ || !send_(make_payload(
+                      encode_query(limits_.make_query(candidates), number))))
     {
-        wire::permit_request_msg request;
-        request.number = number;
-        request.candidates.assign(candidates.begin(), candidates.end());
-        request.table_version = limits_.table_version();
-        request.observed = encode_limits(
-            is_informed ? limits_.take_observed() : limits_.take_all());
-        return request;
-    };
-    return send_ && send_(make_request);
+        return false;
+    }
+    limits_.on_reported();
+    return true;
 }
 
 bool permit_client::is_leader_silent() const
@@ -108,10 +104,7 @@
 
 void permit_client::on_grant(const wire::permit_grant_msg& grant)
 {
-    if (grant.has_limits)
-    {
-        limits_.on_table({grant.table_version, decode_limits(grant.limits)});
-    }
+    limits_.on_changes(decode_changes(grant), loop_.now());
     if (grant.number == 0)
     {
         return;
--- a/src/process/gateway/permit_client.hpp
+++ b/src/process/gateway/permit_client.hpp
@@ -22,10 +22,8 @@
     // The loop must outlive the client.
     permit_client(event_loop& loop, std::uint64_t seed);
 
-    // Sends a request to the leader; false when there is no link to one.
-    // is_informed: the leader already knows all limits of this router.
-    using send_function = std::function<bool(
-        const std::function<wire::permit_request_msg(bool is_informed)>&)>;
+    // Sends a message to the leader; false when there is no link to one.
+    using send_function = std::function<bool(const wire::payloadUnion&)>;
     void set_send(send_function send);
 
     // A response named this limit, or none. True when it is new.
--- a/src/process/gateway/stream_version_client.cpp
+++ b/src/process/gateway/stream_version_client.cpp
@@ -34,9 +34,8 @@
     own_.add(stream, version, loop_.now());
     if (send_)
     {
-        wire::stream_sent_msg message;
-        message.stream = stream;
-        message.version = version;
+        wire::streams_sent_msg message;
+        message.streams.emplace_back(stream, version);
         send_(make_payload(message));
     }
 }
--- a/src/process/voter_node/router_feed.cpp
+++ b/src/process/voter_node/router_feed.cpp
@@ -131,9 +131,12 @@
     {
         on_permit_request(*request, link);
     }
-    else if (const auto* sent = message_in<wire::stream_sent_msg>(payload))
+    else if (const auto* sent = message_in<wire::streams_sent_msg>(payload))
     {
-        streams_.add(sent->stream, sent->version, loop_.now());
+        for (const wire::stream_version& item : sent->streams)
+        {
+            streams_.add(item.stream(), item.version(), loop_.now());
+        }
     }
     else if (const auto* query = message_in<wire::stream_query_msg>(payload))
     {
@@ -254,8 +257,7 @@
 {
     next_list_read_ = loop_.now();
     // The routers tell a new leader the limits that they know.
-    constexpr int term_shift = 32;
-    limits_ = rate_limit_allocator{voter_->raft().term() << term_shift};
+    limits_ = rate_limit_allocator{voter_->raft().term()};
     // The next notice goes to all routers.
     notice_count_ = 0;
     send_notices();
@@ -302,7 +304,7 @@
         }
         if (limits_.size() > 0)
         {
-            link.send(make_payload(make_limit_table()));
+            link.send(make_payload(encode_changes(limits_.changes_since(0))));
         }
         schedule_relay_plan();
         return;
@@ -383,6 +385,7 @@
     {
         return;
     }
+    keep_limits_of(*list);
     const backend_list_version previous = backends_.version();
     const auto change = backends_.publish(voter_->raft().term(), *list);
     if (!change)
@@ -396,12 +399,22 @@
         change->changed, change->removed, list->size());
     send_to_voters(*backends_.changes_since(previous));
     on_new_backend_list();
+}
+
+void router_feed::keep_limits_of(std::span<const listed_backend> list)
+{
+    if (limits_.size() == 0)
+    {
+        return;
+    }
     std::vector<backend_server_id> listed;
-    for (const listed_backend& backend : *list)
+    for (const listed_backend& backend : list)
     {
         listed.push_back(hash_name(backend.id));
     }
-    if (limits_.keep_only(listed))
+    const std::uint64_t version = limits_.version();
+    limits_.keep_listed(listed, loop_.now());
+    if (limits_.version() != version)
     {
         schedule_limits();
     }
@@ -490,7 +503,10 @@
     {
         return;
     }
-    if (limits_.observe(decode_limits(request.observed), loop_.now()))
+    const std::uint64_t version = limits_.version();
+    const permit_answer answer =
+        limits_.answer(decode_query(request), loop_.now());
+    if (limits_.version() != version)
     {
         schedule_limits();
     }
@@ -498,31 +514,21 @@
     {
         return;
     }
-    wire::permit_grant_msg grant;
-    if (request.table_version != limits_.version())
-    {
-        grant = make_limit_table();
-    }
-    grant.table_version = limits_.version();
+    wire::permit_grant_msg grant = encode_changes(answer.changes);
     grant.number = request.number;
-    grant.backend = limits_.take(request.candidates, loop_.now()).value_or(0);
+    grant.backend = answer.backend.value_or(0);
     link.send(make_payload(std::move(grant)));
 }
 
-wire::permit_grant_msg router_feed::make_limit_table() const
-{
-    const limit_table table = limits_.table();
-    wire::permit_grant_msg message;
-    message.table_version = table.version;
-    message.has_limits = true;
-    message.limits = encode_limits(table.limits);
-    return message;
-}
-
 void router_feed::schedule_limits()
 {
-    limit_broadcast_.schedule([this]
-                              { return make_payload(make_limit_table()); });
+    limit_broadcast_.schedule(
+        [this]
+        {
+            const std::uint64_t base =
+                std::exchange(broadcast_limits_, limits_.version());
+            return make_payload(encode_changes(limits_.changes_since(base)));
+        });
 }
 
 // Permits one router to try quarantined parts of prompts again.
--- a/src/process/voter_node/router_feed.hpp
+++ b/src/process/voter_node/router_feed.hpp
@@ -19,6 +19,7 @@
 
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 
 namespace hickorygap
@@ -84,7 +85,7 @@
     void send_blame();
     void on_permit_request(
         const wire::permit_request_msg& request, link_connection& link);
-    wire::permit_grant_msg make_limit_table() const;
+    void keep_limits_of(std::span<const listed_backend> list);
     void schedule_limits();
     void permit_trials();
 
@@ -103,6 +104,9 @@
     backend_failure_tracker health_;
     fleet_crash_tracker blame_;
     rate_limit_allocator limits_{0};
+
+    // Version of the limits that all routers were sent.
+    std::uint64_t broadcast_limits_ = 0;
     stream_versions streams_;
 
     timer_id relay_plan_timer_ = 0;
--- a/src/request/rate_limit/backend_limit.hpp
+++ b/src/request/rate_limit/backend_limit.hpp
@@ -24,14 +24,44 @@
     operator==(const backend_limit&, const backend_limit&) = default;
 };
 
-// All limits of the fleet, as one leader knows them.
-struct limit_table
+// Changes of the limits that a leader distributes.
+struct limit_changes
 {
-    // Differs between leaders, and changes with each change of the table.
+    // Version of the leader's limits with these changes. It begins with the
+    // leader's term and increases with each change.
     std::uint64_t version = 0;
+
+    // These are the changes since that version; zero if they contain all limits
+    // that the leader knows.
+    std::uint64_t base_version = 0;
+
     std::vector<backend_limit> limits;
 };
 
+// A router's query for a permit to send one request, and its news.
+struct permit_query
+{
+    // Version of the leader's limits that the router has.
+    std::uint64_t version = 0;
+
+    // Servers in the router's order of preference, with the limits that it
+    // knows. Empty: the router only reports what it observed.
+    std::vector<backend_limit> candidates;
+
+    // Limits that responses have named since the last query.
+    std::vector<backend_limit> observed;
+};
+
+// The leader's answer to a permit_query.
+struct permit_answer
+{
+    // The server that the request may be sent to; nullopt for none.
+    std::optional<backend_server_id> backend;
+
+    // What the router does not know of the leader's limits.
+    limit_changes changes;
+};
+
 // Rate at which a server with a limit is sent requests. A server that accepts
 // next to nothing still gets one from time to time, because only its responses
 // tell when the limit ends.
--- a/src/request/rate_limit/rate_limit_allocator.cpp
+++ b/src/request/rate_limit/rate_limit_allocator.cpp
@@ -11,6 +11,14 @@
 // Capacity of a bucket: the requests of this time, and at least one.
 constexpr double bucket_s = 0.5;
 
+// A version: term of the leader, and changes in this term.
+constexpr int term_shift = 32;
+
+constexpr duration unlisted_retention = std::chrono::seconds{20};
+
+// A router that misses a removal learns it from the answer to its next query.
+constexpr std::size_t max_removed = 256;
+
 double bucket_size(double limit)
 {
     return std::max(1.0, permitted_rate(limit) * bucket_s);
@@ -18,45 +26,136 @@
 
 } // namespace
 
-rate_limit_allocator::rate_limit_allocator(std::uint64_t epoch)
-    : version_{epoch}
+rate_limit_allocator::rate_limit_allocator(std::uint64_t term)
+    : version_{term << term_shift}
+{
+}
+
+bool rate_limit_allocator::has_same_term(std::uint64_t version) const
 {
+    return version >> term_shift == version_ >> term_shift;
 }
 
-bool rate_limit_allocator::observe(
-    std::span<const backend_limit> observed, time_point now)
+permit_answer
+rate_limit_allocator::answer(const permit_query& query, time_point now)
 {
-    bool has_changed = false;
-    for (const backend_limit& limit : observed)
+    learn_from(query, now);
+    permit_answer result;
+    if (!query.candidates.empty())
+    {
+        result.backend = take(query.candidates, now);
+    }
+    result.changes = changes_since(query.version);
+    for (const backend_limit& candidate : query.candidates)
     {
-        if (!limit.requests_per_second)
+        if (!buckets_.contains(candidate.backend))
         {
-            has_changed = buckets_.erase(limit.backend) > 0 || has_changed;
-            continue;
+            result.changes.limits.push_back({candidate.backend, {}});
         }
-        const auto [found, is_new] = buckets_.try_emplace(limit.backend);
-        bucket& item = found->second;
-        if (is_new)
+    }
+    return result;
+}
+
+// Learns what the router has observed, and the limits by which it knows the
+// candidates if they are missing here: this leader was elected since, or a
+// report was lost. A router with an older version of this leader's limits may
+// not have heard yet that a limit has ended.
+void rate_limit_allocator::learn_from(const permit_query& query, time_point now)
+{
+    const bool knows_removals =
+        query.version == version_ || !has_same_term(query.version);
+    for (const backend_limit& candidate : query.candidates)
+    {
+        if (knows_removals && candidate.requests_per_second &&
+            !buckets_.contains(candidate.backend))
         {
-            item.filled_at = now;
+            observe(candidate, now);
         }
-        fill(item, now);
-        has_changed = has_changed || is_new ||
-                      item.requests_per_second != *limit.requests_per_second;
+    }
+    for (const backend_limit& limit : query.observed)
+    {
+        observe(limit, now);
+    }
+}
+
+void rate_limit_allocator::observe(const backend_limit& limit, time_point now)
+{
+    if (!limit.requests_per_second)
+    {
+        if (const auto found = buckets_.find(limit.backend);
+            found != buckets_.end())
+        {
+            remove(found);
+        }
+        return;
+    }
+    const auto [found, is_new] = buckets_.try_emplace(limit.backend);
+    bucket& item = found->second;
+    if (is_new)
+    {
+        item.filled_at = now;
+    }
+    fill(item, now);
+    item.listed_at = now;
+    if (is_new || item.requests_per_second != *limit.requests_per_second)
+    {
         item.requests_per_second = *limit.requests_per_second;
+        item.changed_in = ++version_;
         fill(item, now);
     }
-    version_ += has_changed ? 1 : 0;
-    return has_changed;
 }
 
-bool rate_limit_allocator::keep_only(std::span<const backend_server_id> listed)
+void rate_limit_allocator::remove(bucket_map::iterator item)
+{
+    removed_.push_back({item->first, ++version_});
+    if (removed_.size() > max_removed)
+    {
+        removed_.pop_front();
+    }
+    buckets_.erase(item);
+}
+
+void rate_limit_allocator::keep_listed(
+    std::span<const backend_server_id> listed, time_point now)
+{
+    for (const backend_server_id backend : listed)
+    {
+        if (const auto found = buckets_.find(backend); found != buckets_.end())
+        {
+            found->second.listed_at = now;
+        }
+    }
+    for (auto item = buckets_.begin(); item != buckets_.end();)
+    {
+        const auto next = std::next(item);
+        if (now - item->second.listed_at > unlisted_retention)
+        {
+            remove(item);
+        }
+        item = next;
+    }
+}
+
+limit_changes rate_limit_allocator::changes_since(std::uint64_t version) const
 {
-    const auto removed = std::erase_if(
-        buckets_, [&](const auto& item)
-        { return std::ranges::find(listed, item.first) == listed.end(); });
-    version_ += removed > 0 ? 1 : 0;
-    return removed > 0;
+    limit_changes result;
+    result.version = version_;
+    result.base_version = has_same_term(version) ? version : 0;
+    for (const removed_limit& item : removed_)
+    {
+        if (item.removed_in > result.base_version)
+        {
+            result.limits.push_back({item.backend, {}});
+        }
+    }
+    for (const auto& [backend, item] : buckets_)
+    {
+        if (item.changed_in > result.base_version)
+        {
+            result.limits.push_back({backend, item.requests_per_second});
+        }
+    }
+    return result;
 }
 
 void rate_limit_allocator::fill(bucket& item, time_point now)
@@ -70,35 +169,24 @@
 }
 
 std::optional<backend_server_id> rate_limit_allocator::take(
-    std::span<const backend_server_id> candidates, time_point now)
+    std::span<const backend_limit> candidates, time_point now)
 {
-    for (const backend_server_id backend : candidates)
+    for (const backend_limit& candidate : candidates)
     {
-        const auto found = buckets_.find(backend);
+        const auto found = buckets_.find(candidate.backend);
         if (found == buckets_.end())
         {
-            return backend;
+            return candidate.backend;
         }
         bucket& item = found->second;
         fill(item, now);
         if (item.tokens >= 1)
         {
             item.tokens -= 1;
-            return backend;
+            return candidate.backend;
         }
     }
     return std::nullopt;
 }
 
-limit_table rate_limit_allocator::table() const
-{
-    limit_table result;
-    result.version = version_;
-    for (const auto& [backend, item] : buckets_)
-    {
-        result.limits.push_back({backend, item.requests_per_second});
-    }
-    return result;
-}
-
 } // namespace hickorygap
--- a/src/request/rate_limit/rate_limit_allocator.hpp
+++ b/src/request/rate_limit/rate_limit_allocator.hpp
@@ -5,6 +5,7 @@
 #include "request/rate_limit/backend_limit.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <span>
@@ -21,27 +22,30 @@
 // requests a second the first request of each router would already exceed the
 // limit.
 //
+// Each query names the limits that its router knows of the servers concerned,
+// so that a leader that has missed a limit learns it before it permits
+// anything.
+//
 // Has no clock of its own; all times are passed in.
 class rate_limit_allocator
 {
 public:
-    // epoch: start of the versions of the table; differs between leaders.
-    explicit rate_limit_allocator(std::uint64_t epoch);
-
-    // Takes limits that a router read from responses. True when the table has
-    // changed.
-    bool observe(std::span<const backend_limit> observed, time_point now);
+    // term: of the leader.
+    explicit rate_limit_allocator(std::uint64_t term);
 
-    // Drops the limits of servers other than these. True when the table has
-    // changed.
-    bool keep_only(std::span<const backend_server_id> listed);
+    // Takes the limits that the router reports, and permits one request to the
+    // first of the candidates that accepts one now. The version changes with
+    // the limits.
+    permit_answer answer(const permit_query& query, time_point now);
 
-    // Permits one request to the first of the servers that accepts one now;
-    // nullopt when none does. A server without a known limit accepts all.
-    std::optional<backend_server_id>
-    take(std::span<const backend_server_id> candidates, time_point now);
+    // Drops the limits of servers that have not been in the list for some time.
+    // An entry that can't be read is missing from the list although its server
+    // still runs.
+    void keep_listed(std::span<const backend_server_id> listed, time_point now);
 
-    limit_table table() const;
+    // Changes since a version, or all limits if the version is not one of this
+    // leader.
+    limit_changes changes_since(std::uint64_t version) const;
 
     std::uint64_t version() const
     {
@@ -62,11 +66,33 @@
         // Tokens as of filled_at.
         double tokens = 0;
         time_point filled_at;
+
+        // When the server was last in the list, or named a limit.
+        time_point listed_at;
+
+        // Version of the last change of the limit.
+        std::uint64_t changed_in = 0;
+    };
+    using bucket_map = std::map<backend_server_id, bucket>;
+
+    struct removed_limit
+    {
+        backend_server_id backend = 0;
+        std::uint64_t removed_in = 0;
     };
 
     static void fill(bucket& item, time_point now);
+    bool has_same_term(std::uint64_t version) const;
+    void observe(const backend_limit& limit, time_point now);
+    void learn_from(const permit_query& query, time_point now);
+    void remove(bucket_map::iterator item);
+    std::optional<backend_server_id>
+    take(std::span<const backend_limit> candidates, time_point now);
+
+    bucket_map buckets_;
 
-    std::map<backend_server_id, bucket> buckets_;
+    // The last limits that ended, the oldest first.
+    std::deque<removed_limit> removed_;
     std::uint64_t version_ = 0;
 };
 
--- a/src/request/rate_limit/router_limits.cpp
+++ b/src/request/rate_limit/router_limits.cpp
@@ -16,6 +16,9 @@
 // Share of its even share of a limit that a router uses without a leader.
 constexpr double leaderless_share = 0.5;
 
+// Time in which a report reaches the leader, and the change the routers.
+constexpr duration report_delay = std::chrono::seconds{1};
+
 } // namespace
 
 router_limits::router_limits(std::uint64_t seed)
@@ -28,60 +31,65 @@
     routers_ = std::max(routers, 1U);
 }
 
-bool router_limits::is_observed(backend_server_id backend) const
-{
-    return std::ranges::find(observed_, backend, &backend_limit::backend) !=
-           observed_.end();
-}
-
-bool router_limits::on_response(const backend_limit& limit)
+bool router_limits::on_response(const backend_limit& limit, time_point now)
 {
     const auto found = servers_.find(limit.backend);
-    const bool is_known =
-        found == servers_.end()
-            ? !limit.requests_per_second
-            : found->second.requests_per_second == limit.requests_per_second;
-    if (is_known)
+    if (!limit.requests_per_second)
     {
-        return false;
+        if (found == servers_.end())
+        {
+            return false;
+        }
+        servers_.erase(found);
+    }
+    else
+    {
+        const bool is_known =
+            found != servers_.end() &&
+            found->second.requests_per_second == *limit.requests_per_second;
+        server& known = servers_[limit.backend];
+        known.observed_at = now;
+        if (is_known)
+        {
+            return false;
+        }
+        known.requests_per_second = *limit.requests_per_second;
     }
     std::erase_if(
         observed_, [&](const backend_limit& item)
         { return item.backend == limit.backend; });
     observed_.push_back(limit);
-    if (limit.requests_per_second)
-    {
-        servers_[limit.backend].requests_per_second =
-            *limit.requests_per_second;
-    }
-    else
-    {
-        servers_.erase(found);
-    }
     return true;
 }
 
-void router_limits::on_table(const limit_table& table)
+void router_limits::on_changes(const limit_changes& changes, time_point now)
 {
-    table_version_ = table.version;
-    absl::flat_hash_map<backend_server_id, server> previous;
-    std::swap(previous, servers_);
-    for (const auto& [backend, known] : previous)
+    for (const backend_limit& limit : changes.limits)
     {
-        if (is_observed(backend))
+        const auto found = servers_.find(limit.backend);
+        const bool is_just_observed =
+            found != servers_.end() && found->second.observed_at &&
+            now - *found->second.observed_at < report_delay;
+        if (is_just_observed)
         {
-            servers_[backend] = known;
+            continue;
         }
-    }
-    for (const backend_limit& limit : table.limits)
-    {
-        if (limit.requests_per_second && !is_observed(limit.backend))
+        if (limit.requests_per_second)
+        {
+            servers_[limit.backend].requests_per_second =
+                *limit.requests_per_second;
+        }
+        else
         {
-            server& known = servers_[limit.backend];
-            known = previous[limit.backend];
-            known.requests_per_second = *limit.requests_per_second;
+            servers_.erase(limit.backend);
         }
     }
+    // Without the changes before, this router keeps its version, and gets them
+    // with the answer to its next query.
+    if (changes.base_version <= version_)
+    {
+        version_ = std::max(version_, changes.version);
+    }
 }
 
 // The times of permits are a Poisson process, which has no memory.
@@ -113,19 +121,26 @@
     return true;
 }
 
-std::vector<backend_limit> router_limits::take_observed()
+permit_query
+router_limits::make_query(std::span<const backend_server_id> candidates) const
 {
-    return std::exchange(observed_, {});
+    permit_query query;
+    query.version = version_;
+    for (const backend_server_id backend : candidates)
+    {
+        const auto found = servers_.find(backend);
+        query.candidates.push_back(
+            {backend, found == servers_.end()
+                          ? std::nullopt
+                          : std::optional{found->second.requests_per_second}});
+    }
+    query.observed = observed_;
+    return query;
 }
 
-std::vector<backend_limit> router_limits::take_all()
+void router_limits::on_reported()
 {
-    std::vector<backend_limit> result = take_observed();
-    for (const auto& [backend, known] : servers_)
-    {
-        result.push_back({backend, known.requests_per_second});
-    }
-    return result;
+    observed_.clear();
 }
 
 } // namespace hickorygap
--- a/src/request/rate_limit/router_limits.hpp
+++ b/src/request/rate_limit/router_limits.hpp
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <vector>
 
 namespace hickorygap
@@ -34,11 +35,11 @@
 
     // A response named this limit, or none. True when that is news for the
     // leader.
-    bool on_response(const backend_limit& limit);
+    bool on_response(const backend_limit& limit, time_point now);
 
-    // Takes the table of the leader. It replaces all limits except those that
-    // take_observed has not returned yet.
-    void on_table(const limit_table& table);
+    // Takes changes of the leader's limits. They have no effect on limits that
+    // responses have named just now, of which the leader may not have known.
+    void on_changes(const limit_changes& changes, time_point now);
 
     bool is_limited(backend_server_id backend) const
     {
@@ -49,16 +50,13 @@
     // uses up. Only without a leader.
     bool take_own_permit(backend_server_id backend, time_point now);
 
-    // The limits to report to the leader: those read since the last call, or
-    // all that are known here, for a new leader.
-    std::vector<backend_limit> take_observed();
-    std::vector<backend_limit> take_all();
+    // The query for a permit for one of these servers, with all that was
+    // observed since the last call of on_reported.
+    permit_query
+    make_query(std::span<const backend_server_id> candidates) const;
 
-    // Version of the leader's table that this router has.
-    std::uint64_t table_version() const
-    {
-        return table_version_;
-    }
+    // The last query has been sent to a leader.
+    void on_reported();
 
     // Servers with a limit.
     std::size_t size() const
@@ -71,20 +69,24 @@
     {
         double requests_per_second = 0;
 
+        // When a response of this router named the limit, if it was one.
+        std::optional<time_point> observed_at;
+
         // When this router gives itself the next permit.
         std::optional<time_point> next_permit;
     };
 
-    bool is_observed(backend_server_id backend) const;
     duration time_to_permit(const server& known);
 
     random_engine random_;
     std::uint32_t routers_ = 1;
     absl::flat_hash_map<backend_server_id, server> servers_;
 
-    // Read from responses since the last take_observed.
+    // Read from responses since the last on_reported.
     std::vector<backend_limit> observed_;
-    std::uint64_t table_version_ = 0;
+
+    // Version of the leader's limits that this router has.
+    std::uint64_t version_ = 0;
 };
 
 } // namespace hickorygap
--- a/tests/process/fleet_process/limit_messages_test.cpp
+++ b/tests/process/fleet_process/limit_messages_test.cpp
@@ -12,4 +12,14 @@
         as<std::optional<double>>{}, std::nullopt, 0.0, 0.2, 4.23456789, 1e9);
     const std::vector<backend_limit> limits{{7, limit}};
     CHECK(decode_limits(encode_limits(limits)) == limits);
+    const permit_query query =
+        decode_query(encode_query({5, limits, {{8, 1.5}}}, 3));
+    CHECK(query.version == 5);
+    CHECK(query.candidates == limits);
+    CHECK(query.observed == std::vector<backend_limit>{{8, 1.5}});
+    const limit_changes changes =
+        decode_changes(encode_changes({9, 7, limits}));
+    CHECK(changes.version == 9);
+    CHECK(changes.base_version == 7);
+    CHECK(changes.limits == limits);
 }
