Let the permitted rate grow when a backend server no longer names its limit

Cause: one response without the field lifted the limit for the whole fleet at once. A response that lacks it by mistake would do the same.

Change: from the first response without a limit the leader permits four times as many requests with each second, and drops the limit after 2 s. A response that names it again ends that. Routers go on asking until the leader says that the limit is gone, and a query from a router that still sees the limit restores it.

--- a/src/request/rate_limit/backend_limit.hpp
+++ b/src/request/rate_limit/backend_limit.hpp
@@ -20,6 +20,10 @@
     // no longer names a limit.
     std::optional<double> requests_per_second;
 
+    // The server no longer names this limit, and the leader permits more and
+    // more requests until it drops the limit.
+    bool is_ending = false;
+
     friend bool
     operator==(const backend_limit&, const backend_limit&) = default;
 };
--- a/src/request/rate_limit/rate_limit_allocator.cpp
+++ b/src/request/rate_limit/rate_limit_allocator.cpp
@@ -1,6 +1,8 @@
 #include "request/rate_limit/rate_limit_allocator.hpp"
 
 #include <algorithm>
+#include <cmath>
+#include <iterator>
 
 namespace hickorygap
 {
@@ -19,10 +21,10 @@
 // A router that misses a removal learns it from the answer to its next query.
 constexpr std::size_t max_removed = 256;
 
-double bucket_size(double limit)
-{
-    return std::max(1.0, permitted_rate(limit) * bucket_s);
-}
+// After the end of a limit the permitted rate grows by this factor per second,
+// for this time.
+constexpr double growth_per_second = 4.0;
+constexpr duration growth_period = std::chrono::seconds{2};
 
 } // namespace
 
@@ -39,6 +41,7 @@
 permit_answer
 rate_limit_allocator::answer(const permit_query& query, time_point now)
 {
+    drop_ended(now);
     learn_from(query, now);
     permit_answer result;
     if (!query.candidates.empty())
@@ -48,9 +51,12 @@
     result.changes = changes_since(query.version);
     for (const backend_limit& candidate : query.candidates)
     {
-        if (!buckets_.contains(candidate.backend))
+        const backend_limit none{candidate.backend, {}};
+        if (!buckets_.contains(candidate.backend) &&
+            std::ranges::find(result.changes.limits, none) ==
+                result.changes.limits.end())
         {
-            result.changes.limits.push_back({candidate.backend, {}});
+            result.changes.limits.push_back(none);
         }
     }
     return result;
@@ -66,8 +72,11 @@
         query.version == version_ || !has_same_term(query.version);
     for (const backend_limit& candidate : query.candidates)
     {
-        if (knows_removals && candidate.requests_per_second &&
-            !buckets_.contains(candidate.backend))
+        const auto found = buckets_.find(candidate.backend);
+        const bool is_missing =
+            found == buckets_.end() || found->second.ended_at;
+        if (is_missing && knows_removals && candidate.requests_per_second &&
+            !candidate.is_ending)
         {
             observe(candidate, now);
         }
@@ -83,9 +92,11 @@
     if (!limit.requests_per_second)
     {
         if (const auto found = buckets_.find(limit.backend);
-            found != buckets_.end())
+            found != buckets_.end() && !found->second.ended_at)
         {
-            remove(found);
+            fill(found->second, now);
+            found->second.ended_at = now;
+            found->second.changed_in = ++version_;
         }
         return;
     }
@@ -97,9 +108,11 @@
     }
     fill(item, now);
     item.listed_at = now;
-    if (is_new || item.requests_per_second != *limit.requests_per_second)
+    if (is_new || item.ended_at ||
+        item.requests_per_second != *limit.requests_per_second)
     {
         item.requests_per_second = *limit.requests_per_second;
+        item.ended_at.reset();
         item.changed_in = ++version_;
         fill(item, now);
     }
@@ -115,9 +128,24 @@
     buckets_.erase(item);
 }
 
+void rate_limit_allocator::drop_ended(time_point now)
+{
+    for (auto item = buckets_.begin(); item != buckets_.end();)
+    {
+        const auto next = std::next(item);
+        if (item->second.ended_at &&
+            now - *item->second.ended_at > growth_period)
+        {
+            remove(item);
+        }
+        item = next;
+    }
+}
+
 void rate_limit_allocator::keep_listed(
     std::span<const backend_server_id> listed, time_point now)
 {
+    drop_ended(now);
     for (const backend_server_id backend : listed)
     {
         if (const auto found = buckets_.find(backend); found != buckets_.end())
@@ -152,19 +180,33 @@
     {
         if (item.changed_in > result.base_version)
         {
-            result.limits.push_back({backend, item.requests_per_second});
+            result.limits.push_back(
+                {backend, item.requests_per_second, item.ended_at.has_value()});
         }
     }
     return result;
 }
 
+double
+rate_limit_allocator::permitted_rate_at(const bucket& item, time_point at)
+{
+    double rate = permitted_rate(item.requests_per_second);
+    if (item.ended_at)
+    {
+        rate *= std::pow(
+            growth_per_second,
+            std::chrono::duration<double>(at - *item.ended_at).count());
+    }
+    return rate;
+}
+
 void rate_limit_allocator::fill(bucket& item, time_point now)
 {
     const double age =
         std::chrono::duration<double>(now - item.filled_at).count();
-    item.tokens = std::min(
-        item.tokens + permitted_rate(item.requests_per_second) * age,
-        bucket_size(item.requests_per_second));
+    const double rate = permitted_rate_at(item, item.filled_at);
+    item.tokens =
+        std::min(item.tokens + rate * age, std::max(1.0, rate * bucket_s));
     item.filled_at = now;
 }
 
--- a/src/request/rate_limit/rate_limit_allocator.hpp
+++ b/src/request/rate_limit/rate_limit_allocator.hpp
@@ -22,6 +22,11 @@
 // requests a second the first request of each router would already exceed the
 // limit.
 //
+// When a server no longer names its limit, the permitted rate grows for some
+// seconds before the limit is dropped: otherwise all routers would return to
+// the server at the same moment, even after one response that lacks the limit
+// by mistake.
+//
 // Each query names the limits that its router knows of the servers concerned,
 // so that a leader that has missed a limit learns it before it permits
 // anything.
@@ -38,9 +43,9 @@
     // the limits.
     permit_answer answer(const permit_query& query, time_point now);
 
-    // Drops the limits of servers that have not been in the list for some time.
-    // An entry that can't be read is missing from the list although its server
-    // still runs.
+    // Drops the limits that have ended, and those of servers that have not been
+    // in the list for some time. An entry that can't be read is missing from
+    // the list although its server still runs.
     void keep_listed(std::span<const backend_server_id> listed, time_point now);
 
     // Changes since a version, or all limits if the version is not one of this
@@ -70,6 +75,9 @@
         // When the server was last in the list, or named a limit.
         time_point listed_at;
 
+        // When a response first lacked the limit.
+        std::optional<time_point> ended_at;
+
         // Version of the last change of the limit.
         std::uint64_t changed_in = 0;
     };
@@ -81,7 +89,9 @@
         std::uint64_t removed_in = 0;
     };
 
+    static double permitted_rate_at(const bucket& item, time_point at);
     static void fill(bucket& item, time_point now);
+    void drop_ended(time_point now);
     bool has_same_term(std::uint64_t version) const;
     void observe(const backend_limit& limit, time_point now);
     void learn_from(const permit_query& query, time_point now);
--- a/src/request/rate_limit/router_limits.cpp
+++ b/src/request/rate_limit/router_limits.cpp
@@ -34,26 +34,24 @@
 bool router_limits::on_response(const backend_limit& limit, time_point now)
 {
     const auto found = servers_.find(limit.backend);
-    if (!limit.requests_per_second)
+    const bool is_known =
+        found == servers_.end()
+            ? !limit.requests_per_second
+            : found->second.is_ending == !limit.requests_per_second &&
+                  found->second.requests_per_second ==
+                      limit.requests_per_second.value_or(
+                          found->second.requests_per_second);
+    if (found != servers_.end() || limit.requests_per_second)
     {
-        if (found == servers_.end())
-        {
-            return false;
-        }
-        servers_.erase(found);
-    }
-    else
-    {
-        const bool is_known =
-            found != servers_.end() &&
-            found->second.requests_per_second == *limit.requests_per_second;
         server& known = servers_[limit.backend];
         known.observed_at = now;
-        if (is_known)
-        {
-            return false;
-        }
-        known.requests_per_second = *limit.requests_per_second;
+        known.is_ending = !limit.requests_per_second;
+        known.requests_per_second =
+            limit.requests_per_second.value_or(known.requests_per_second);
+    }
+    if (is_known)
+    {
+        return false;
     }
     std::erase_if(
         observed_, [&](const backend_limit& item)
@@ -76,8 +74,9 @@
         }
         if (limit.requests_per_second)
         {
-            servers_[limit.backend].requests_per_second =
-                *limit.requests_per_second;
+            server& known = servers_[limit.backend];
+            known.requests_per_second = *limit.requests_per_second;
+            known.is_ending = limit.is_ending;
         }
         else
         {
@@ -104,7 +103,7 @@
 bool router_limits::take_own_permit(backend_server_id backend, time_point now)
 {
     const auto found = servers_.find(backend);
-    if (found == servers_.end())
+    if (found == servers_.end() || found->second.is_ending)
     {
         return true;
     }
@@ -129,10 +128,13 @@
     for (const backend_server_id backend : candidates)
     {
         const auto found = servers_.find(backend);
-        query.candidates.push_back(
-            {backend, found == servers_.end()
-                          ? std::nullopt
-                          : std::optional{found->second.requests_per_second}});
+        backend_limit& candidate = query.candidates.emplace_back();
+        candidate.backend = backend;
+        if (found != servers_.end())
+        {
+            candidate.requests_per_second = found->second.requests_per_second;
+            candidate.is_ending = found->second.is_ending;
+        }
     }
     query.observed = observed_;
     return query;
--- a/src/request/rate_limit/router_limits.hpp
+++ b/src/request/rate_limit/router_limits.hpp
@@ -69,6 +69,9 @@
     {
         double requests_per_second = 0;
 
+        // The server no longer names the limit; see rate_limit_allocator.
+        bool is_ending = false;
+
         // When a response of this router named the limit, if it was one.
         std::optional<time_point> observed_at;
 
