Permit requests at any server with a limit, the urgent ones first

Change: a router that has no server without a limit left says so, and the leader then gives a permit of any other server of the service and the software version, the one with the most. Such requests compete by rank: the leader counts the requests of each rank, and admits the urgent ones first; every rank keeps half of what it would get without ranks (rank_admission, without network).

The identifier of a software version covers the service, so that equal names of versions of two services differ.

--- a/src/process/fleet_process/limit_messages.cpp
+++ b/src/process/fleet_process/limit_messages.cpp
@@ -40,14 +40,25 @@
     message.limits_version = query.version;
     message.candidates = encode_limits(query.candidates);
     message.observed = encode_limits(query.observed);
+    message.others_too = query.request.others_too;
+    message.service = query.request.service;
+    message.software_version = query.request.software_version;
+    message.excluded = query.request.excluded;
+    message.rank_below_first = query.request.rank_below_first;
     return message;
 }
 
 permit_query decode_query(const wire::permit_request_msg& message)
 {
-    return {
+    permit_query query{
         message.limits_version, decode_limits(message.candidates),
         decode_limits(message.observed)};
+    query.request.others_too = message.others_too;
+    query.request.service = message.service;
+    query.request.software_version = message.software_version;
+    query.request.excluded = message.excluded;
+    query.request.rank_below_first = message.rank_below_first;
+    return query;
 }
 
 wire::permit_grant_msg encode_changes(const limit_changes& changes)
--- a/src/process/gateway/exchange.cpp
+++ b/src/process/gateway/exchange.cpp
@@ -293,8 +293,7 @@
         {
             limited.push_back(server->id);
         }
-        if (stream_version_ &&
-            hash_name(server->listed.version) != *stream_version_)
+        if (stream_version_ && server->software_version != *stream_version_)
         {
             excluded.push_back(server->id);
         }
@@ -332,15 +331,21 @@
     {
         return;
     }
-    std::vector<backend_server_id> candidates;
-    const dispatch_choice choice = choose_backend(std::nullopt, candidates);
-    if (candidates.empty())
+    permit_request request;
+    const dispatch_choice choice =
+        choose_backend(std::nullopt, request.candidates);
+    if (request.candidates.empty())
     {
         send_to(choice);
         return;
     }
+    request.others_too = choice.backend == nullptr;
+    request.service = hash_name(service_);
+    request.software_version = stream_version_.value_or(0);
+    request.excluded = tried_backends_;
+    request.rank_below_first = rank_below_first();
     permit_query_ = context_.permits().ask(
-        candidates,
+        request,
         [this](std::optional<backend_server_id> permitted)
         {
             permit_query_ = 0;
@@ -378,7 +383,7 @@
     }
     backend_ = choice.backend->id;
     backend_name_ = choice.backend->listed.id;
-    backend_version_ = hash_name(choice.backend->listed.version);
+    backend_version_ = choice.backend->software_version;
     tried_backends_.push_back(backend_);
     connection_ = context_.pool().acquire(*choice.backend, !is_repeatable());
     if (connection_ == nullptr)
--- a/src/process/gateway/permit_client.cpp
+++ b/src/process/gateway/permit_client.cpp
@@ -42,11 +42,10 @@
 }
 
 // Sends what was observed, and the query if the number is not zero.
-bool permit_client::send(
-    std::uint32_t number, std::span<const backend_server_id> candidates)
+bool permit_client::send(std::uint32_t number, const permit_request& request)
 {
-    if (!send_ || !send_(make_payload(
-                      encode_query(limits_.make_query(candidates), number))))
+    const permit_query query = limits_.make_query(request);
+    if (!send_ || !send_(make_payload(encode_query(query, number))))
     {
         return false;
     }
@@ -73,26 +72,24 @@
 }
 
 std::uint32_t permit_client::ask(
-    std::span<const backend_server_id> candidates,
-    open_queries::result_function on_result)
+    const permit_request& request, open_queries::result_function on_result)
 {
     const std::uint32_t number = queries_.add(std::move(on_result));
-    const bool is_sent = !is_leader_silent() && send(number, candidates);
+    const bool is_sent = !is_leader_silent() && send(number, request);
     if (is_sent)
     {
         next_trial_ = loop_.now() + trial_interval;
     }
     queries_.set_timeout(
         number, is_sent ? answer_timeout : duration{0},
-        [this, number, is_sent,
-         own_candidates = std::vector(candidates.begin(), candidates.end())]
+        [this, number, is_sent, candidates = request.candidates]
         {
             if (is_sent && !std::exchange(timed_out_, true))
             {
                 log(log_level::warning, subsystem::routing,
                     "permit_not_answered");
             }
-            queries_.finish(number, take_own_permit(own_candidates));
+            queries_.finish(number, take_own_permit(candidates));
         });
     return number;
 }
--- a/src/process/gateway/permit_client.hpp
+++ b/src/process/gateway/permit_client.hpp
@@ -29,13 +29,11 @@
     // A response named this limit, or none. True when it is new.
     bool on_response(const backend_limit& limit);
 
-    // Asks for a permit to send one request to the first of the servers that
-    // accepts it. The function gets that server, or nullopt when none accepts
-    // the request; it is called after this returns. Returns the number of the
-    // query.
+    // Asks for a permit to send the request to one of the servers. The function
+    // gets that server, or nullopt when none accepts the request; it is called
+    // after this returns. Returns the number of the query.
     std::uint32_t
-    ask(std::span<const backend_server_id> candidates,
-        open_queries::result_function on_result);
+    ask(const permit_request& request, open_queries::result_function on_result);
 
     // Withdraws a query; its function is not called any more.
     void cancel(std::uint32_t number);
@@ -52,8 +50,7 @@
     }
 
 private:
-    bool
-    send(std::uint32_t number, std::span<const backend_server_id> candidates);
+    bool send(std::uint32_t number, const permit_request& request);
     bool is_leader_silent() const;
     std::optional<backend_server_id>
     take_own_permit(std::span<const backend_server_id> candidates);
--- a/src/process/voter_node/router_feed.cpp
+++ b/src/process/voter_node/router_feed.cpp
@@ -407,10 +407,13 @@
     {
         return;
     }
-    std::vector<backend_server_id> listed;
+    std::vector<listed_server> listed;
     for (const listed_backend& backend : list)
     {
-        listed.push_back(hash_name(backend.id));
+        listed.push_back(
+            {hash_name(backend.id), hash_name(backend.service),
+             software_version_of(backend.service, backend.version),
+             backend.leaving});
     }
     const std::uint64_t version = limits_.version();
     limits_.keep_listed(listed, loop_.now());
--- a/src/request/dispatch/backend_table.cpp
+++ b/src/request/dispatch/backend_table.cpp
@@ -92,6 +92,8 @@
             record->id = id;
         }
         record->listed = entry;
+        record->software_version =
+            software_version_of(entry.service, entry.version);
     }
     std::vector<backend_server_id> missing;
     for (const auto& [id, record] : records_)
--- a/src/request/dispatch/backend_table.hpp
+++ b/src/request/dispatch/backend_table.hpp
@@ -5,6 +5,7 @@
 #include "common/time.hpp"
 #include "request/dialect/request_dialect.hpp"
 #include "request/dispatch/listed_backend.hpp"
+#include "request/dispatch/stream_versions.hpp"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -94,6 +95,7 @@
 {
     listed_backend listed;
     backend_server_id id = 0;
+    software_version_id software_version = 0;
 
     // This router's requests in flight at the server.
     std::uint32_t in_flight = 0;
--- a/src/request/dispatch/stream_versions.cpp
+++ b/src/request/dispatch/stream_versions.cpp
@@ -1,26 +1,33 @@
 #include "request/dispatch/stream_versions.hpp"
 
+#include "common/hashing.hpp"
+
+#include <fmt/format.h>
+
 namespace hickorygap
 {
 
 namespace
 {
 
-// Streams are kept for this time, which is longer than callers wait for one.
-constexpr duration retention_period = std::chrono::seconds{60};
-
 // Limit of the memory: 1,700 new streams a second for the retention period.
 constexpr std::size_t max_streams = 100'000;
 
 } // namespace
 
+software_version_id
+software_version_of(std::string_view service, std::string_view version)
+{
+    return hash_name(fmt::format("{}/{}", service, version));
+}
+
 void stream_versions::add(
     stream_id stream, software_version_id version, time_point now)
 {
     versions_[stream] = {version, now};
     order_.emplace_back(stream, now);
     while (order_.size() > max_streams ||
-           now - order_.front().second > retention_period)
+           now - order_.front().second > stream_retention_period)
     {
         const auto [oldest, added_at] = order_.front();
         order_.pop_front();
@@ -38,7 +45,7 @@
 {
     const auto found = versions_.find(stream);
     if (found == versions_.end() ||
-        now - found->second.added_at > retention_period)
+        now - found->second.added_at > stream_retention_period)
     {
         return std::nullopt;
     }
--- a/src/request/dispatch/stream_versions.hpp
+++ b/src/request/dispatch/stream_versions.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
+#include <string_view>
 #include <utility>
 
 namespace hickorygap
@@ -18,10 +19,16 @@
 // of the attempt that began it.
 using stream_id = std::uint64_t;
 
-// Identifies a version of the software of backend servers: hash of its name.
-// Zero stands for "none".
+// Identifies a version of the software of one service's backend servers. Zero
+// stands for "none".
 using software_version_id = std::uint64_t;
 
+software_version_id
+software_version_of(std::string_view service, std::string_view version);
+
+// Callers wait less than this for a stream, all their attempts included.
+inline constexpr duration stream_retention_period = std::chrono::seconds{60};
+
 // The software versions of the backend servers that streams were sent to.
 //
 // What two versions write does not fit together, so a stream may be resumed
--- a/src/request/rate_limit/backend_limit.hpp
+++ b/src/request/rate_limit/backend_limit.hpp
@@ -42,18 +42,44 @@
     std::vector<backend_limit> limits;
 };
 
+// The request that a permit is needed for.
+struct permit_request
+{
+    // Servers in the router's order of preference.
+    std::vector<backend_server_id> candidates;
+
+    // If no candidate accepts the request, another server of the service with a
+    // limit may get it: the request would be refused otherwise.
+    bool others_too = false;
+
+    // Hash of the service's name.
+    std::uint64_t service = 0;
+
+    // Software version that the other servers must have; zero for any.
+    std::uint64_t software_version = 0;
+
+    // Servers that must not get the request.
+    std::vector<backend_server_id> excluded = {};
+
+    // Ranks between the most urgent requests and this one.
+    std::uint32_t rank_below_first = 0;
+};
+
 // A router's query for a permit to send one request, and its news.
 struct permit_query
 {
     // Version of the leader's limits that the router has.
     std::uint64_t version = 0;
 
-    // Servers in the router's order of preference, with the limits that it
-    // knows. Empty: the router only reports what it observed.
+    // The candidates of the request with the limits that the router knows.
+    // Empty: the router only reports what it observed.
     std::vector<backend_limit> candidates;
 
     // Limits that responses have named since the last query.
     std::vector<backend_limit> observed;
+
+    // The request, without its candidates.
+    permit_request request = {};
 };
 
 // The leader's answer to a permit_query.
@@ -66,6 +92,18 @@
     limit_changes changes;
 };
 
+// A server in the list that could take other requests than those it was named
+// for.
+struct listed_server
+{
+    backend_server_id id = 0;
+
+    // See permit_request.
+    std::uint64_t service = 0;
+    std::uint64_t software_version = 0;
+    bool is_leaving = false;
+};
+
 // Rate at which a server with a limit is sent requests. A server that accepts
 // next to nothing still gets one from time to time, because only its responses
 // tell when the limit ends.
--- a/src/request/rate_limit/rate_limit_allocator.cpp
+++ b/src/request/rate_limit/rate_limit_allocator.cpp
@@ -46,7 +46,7 @@
     permit_answer result;
     if (!query.candidates.empty())
     {
-        result.backend = take(query.candidates, now);
+        result.backend = take(query, now);
     }
     result.changes = changes_since(query.version);
     for (const backend_limit& candidate : query.candidates)
@@ -143,14 +143,16 @@
 }
 
 void rate_limit_allocator::keep_listed(
-    std::span<const backend_server_id> listed, time_point now)
+    std::span<const listed_server> listed, time_point now)
 {
     drop_ended(now);
-    for (const backend_server_id backend : listed)
+    for (const listed_server& server : listed)
     {
-        if (const auto found = buckets_.find(backend); found != buckets_.end())
+        const auto found = buckets_.find(server.id);
+        if (found != buckets_.end())
         {
             found->second.listed_at = now;
+            found->second.listed = server;
         }
     }
     for (auto item = buckets_.begin(); item != buckets_.end();)
@@ -193,9 +195,10 @@
     double rate = permitted_rate(item.requests_per_second);
     if (item.ended_at)
     {
-        rate *= std::pow(
-            growth_per_second,
-            std::chrono::duration<double>(at - *item.ended_at).count());
+        rate *= end_factor *
+                std::pow(
+                    growth_per_second,
+                    std::chrono::duration<double>(at - *item.ended_at).count());
     }
     return rate;
 }
@@ -210,10 +213,40 @@
     item.filled_at = now;
 }
 
-std::optional<backend_server_id> rate_limit_allocator::take(
-    std::span<const backend_limit> candidates, time_point now)
+// Whether the request may take a permit. It has to compete with requests of
+// other ranks if only servers with limits are left for it.
+bool rate_limit_allocator::competes(const permit_query& query, time_point now)
 {
-    for (const backend_limit& candidate : candidates)
+    const permit_request& request = query.request;
+    const bool has_unlimited = std::ranges::any_of(
+        query.candidates, [this](const backend_limit& candidate)
+        { return !buckets_.contains(candidate.backend); });
+    if (has_unlimited || !request.others_too)
+    {
+        return true;
+    }
+    double capacity = 0;
+    for (const auto& [backend, item] : buckets_)
+    {
+        const bool is_unknown = item.listed.id == 0;
+        if (is_unknown ||
+            (item.listed.service == request.service && !item.listed.is_leaving))
+        {
+            capacity += permitted_rate_at(item, now);
+        }
+    }
+    return admissions_.try_emplace(request.service, request.service)
+        .first->second.admits(request.rank_below_first, capacity, now);
+}
+
+std::optional<backend_server_id>
+rate_limit_allocator::take(const permit_query& query, time_point now)
+{
+    if (!competes(query, now))
+    {
+        return std::nullopt;
+    }
+    for (const backend_limit& candidate : query.candidates)
     {
         const auto found = buckets_.find(candidate.backend);
         if (found == buckets_.end())
@@ -228,7 +261,39 @@
             return candidate.backend;
         }
     }
+    if (bucket* other = find_other(query.request, now))
+    {
+        other->tokens -= 1;
+        return other->listed.id;
+    }
     return std::nullopt;
 }
 
+// The server with the most tokens that the request may go to; nullptr for none.
+rate_limit_allocator::bucket*
+rate_limit_allocator::find_other(const permit_request& request, time_point now)
+{
+    bucket* best = nullptr;
+    for (auto& [backend, item] : buckets_)
+    {
+        const bool is_allowed =
+            request.others_too && item.listed.service == request.service &&
+            !item.listed.is_leaving &&
+            (request.software_version == 0 ||
+             item.listed.software_version == request.software_version) &&
+            std::ranges::find(request.excluded, backend) ==
+                request.excluded.end();
+        if (!is_allowed)
+        {
+            continue;
+        }
+        fill(item, now);
+        if (item.tokens >= 1 && (best == nullptr || item.tokens > best->tokens))
+        {
+            best = &item;
+        }
+    }
+    return best;
+}
+
 } // namespace hickorygap
--- a/src/request/rate_limit/rate_limit_allocator.hpp
+++ b/src/request/rate_limit/rate_limit_allocator.hpp
@@ -3,6 +3,7 @@
 
 #include "common/time.hpp"
 #include "request/rate_limit/backend_limit.hpp"
+#include "request/rate_limit/rank_admission.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -22,10 +23,10 @@
 // requests a second the first request of each router would already exceed the
 // limit.
 //
-// When a server no longer names its limit, the permitted rate grows for some
-// seconds before the limit is dropped: otherwise all routers would return to
-// the server at the same moment, even after one response that lacks the limit
-// by mistake.
+// When a server no longer names its limit, the permitted rate grows for
+// some seconds before the limit is dropped: otherwise all routers would return
+// to the server at the same moment, even after one response that lacks the
+// limit by mistake.
 //
 // Each query names the limits that its router knows of the servers concerned,
 // so that a leader that has missed a limit learns it before it permits
@@ -39,14 +40,14 @@
     explicit rate_limit_allocator(std::uint64_t term);
 
     // Takes the limits that the router reports, and permits one request to the
-    // first of the candidates that accepts one now. The version changes with
-    // the limits.
+    // first of the candidates that accepts one now, or to another server if the
+    // request may go to any. The version changes with the limits.
     permit_answer answer(const permit_query& query, time_point now);
 
     // Drops the limits that have ended, and those of servers that have not been
     // in the list for some time. An entry that can't be read is missing from
     // the list although its server still runs.
-    void keep_listed(std::span<const backend_server_id> listed, time_point now);
+    void keep_listed(std::span<const listed_server> listed, time_point now);
 
     // Changes since a version, or all limits if the version is not one of this
     // leader.
@@ -72,6 +73,9 @@
         double tokens = 0;
         time_point filled_at;
 
+        // Entry of the server in the last list; all zero before the first.
+        listed_server listed;
+
         // When the server was last in the list, or named a limit.
         time_point listed_at;
 
@@ -96,11 +100,16 @@
     void observe(const backend_limit& limit, time_point now);
     void learn_from(const permit_query& query, time_point now);
     void remove(bucket_map::iterator item);
+    bool competes(const permit_query& query, time_point now);
     std::optional<backend_server_id>
-    take(std::span<const backend_limit> candidates, time_point now);
+    take(const permit_query& query, time_point now);
+    bucket* find_other(const permit_request& request, time_point now);
 
     bucket_map buckets_;
 
+    // By service.
+    std::map<std::uint64_t, rank_admission> admissions_;
+
     // The last limits that ended, the oldest first.
     std::deque<removed_limit> removed_;
     std::uint64_t version_ = 0;
--- a/src/request/rate_limit/router_limits.cpp
+++ b/src/request/rate_limit/router_limits.cpp
@@ -120,12 +120,13 @@
     return true;
 }
 
-permit_query
-router_limits::make_query(std::span<const backend_server_id> candidates) const
+permit_query router_limits::make_query(const permit_request& request) const
 {
     permit_query query;
     query.version = version_;
-    for (const backend_server_id backend : candidates)
+    query.request = request;
+    query.request.candidates.clear();
+    for (const backend_server_id backend : request.candidates)
     {
         const auto found = servers_.find(backend);
         backend_limit& candidate = query.candidates.emplace_back();
--- a/src/request/rate_limit/router_limits.hpp
+++ b/src/request/rate_limit/router_limits.hpp
@@ -50,10 +50,9 @@
     // uses up. Only without a leader.
     bool take_own_permit(backend_server_id backend, time_point now);
 
-    // The query for a permit for one of these servers, with all that was
-    // observed since the last call of on_reported.
-    permit_query
-    make_query(std::span<const backend_server_id> candidates) const;
+    // The query for a permit, with all that was observed since the last call of
+    // on_reported. A request without candidates makes a report.
+    permit_query make_query(const permit_request& request) const;
 
     // The last query has been sent to a leader.
     void on_reported();
--- a/tests/process/fleet_process/limit_messages_test.cpp
+++ b/tests/process/fleet_process/limit_messages_test.cpp
@@ -12,11 +12,16 @@
         as<std::optional<double>>{}, std::nullopt, 0.0, 0.2, 4.23456789, 1e9);
     const std::vector<backend_limit> limits{{7, limit}};
     CHECK(decode_limits(encode_limits(limits)) == limits);
-    const permit_query query =
-        decode_query(encode_query({5, limits, {{8, 1.5}}}, 3));
+    const permit_query query = decode_query(
+        encode_query({5, limits, {{8, 1.5}}, {{}, true, 11, 12, {13}, 2}}, 3));
     CHECK(query.version == 5);
     CHECK(query.candidates == limits);
     CHECK(query.observed == std::vector<backend_limit>{{8, 1.5}});
+    CHECK(query.request.others_too);
+    CHECK(query.request.service == 11);
+    CHECK(query.request.software_version == 12);
+    CHECK(query.request.excluded == std::vector<backend_server_id>{13});
+    CHECK(query.request.rank_below_first == 2);
     const limit_changes changes =
         decode_changes(encode_changes({9, 7, limits}));
     CHECK(changes.version == 9);
--- a/tests/request/rate_limit/limited_fleet_test.cpp
+++ b/tests/request/rate_limit/limited_fleet_test.cpp
@@ -146,7 +146,7 @@
     void ask(std::size_t index)
     {
         const std::shared_ptr<router_limits> limits = routers_[index].limits;
-        const permit_query query = limits->make_query(std::vector{server});
+        const permit_query query = limits->make_query({std::vector{server}});
         limits->on_reported();
         later(
             40ms,
--- a/tests/request/rate_limit/rate_limit_test.cpp
+++ b/tests/request/rate_limit/rate_limit_test.cpp
@@ -85,6 +85,48 @@
     CHECK(leader.changes_since(0).limits == both);
 }
 
+// Guards against a refusal although a server that the router did not name still
+// accepts requests, and against one that may not have the request.
+TEST_CASE("a request gets a permit for any server that may have it")
+{
+    constexpr std::uint64_t service = 11;
+    constexpr std::uint64_t version = 21;
+    struct row
+    {
+        std::string label;
+        permit_request request;
+        listed_server other;
+        bool is_permitted;
+    };
+    const listed_server other{2, service, version, false};
+    const auto tested = GENERATE_COPY(
+        row{"only those named", {{}, false, service}, other, false},
+        row{"any of the service", {{}, true, service}, other, true},
+        row{"of its version", {{}, true, service, version}, other, true},
+        row{"another version", {{}, true, service, version + 1}, other, false},
+        row{"tried before", {{}, true, service, 0, {2}}, other, false},
+        row{"another service",
+            {{}, true, service},
+            {2, service + 1, version, false},
+            false},
+        row{"leaving",
+            {{}, true, service},
+            {2, service, version, true},
+            false});
+    CAPTURE(tested.label);
+    rate_limit_allocator leader{1};
+    leader.answer({0, {}, {{1, 2.0}, {2, 2.0}}}, {0s});
+    leader.keep_listed(
+        std::vector<listed_server>{{1, service, version, false}, tested.other},
+        {0s});
+    permit_query query{leader.version(), {{1, 2.0}}, {}, tested.request};
+    CHECK(leader.answer(query, {1s}).backend == 1);
+    CHECK(
+        leader.answer(query, {1s}).backend ==
+        (tested.is_permitted ? std::optional<backend_server_id>{2}
+                             : std::nullopt));
+}
+
 // Guards against routers that all return to a server at the moment when it no
 // longer names its limit, and against a limit that does not end then.
 TEST_CASE("the permitted rate grows when a limit ends")
@@ -165,7 +207,7 @@
     router.on_changes(leader.answer({0, {}, {{3, 4.0}}}, {9s}).changes, {9s});
     CHECK(router.size() == 3);
     const permit_answer answer = leader.answer(
-        router.make_query(std::vector<backend_server_id>{1}), {9s});
+        router.make_query({std::vector<backend_server_id>{1}}), {9s});
     CHECK(answer.backend == std::nullopt);
     CHECK(leader.size() == 2);
 }
@@ -181,11 +223,11 @@
         leader.answer({0, {}, {{id, 2.0}}}, {0s});
     }
     router_limits router{1};
-    const std::vector<backend_server_id> candidates{1, 2};
+    const permit_request request{{1, 2}};
     const auto ask = [&]
     {
         const permit_answer answer =
-            leader.answer(router.make_query(candidates), {1s});
+            leader.answer(router.make_query(request), {1s});
         router.on_changes(answer.changes, {1s});
         return answer.changes.limits.size();
     };
@@ -208,8 +250,8 @@
     const auto tested = GENERATE(row{1s, true}, row{5s, true}, row{60s, false});
     rate_limit_allocator leader{1};
     leader.answer({0, {}, {{1, 2.0}}}, {0s});
-    const std::vector<backend_server_id> present{1, 2};
-    const std::vector<backend_server_id> missing{2};
+    const std::vector<listed_server> present{{1}, {2}};
+    const std::vector<listed_server> missing{{2}};
     for (time_point now{0s}; now < time_point{30s}; now = now + 1s)
     {
         leader.keep_listed(present, now);
