Keep the software versions of streams on the voters' disks

Of the same class: a voter did not hear of streams that began while it was not linked, and a stream of a split route was resumed at a service drawn by lot, where it was refused or joined with another service's text.

Routers tell a voter of their open streams when they link to it, and the service of a stream is that of its version.

Ruled out: the replicated log (a sync of three disks before each stream), and taking the only listed version for granted (it may not be the one that began the stream).

--- /dev/null
+++ b/src/common/file_io.cpp
@@ -0,0 +1,65 @@
+#include "common/file_io.hpp"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <filesystem>
+#include <fstream>
+#include <system_error>
+
+namespace hickorygap
+{
+
+std::vector<std::uint8_t> read_file(const std::string& path)
+{
+    std::error_code error;
+    const auto size = std::filesystem::file_size(path, error);
+    std::ifstream file{path, std::ios::binary};
+    if (error || !file)
+    {
+        return {};
+    }
+    std::vector<std::uint8_t> data(size);
+    file.read(
+        reinterpret_cast<char*>(data.data()),
+        static_cast<std::streamsize>(size));
+    data.resize(static_cast<std::size_t>(file.gcount()));
+    return data;
+}
+
+bool write_all(int file, std::span<const std::uint8_t> data, off_t offset)
+{
+    while (!data.empty())
+    {
+        const ssize_t written =
+            ::pwrite(file, data.data(), data.size(), offset);
+        if (written < 0 && errno == EINTR)
+        {
+            continue;
+        }
+        if (written <= 0)
+        {
+            return false;
+        }
+        data = data.subspan(static_cast<std::size_t>(written));
+        offset += written;
+    }
+    return true;
+}
+
+bool sync_folder(const std::string& folder)
+{
+    const int file = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (file < 0)
+    {
+        return false;
+    }
+    const bool is_synced = ::fsync(file) == 0;
+    const int error = errno;
+    ::close(file);
+    errno = error;
+    return is_synced;
+}
+
+} // namespace hickorygap
--- /dev/null
+++ b/src/common/file_io.hpp
@@ -0,0 +1,26 @@
+#ifndef HICKORYGAP_COMMON_FILE_IO_HPP
+#define HICKORYGAP_COMMON_FILE_IO_HPP
+
+#include <sys/types.h>
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace hickorygap
+{
+
+// Whole content of a file; empty when it can't be read.
+std::vector<std::uint8_t> read_file(const std::string& path);
+
+// Writes all bytes at the offset. False on an error; errno says which.
+bool write_all(int file, std::span<const std::uint8_t> data, off_t offset);
+
+// Makes the names of new, renamed and removed files in a folder durable. False
+// on an error; errno says which.
+bool sync_folder(const std::string& folder);
+
+} // namespace hickorygap
+
+#endif
--- a/src/process/consensus/file_log_storage.cpp
+++ b/src/process/consensus/file_log_storage.cpp
@@ -1,5 +1,6 @@
 #include "process/consensus/file_log_storage.hpp"
 
+#include "common/file_io.hpp"
 #include "common/logging.hpp"
 
 #include <fcntl.h>
@@ -147,44 +148,6 @@
     return number;
 }
 
-std::vector<std::uint8_t> read_file(const std::string& file)
-{
-    std::ifstream stream{file, std::ios::binary};
-    return {std::istreambuf_iterator<char>{stream}, {}};
-}
-
-bool write_all(int file, std::span<const std::uint8_t> data, off_t offset)
-{
-    while (!data.empty())
-    {
-        const ssize_t written =
-            ::pwrite(file, data.data(), data.size(), offset);
-        if (written < 0 && errno == EINTR)
-        {
-            continue;
-        }
-        if (written <= 0)
-        {
-            return false;
-        }
-        data = data.subspan(static_cast<std::size_t>(written));
-        offset += written;
-    }
-    return true;
-}
-
-bool sync_folder(const std::string& folder)
-{
-    const int file = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-    if (file < 0)
-    {
-        return false;
-    }
-    const bool synced = ::fsync(file) == 0;
-    ::close(file);
-    return synced;
-}
-
 // Writes and syncs the file under a temporary name and then renames it, so that
 // a file of this name is always complete.
 absl::Status
--- a/src/process/decision_record/decision_store.cpp
+++ b/src/process/decision_record/decision_store.cpp
@@ -1,6 +1,7 @@
 #include "process/decision_record/decision_store.hpp"
 
 #include "common/error.hpp"
+#include "common/file_io.hpp"
 #include "common/logging.hpp"
 #include "process/decision_record/record_frames.hpp"
 
@@ -32,24 +33,6 @@
 constexpr const char* index_format = "decision-index-1";
 constexpr std::string_view file_prefix = "decisions-";
 
-// Returns the content of a file; empty when it can't be read.
-std::vector<std::uint8_t> read_file(const std::string& path)
-{
-    std::error_code error;
-    const auto size = fs::file_size(path, error);
-    std::ifstream file{path, std::ios::binary};
-    if (error || !file)
-    {
-        return {};
-    }
-    std::vector<std::uint8_t> data(size);
-    file.read(
-        reinterpret_cast<char*>(data.data()),
-        static_cast<std::streamsize>(size));
-    data.resize(static_cast<std::size_t>(file.gcount()));
-    return data;
-}
-
 // Returns the number in the name of a file of records; zero for other files.
 std::uint64_t number_of(const fs::path& path)
 {
@@ -64,22 +47,15 @@
     return number;
 }
 
-absl::Status sync_folder(const std::string& folder)
+absl::Status sync_record_folder(const std::string& folder)
 {
-    const int descriptor = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY);
-    const bool synced = descriptor >= 0 && ::fsync(descriptor) == 0;
-    const int error = errno;
-    if (descriptor >= 0)
-    {
-        ::close(descriptor);
-    }
-    if (!synced)
+    if (!sync_folder(folder))
     {
         return make_error(
             error_kind::storage_failed,
             fmt::format(
                 "the folder {} can't be synced: {}; check the disk", folder,
-                std::strerror(error)));
+                std::strerror(errno)));
     }
     return absl::OkStatus();
 }
@@ -426,7 +402,7 @@
     record_file file;
     file.number = number;
     files_.push_back(std::move(file));
-    return sync_folder(folder_);
+    return sync_record_folder(folder_);
 }
 
 absl::Status decision_store::rotate()
--- a/src/process/gateway/exchange.cpp
+++ b/src/process/gateway/exchange.cpp
@@ -125,7 +125,6 @@
         give_up(dispatch_outcome::silent);
         return;
     }
-    context_.retry_budget(service_).on_request(context_.loop().now());
     stream_id_ = hash_name(
         call_.resumed_attempt.empty() ? call_.attempt_id
                                       : call_.resumed_attempt);
@@ -134,6 +133,12 @@
         find_stream_version();
         return;
     }
+    begin_dispatch();
+}
+
+void exchange::begin_dispatch()
+{
+    context_.retry_budget(service_).on_request(context_.loop().now());
     dispatch();
 }
 
@@ -149,7 +154,8 @@
             if (version)
             {
                 stream_version_ = version;
-                dispatch();
+                choose_service_of(*version);
+                begin_dispatch();
                 return;
             }
             log(log_level::warning, subsystem::attempt,
@@ -218,6 +224,23 @@
     }
 }
 
+// Chooses the service of the route that has servers of this software version,
+// if there is one.
+void exchange::choose_service_of(software_version_id version)
+{
+    for (const weighted_service& target : route_->targets)
+    {
+        const auto members = context_.table().members(target.service);
+        if (std::ranges::find(
+                members, version, &backend_record::software_version) !=
+            members.end())
+        {
+            service_ = target.service;
+            return;
+        }
+    }
+}
+
 void exchange::set_deadline()
 {
     if (call_.caller_timeout)
@@ -791,6 +814,7 @@
     if (complete)
     {
         context_.blame().on_completed(fingerprint_);
+        context_.streams().on_complete(stream_id_);
         relay_.finish_stream(reader.head());
         end_attempt(dispatch_outcome::answered);
         finish(HTTPResponse::HTTP_OK, request_outcome::answered);
--- a/src/process/gateway/exchange.hpp
+++ b/src/process/gateway/exchange.hpp
@@ -45,7 +45,9 @@
 private:
     bool find_route();
     void choose_service();
+    void choose_service_of(software_version_id version);
     void find_stream_version();
+    void begin_dispatch();
     dispatch_choice choose_backend(
         std::optional<backend_server_id> permitted,
         std::vector<backend_server_id>& skipped);
--- a/src/process/gateway/fleet_follower.cpp
+++ b/src/process/gateway/fleet_follower.cpp
@@ -291,6 +291,10 @@
 void fleet_follower::on_link_ready(link_connection& link)
 {
     link.send(make_payload(status()));
+    if (auto streams = observer_.open_streams())
+    {
+        link.send(make_payload(*std::move(streams)));
+    }
 }
 
 void fleet_follower::set_relay(instance_id relay)
--- a/src/process/gateway/fleet_follower.hpp
+++ b/src/process/gateway/fleet_follower.hpp
@@ -54,6 +54,9 @@
     // An answer of the leader to a query for a permit, or its table of limits.
     virtual void on_permit_grant(const wire::permit_grant_msg& grant) = 0;
 
+    // Streams of which a voter that has just been linked may not know.
+    virtual std::optional<wire::streams_sent_msg> open_streams() const = 0;
+
     // A voter's answer to a query for the software version of a stream.
     virtual void on_stream_answer(const wire::stream_answer_msg& answer) = 0;
 
--- a/src/process/gateway/gateway.cpp
+++ b/src/process/gateway/gateway.cpp
@@ -203,6 +203,11 @@
     context_.permits().on_grant(grant);
 }
 
+std::optional<wire::streams_sent_msg> gateway::open_streams() const
+{
+    return context_.streams().open_streams();
+}
+
 void gateway::on_stream_answer(const wire::stream_answer_msg& answer)
 {
     context_.streams().on_answer(answer);
--- a/src/process/gateway/gateway_context.hpp
+++ b/src/process/gateway/gateway_context.hpp
@@ -84,6 +84,10 @@
     {
         return streams_;
     }
+    const stream_version_client& streams() const
+    {
+        return streams_;
+    }
 
     // False before the first backend list has arrived.
     bool has_backend_list() const
--- a/src/process/gateway/stream_version_client.cpp
+++ b/src/process/gateway/stream_version_client.cpp
@@ -40,6 +40,23 @@
     }
 }
 
+void stream_version_client::on_complete(stream_id stream)
+{
+    own_.remove(stream);
+}
+
+std::optional<wire::streams_sent_msg>
+stream_version_client::open_streams() const
+{
+    wire::streams_sent_msg message;
+    for (const auto& [stream, version] : own_.list(loop_.now()))
+    {
+        message.streams.emplace_back(stream, version);
+    }
+    return message.streams.empty() ? std::nullopt
+                                   : std::optional{std::move(message)};
+}
+
 std::uint32_t stream_version_client::find(
     stream_id stream, open_queries::result_function on_result)
 {
--- a/src/process/gateway/stream_version_client.hpp
+++ b/src/process/gateway/stream_version_client.hpp
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 
 namespace hickorygap
 {
@@ -29,6 +30,13 @@
     // reach the caller.
     void on_sent(stream_id stream, software_version_id version);
 
+    // The stream has ended in order, so this router need not remember it.
+    void on_complete(stream_id stream);
+
+    // The streams that this router remembers, for a voter that has not heard of
+    // them; nullopt if there are none.
+    std::optional<wire::streams_sent_msg> open_streams() const;
+
     // Finds the version that began the stream. The function gets nullopt when
     // nobody knows it; it is called after this returns. Returns the number of
     // the query.
--- a/src/process/voter_node/router_feed.cpp
+++ b/src/process/voter_node/router_feed.cpp
@@ -62,6 +62,7 @@
     , list_calls_per_second_{settings.backend_list.calls_per_second}
     , list_reader_{loop, list_format, settings.backend_list.address}
     , documents_{loop, links, self_, settings.peers.link_megabits_per_second, backends_}
+    , stream_journal_{settings.storage.folder}
     , blame_broadcast_{loop, links, settings.peers.link_megabits_per_second}
     , limit_broadcast_{loop, links, settings.peers.link_megabits_per_second}
     , random_{random_seed()}
@@ -71,6 +72,7 @@
 void router_feed::start(const routing_voter& voter)
 {
     voter_ = &voter;
+    load_streams();
     summarize_loads();
 }
 
@@ -90,6 +92,7 @@
         send_blame();
         permit_trials();
     }
+    check_journal();
 }
 
 bool router_feed::receive(
@@ -133,10 +136,7 @@
     }
     else if (const auto* sent = message_in<wire::streams_sent_msg>(payload))
     {
-        for (const wire::stream_version& item : sent->streams)
-        {
-            streams_.add(item.stream(), item.version(), loop_.now());
-        }
+        on_streams_sent(*sent);
     }
     else if (const auto* query = message_in<wire::stream_query_msg>(payload))
     {
@@ -534,6 +534,46 @@
         });
 }
 
+// Software versions of streams.
+
+void router_feed::load_streams()
+{
+    const unix_millis now = unix_now();
+    const auto records = stream_journal_.load(now);
+    for (const recorded_stream& record : records)
+    {
+        streams_.add(
+            record.stream, record.version,
+            loop_.now() - std::chrono::milliseconds{now - record.recorded_at});
+    }
+    log(log_level::info, subsystem::routing, "streams_loaded streams={}",
+        records.size());
+}
+
+void router_feed::on_streams_sent(const wire::streams_sent_msg& message)
+{
+    for (const wire::stream_version& item : message.streams)
+    {
+        if (streams_.find(item.stream(), loop_.now()) != item.version())
+        {
+            streams_.add(item.stream(), item.version(), loop_.now());
+            stream_journal_.append({item.stream(), item.version(), unix_now()});
+        }
+    }
+}
+
+void router_feed::check_journal()
+{
+    const absl::Status status = stream_journal_.status();
+    if (status.ok() != is_journal_writable_)
+    {
+        is_journal_writable_ = status.ok();
+        log(status.ok() ? log_level::info : log_level::warning,
+            subsystem::routing, "stream_journal_{} error=\"{}\"",
+            status.ok() ? "regained" : "lost", message_of(status));
+    }
+}
+
 // Permits one router to try quarantined parts of prompts again.
 void router_feed::permit_trials()
 {
--- a/src/process/voter_node/router_feed.hpp
+++ b/src/process/voter_node/router_feed.hpp
@@ -14,6 +14,7 @@
 #include "process/metrics/metrics_registry.hpp"
 #include "process/routing_store/routing_voter.hpp"
 #include "process/voter_node/paced_broadcast.hpp"
+#include "process/voter_node/stream_journal.hpp"
 #include "request/dispatch/stream_versions.hpp"
 #include "request/rate_limit/rate_limit_allocator.hpp"
 
@@ -88,6 +89,9 @@
     void keep_limits_of(std::span<const listed_backend> list);
     void schedule_limits();
     void permit_trials();
+    void load_streams();
+    void on_streams_sent(const wire::streams_sent_msg& message);
+    void check_journal();
 
     event_loop& loop_;
     peer_links& links_;
@@ -108,6 +112,8 @@
     // Version of the limits that all routers were sent.
     std::uint64_t broadcast_limits_ = 0;
     stream_versions streams_;
+    stream_journal stream_journal_;
+    bool is_journal_writable_ = true;
 
     timer_id relay_plan_timer_ = 0;
 
--- a/src/request/dispatch/stream_versions.cpp
+++ b/src/request/dispatch/stream_versions.cpp
@@ -40,6 +40,25 @@
     }
 }
 
+void stream_versions::remove(stream_id stream)
+{
+    versions_.erase(stream);
+}
+
+std::vector<std::pair<stream_id, software_version_id>>
+stream_versions::list(time_point now) const
+{
+    std::vector<std::pair<stream_id, software_version_id>> result;
+    for (const auto& [stream, item] : versions_)
+    {
+        if (now - item.added_at <= stream_retention_period)
+        {
+            result.emplace_back(stream, item.version);
+        }
+    }
+    return result;
+}
+
 std::optional<software_version_id>
 stream_versions::find(stream_id stream, time_point now) const
 {
--- a/src/request/dispatch/stream_versions.hpp
+++ b/src/request/dispatch/stream_versions.hpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace hickorygap
 {
@@ -42,6 +43,13 @@
     // A version that is added later replaces the one before.
     void add(stream_id stream, software_version_id version, time_point now);
 
+    // The stream will not be asked for any more.
+    void remove(stream_id stream);
+
+    // Streams that are neither removed nor too old.
+    std::vector<std::pair<stream_id, software_version_id>>
+    list(time_point now) const;
+
     // nullopt for a stream that is unknown or was added too long ago.
     std::optional<software_version_id>
     find(stream_id stream, time_point now) const;
--- a/tests/process/gateway/fleet_follower_test.cpp
+++ b/tests/process/gateway/fleet_follower_test.cpp
@@ -65,6 +65,12 @@
     {
         blame += report.suspects.size();
     }
+    std::optional<wire::streams_sent_msg> open_streams() const override
+    {
+        wire::streams_sent_msg message;
+        message.streams.emplace_back(streams, 1);
+        return message;
+    }
     void on_stream_answer(const wire::stream_answer_msg& /*answer*/) override
     {
     }
@@ -75,6 +81,8 @@
     {
     }
 
+    // Identifier of the only open stream.
+    stream_id streams = 77;
     std::vector<configuration_version> versions;
     std::string last_document;
     std::vector<backend_load> own_load;
@@ -166,6 +174,12 @@
         {
             blamed.push_back(blame->suspects.size());
         }
+        else if (
+            const auto* sent =
+                message_in<wire::streams_sent_msg>(message.payload))
+        {
+            streams += sent->streams.size();
+        }
     }
     void on_link_end(link_connection& /*link*/) override
     {
@@ -205,6 +219,9 @@
     // Number of requests in each crash report received.
     std::vector<std::size_t> blamed;
 
+    // Open streams of routers received.
+    std::size_t streams = 0;
+
 private:
     event_loop& loop_;
     std::string host_;
@@ -298,6 +315,16 @@
     CHECK(boot_now() - start < 600ms);
 }
 
+// Guards against a voter that does not know the streams which a router has
+// begun while the two were not linked.
+TEST_CASE("each voter hears of the open streams when it is linked")
+{
+    follower_fixture f;
+    REQUIRE(f.follower->start().ok());
+    CHECK(f.wait([&] { return f.seed->streams == 1; }));
+    CHECK(f.wait([&] { return f.other->streams == 1; }));
+}
+
 // Guards against a new leader that does not know of earlier crashes of servers,
 // and against crash reports to voters that are not the leader.
 TEST_CASE("a new leader gets all crashes and the current leader gets new ones")
--- a/tests/process/route_fleet/route_fleet_fixture.hpp
+++ b/tests/process/route_fleet/route_fleet_fixture.hpp
@@ -28,8 +28,12 @@
 {
 public:
     // document: the configuration that is committed before any router starts.
-    route_fleet(std::size_t routers, std::string document)
-        : document_{std::move(document)}
+    // data_folder: of the voter, which has created it before; a new one if
+    // empty.
+    route_fleet(
+        std::size_t routers, std::string document, std::string data_folder = {})
+        : data_folder_{data_folder.empty() ? folder_.path() : data_folder}
+        , document_{std::move(document)}
         , list_server_{
               loop_, request_limits{},
               [this](
@@ -56,7 +60,8 @@
 
     // The server is in the list from the next read by the leader on.
     backend_double& add_backend(
-        const backend_double::script& on_request, std::string version = "v1")
+        const backend_double::script& on_request, std::string version = "v1",
+        std::string service = "llm")
     {
         std::unique_ptr<backend_double> added;
         std::uint16_t port = 0;
@@ -67,6 +72,7 @@
         } while (!added->opened());
         ports_.push_back(port);
         versions_.push_back(std::move(version));
+        services_.push_back(std::move(service));
         backends_.push_back(std::move(added));
         return *backends_.back();
     }
@@ -116,10 +122,10 @@
         for (std::size_t i = 0; i < ports_.size(); ++i)
         {
             entries += fmt::format(
-                R"({}{{"id":"i-{}","service":"llm","address":"127.0.0.1:{}",)"
+                R"({}{{"id":"i-{}","service":"{}","address":"127.0.0.1:{}",)"
                 R"("zone":"domain-a","version":"{}","slots":8,)"
                 R"("state":"ready","cold_remaining_ms":0}})",
-                i == 0 ? "" : ",", i, ports_[i], versions_[i]);
+                i == 0 ? "" : ",", i, services_[i], ports_[i], versions_[i]);
         }
         return fmt::format(R"({{"instances":[{}],"next":null}})", entries);
     }
@@ -143,7 +149,7 @@
         {
             peer_port_ = next_port();
             fleet_settings settings = common_settings("127.0.0.1");
-            settings.storage.folder = folder_.path();
+            settings.storage.folder = data_folder_;
             settings.storage.bootstrap = true;
             settings.operators = {"127.0.0.1", next_port()};
             operators_port_ = settings.operators.port;
@@ -198,6 +204,7 @@
     }
 
     temporary_folder folder_;
+    std::string data_folder_;
     event_loop loop_;
     std::string document_;
     platform::configuration_document configurations_;
@@ -213,6 +220,7 @@
     std::vector<std::unique_ptr<gateway>> routers_;
     std::vector<std::uint16_t> ports_;
     std::vector<std::string> versions_;
+    std::vector<std::string> services_;
     std::vector<std::unique_ptr<backend_double>> backends_;
     std::vector<std::unique_ptr<caller_double>> callers_;
 };
--- a/tests/process/route_fleet/stream_version_test.cpp
+++ b/tests/process/route_fleet/stream_version_test.cpp
@@ -64,6 +64,35 @@
         fmt::format("Deadline-Ms: 5000\r\n{}", fields), "", "POST", id);
 }
 
+// Waits until the stream has ended or was refused.
+void await_end(route_fleet& fleet, const caller_double& caller)
+{
+    REQUIRE(run_until(
+        fleet.loop(),
+        [&]
+        {
+            return caller.ended() || caller.received().ends_with("0\r\n\r\n") ||
+                   caller.received().find(" 503 ") != std::string::npos;
+        },
+        3s));
+}
+
+void add_backends(route_fleet& fleet)
+{
+    for (int i = 0; i < servers_per_version; ++i)
+    {
+        fleet.add_backend(versioned_script("v1"), "v1");
+        fleet.add_backend(versioned_script("v2"), "v2");
+    }
+}
+
+// The caller takes the stream up again after two events.
+std::string resuming_request(const std::string& id)
+{
+    return stream_request(
+        id + "-again", fmt::format("Last-Event-Id: 2\r\nResumes: {}\r\n", id));
+}
+
 } // namespace
 
 // Guards against streams that hold events of two software versions, whose parts
@@ -73,27 +102,13 @@
 TEST_CASE("a stream goes on only at the version that began it")
 {
     route_fleet fleet{routers, std::string{document}};
-    for (int i = 0; i < servers_per_version; ++i)
-    {
-        fleet.add_backend(versioned_script("v1"), "v1");
-        fleet.add_backend(versioned_script("v2"), "v2");
-    }
+    add_backends(fleet);
     fleet.await_readiness();
     // Until a router knows how many others there are, its share of the retry
     // budget is that of a large fleet.
     fleet.run_for(1500ms);
     const auto await = [&](const caller_double& caller)
-    {
-        REQUIRE(run_until(
-            fleet.loop(),
-            [&]
-            {
-                return caller.ended() ||
-                       caller.received().ends_with("0\r\n\r\n") ||
-                       caller.received().find(" 503 ") != std::string::npos;
-            },
-            3s));
-    };
+    { await_end(fleet, caller); };
     int resumed = 0;
     for (int i = 0; i < streams; ++i)
     {
@@ -105,10 +120,7 @@
         CHECK(is_complete);
         // As if the connection had broken after two events.
         const caller_double& next = fleet.call(
-            static_cast<std::size_t>(i) % routers,
-            stream_request(
-                id + "-again",
-                fmt::format("Last-Event-Id: 2\r\nResumes: {}\r\n", id)));
+            static_cast<std::size_t>(i) % routers, resuming_request(id));
         await(next);
         CHECK_FALSE(holds_both_versions(first.received() + next.received()));
         resumed += next.received().ends_with("0\r\n\r\n") ? 1 : 0;
@@ -121,3 +133,76 @@
     await(unknown);
     CHECK(unknown.received().find(" 503 ") != std::string::npos);
 }
+
+// Guards against streams that no caller can take up again because all routers
+// and voters have ended at the same moment: their records must be on disk. Each
+// fleet is one life of the processes.
+TEST_CASE("streams go on after all processes have ended at once")
+{
+    const temporary_folder data;
+    std::vector<std::string> begun;
+    {
+        route_fleet fleet{routers, std::string{document}, data.path()};
+        add_backends(fleet);
+        fleet.await_readiness();
+        for (int i = 0; i < streams; ++i)
+        {
+            const caller_double& first =
+                fleet.call(0, stream_request(fmt::format("s{}", i), ""));
+            await_end(fleet, first);
+            begun.push_back(first.received());
+        }
+    }
+    route_fleet fleet{routers, std::string{document}, data.path()};
+    add_backends(fleet);
+    fleet.await_readiness();
+    int resumed = 0;
+    for (int i = 0; i < streams; ++i)
+    {
+        const caller_double& next = fleet.call(
+            static_cast<std::size_t>(i) % routers,
+            resuming_request(fmt::format("s{}", i)));
+        await_end(fleet, next);
+        CHECK_FALSE(holds_both_versions(
+            begun[static_cast<std::size_t>(i)] + next.received()));
+        resumed += next.received().ends_with("0\r\n\r\n") ? 1 : 0;
+    }
+    CHECK(resumed == streams);
+}
+
+// Guards against a stream that is resumed at another service of its route,
+// which has not begun it, or is refused because that service has no such
+// version.
+TEST_CASE("a stream of a split route goes on at the service that began it")
+{
+    constexpr std::string_view split_document =
+        R"({"version":7,"routes":[{"name":"r1","host":"h.example",
+        "path_prefix":"/a/","kind":"streaming","resumable":true,
+        "timeout_ms":5000,"target_latency_ms":500,"gap_target_ms":300,
+        "traffic_split":[{"service":"llm","weight":50},
+        {"service":"llm-2","weight":50}],"max_attempts":3}],
+        "services":[{"name":"llm","max_connections":500},
+        {"name":"llm-2","max_connections":500}],
+        "tenants":[{"name":"t1","api_keys":["key-1"],"priority":1}]})";
+    route_fleet fleet{routers, std::string{split_document}};
+    // Two services with equal names of their versions.
+    for (int i = 0; i < servers_per_version; ++i)
+    {
+        fleet.add_backend(versioned_script("v1"), "1.0", "llm");
+        fleet.add_backend(versioned_script("v2"), "1.0", "llm-2");
+    }
+    fleet.await_readiness();
+    int resumed = 0;
+    for (int i = 0; i < streams; ++i)
+    {
+        const std::string id = fmt::format("s{}", i);
+        const caller_double& first = fleet.call(0, stream_request(id, ""));
+        await_end(fleet, first);
+        const caller_double& next = fleet.call(
+            static_cast<std::size_t>(i) % routers, resuming_request(id));
+        await_end(fleet, next);
+        CHECK_FALSE(holds_both_versions(first.received() + next.received()));
+        resumed += next.received().ends_with("0\r\n\r\n") ? 1 : 0;
+    }
+    CHECK(resumed == streams);
+}
--- a/tests/request/dispatch/stream_versions_test.cpp
+++ b/tests/request/dispatch/stream_versions_test.cpp
@@ -30,3 +30,25 @@
     CHECK(versions.size() <= 100'000);
     CHECK(versions.find(200'009, {63s}) == 7);
 }
+
+// Guards against versions of two services that are taken for one because they
+// have the same name.
+TEST_CASE("a software version belongs to its service")
+{
+    CHECK(software_version_of("a", "1") == software_version_of("a", "1"));
+    CHECK(software_version_of("a", "1") != software_version_of("b", "1"));
+    CHECK(software_version_of("a", "1") != software_version_of("a", "2"));
+}
+
+// Guards against voters that are told of streams which have ended.
+TEST_CASE("the open streams are those that have not been removed")
+{
+    stream_versions versions;
+    versions.add(1, 7, {0s});
+    versions.add(2, 8, {1s});
+    versions.add(3, 9, {50s});
+    versions.remove(2);
+    using stream_list = std::vector<std::pair<stream_id, software_version_id>>;
+    CHECK(versions.list({100s}) == stream_list{{3, 9}});
+    CHECK(versions.find(2, {1s}) == std::nullopt);
+}
