Prefer a permit of a limited server to a queue or a refusal

With all or many servers limited, requests were refused while permits were left: a request that had got a permit was still refused by the admission of the service, whose mean load is that of the servers without a limit, and a router with one overloaded server without a limit did not ask for others.

Change: admission is decided once for a request, before it asks for a permit. If it is not admitted, or the server without a limit has no free slot, any server of the service may be permitted; a request with a permit is sent.

--- a/src/process/gateway/exchange.cpp
+++ b/src/process/gateway/exchange.cpp
@@ -362,7 +362,11 @@
         send_to(choice);
         return;
     }
-    request.others_too = choice.backend == nullptr;
+    // A permit of any server is better than a queue or a refusal.
+    const bool is_full =
+        choice.backend != nullptr && choice.load > choice.mean_slots;
+    request.others_too =
+        choice.backend == nullptr || is_full || !is_admitted(choice);
     request.service = hash_name(service_);
     request.software_version = stream_version_.value_or(0);
     request.excluded = tried_backends_;
@@ -381,7 +385,14 @@
             if (!ended_)
             {
                 std::vector<backend_server_id> skipped;
-                send_to(choose_backend(permitted, skipped));
+                const dispatch_choice choice =
+                    choose_backend(permitted, skipped);
+                if (choice.backend != nullptr &&
+                    choice.backend->id == permitted)
+                {
+                    admitted_ = true;
+                }
+                send_to(choice);
             }
         });
 }
@@ -399,7 +410,7 @@
         give_up(dispatch_outcome::rejected);
         return;
     }
-    if (sends_ == 0 && refused_connections_ == 0 && !is_admitted(choice))
+    if (!is_admitted(choice))
     {
         give_up(dispatch_outcome::rejected);
         return;
@@ -430,8 +441,18 @@
                               : rank() - std::min(rank(), service->first_rank);
 }
 
-// Admission control for engines, see admission_controller.
+// Admission control for engines, see admission_controller. Decides once for a
+// request; one that has a permit for a server need not be admitted.
 bool exchange::is_admitted(const dispatch_choice& choice)
+{
+    if (!admitted_)
+    {
+        admitted_ = decide_admission(choice);
+    }
+    return *admitted_;
+}
+
+bool exchange::decide_admission(const dispatch_choice& choice)
 {
     const routed_service* service = configuration_->find_service(service_);
     if (service == nullptr || !service->engine)
--- a/src/process/gateway/exchange.hpp
+++ b/src/process/gateway/exchange.hpp
@@ -94,6 +94,7 @@
     send_history history() const;
     dispatch_query make_query() const;
     bool is_admitted(const dispatch_choice& choice);
+    bool decide_admission(const dispatch_choice& choice);
     dispatch_instructions
     make_instructions(const dispatch_choice& choice) const;
 
@@ -120,6 +121,9 @@
     response_relay relay_;
     bool ended_ = false;
 
+    // Whether the request may be sent to a server, once that is decided.
+    std::optional<bool> admitted_;
+
     // Open query for a permit to send the request, and for the version of the
     // stream; zero for none.
     std::uint32_t permit_query_ = 0;
