Take the number of routers from the first notice that names it

Cause: a router that has not counted the routers assumes 32, which leaves one retry, and it counted at its next report, up to a second after the notice with the number.

Change: it counts when the first notice arrives, and when a notice names more routers than before, so that shares never stay too large. Fewer routers still count at the next report.

Test: "the number of routers counts from the notice that names it", which fails before.

--- a/src/process/gateway/fleet_follower.cpp
+++ b/src/process/gateway/fleet_follower.cpp
@@ -383,6 +383,12 @@
     {
         found->second.routers = notice.routers;
         found->second.heard_at = loop_.now();
+        // Budgets that all routers share must not wait: neither a router that
+        // has just started, nor a fleet that has grown.
+        if (is_router_count_assumed_ || notice.routers > routers_)
+        {
+            count_routers();
+        }
     }
     committed_version_ = std::max(committed_version_, notice.version);
     if (notice.leads)
@@ -559,6 +565,8 @@
             routers = std::max(routers, item.routers);
         }
     }
+    is_router_count_assumed_ =
+        routers == 0 && (is_router_count_assumed_ || routers_ == 0);
     if (routers == 0)
     {
         routers = routers_ == 0 ? default_router_count : routers_;
--- a/src/process/gateway/fleet_follower.hpp
+++ b/src/process/gateway/fleet_follower.hpp
@@ -186,6 +186,9 @@
     // The voters have been told that the current relay serves this router.
     bool relay_announced_ = false;
     std::uint32_t routers_ = 0;
+
+    // No voter has told the number of routers yet.
+    bool is_router_count_assumed_ = true;
 };
 
 } // namespace hickorygap
--- a/tests/process/gateway/fleet_follower_test.cpp
+++ b/tests/process/gateway/fleet_follower_test.cpp
@@ -77,12 +77,14 @@
     void on_permit_grant(const wire::permit_grant_msg& /*grant*/) override
     {
     }
-    void on_router_count(std::uint32_t /*routers*/) override
+    void on_router_count(std::uint32_t count) override
     {
+        routers = count;
     }
 
     // Identifier of the only open stream.
     stream_id streams = 77;
+    std::uint32_t routers = 0;
     std::vector<configuration_version> versions;
     std::string last_document;
     std::vector<backend_load> own_load;
@@ -325,6 +327,25 @@
     CHECK(f.wait([&] { return f.other->streams == 1; }));
 }
 
+// Guards against a router that has hardly any retry budget for a second after
+// its start, because it assumes a large fleet, and against one that uses too
+// large a share after the fleet has grown.
+TEST_CASE("the number of routers counts from the notice that names it")
+{
+    constexpr duration notice_delay = 200ms;
+    follower_fixture f;
+    f.seed->notice.leads = true;
+    f.seed->notice.routers = 3;
+    REQUIRE(f.follower->start().ok());
+    REQUIRE(f.wait([&] { return f.seed->statuses > 0; }));
+    CHECK(run_until(
+        f.loop, [&] { return f.observer.routers == 3; }, notice_delay));
+    f.seed->notice.routers = 5;
+    f.seed->send(f.seed->notice);
+    CHECK(run_until(
+        f.loop, [&] { return f.observer.routers == 5; }, notice_delay));
+}
+
 // Guards against a new leader that does not know of earlier crashes of servers,
 // and against crash reports to voters that are not the leader.
 TEST_CASE("a new leader gets all crashes and the current leader gets new ones")
