--- a/src/common/file_io.cpp
+++ b/src/common/file_io.cpp
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <cerrno>
+#include <charconv>
 #include <filesystem>
 #include <fstream>
 #include <system_error>
@@ -28,6 +29,24 @@
     return data;
 }
 
+std::optional<std::uint64_t>
+file_number(std::string_view name, std::string_view prefix)
+{
+    if (!name.starts_with(prefix))
+    {
+        return std::nullopt;
+    }
+    name.remove_prefix(prefix.size());
+    std::uint64_t number = 0;
+    const auto [end, error] =
+        std::from_chars(name.data(), name.data() + name.size(), number);
+    if (error != std::errc{} || end != name.data() + name.size())
+    {
+        return std::nullopt;
+    }
+    return number;
+}
+
 bool write_all(int file, std::span<const std::uint8_t> data, off_t offset)
 {
     while (!data.empty())
--- a/src/common/file_io.hpp
+++ b/src/common/file_io.hpp
@@ -4,8 +4,10 @@
 #include <sys/types.h>
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace hickorygap
@@ -14,6 +16,10 @@
 // Whole content of a file; empty when it can't be read.
 std::vector<std::uint8_t> read_file(const std::string& path);
 
+// Number after the prefix in the name of a file; nullopt for other names.
+std::optional<std::uint64_t>
+file_number(std::string_view name, std::string_view prefix);
+
 // Writes all bytes at the offset. False on an error; errno says which.
 bool write_all(int file, std::span<const std::uint8_t> data, off_t offset);
 
--- a/src/process/consensus/file_log_storage.cpp
+++ b/src/process/consensus/file_log_storage.cpp
@@ -13,10 +13,8 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
-#include <charconv>
 #include <cstring>
 #include <filesystem>
-#include <fstream>
 #include <iterator>
 #include <optional>
 #include <utility>
@@ -130,24 +128,6 @@
     return false;
 }
 
-std::optional<std::uint64_t>
-parse_number_after(std::string_view name, std::string_view prefix)
-{
-    if (!name.starts_with(prefix))
-    {
-        return std::nullopt;
-    }
-    name.remove_prefix(prefix.size());
-    std::uint64_t number = 0;
-    const auto [end, error] =
-        std::from_chars(name.data(), name.data() + name.size(), number);
-    if (error != std::errc{} || end != name.data() + name.size())
-    {
-        return std::nullopt;
-    }
-    return number;
-}
-
 // Writes and syncs the file under a temporary name and then renames it, so that
 // a file of this name is always complete.
 absl::Status
@@ -282,7 +262,7 @@
             // Left by a crash before the rename.
             continue;
         }
-        if (const auto number = parse_number_after(name, segment_prefix))
+        if (const auto number = file_number(name, segment_prefix))
         {
             newest = std::max(newest.value_or(0), *number);
         }
@@ -639,8 +619,8 @@
          !error && item != end; item.increment(error))
     {
         const std::string name = item->path().filename().string();
-        const auto segment = parse_number_after(name, segment_prefix);
-        const auto index = parse_number_after(name, snapshot_prefix);
+        const auto segment = file_number(name, segment_prefix);
+        const auto index = file_number(name, snapshot_prefix);
         if (name.ends_with(temporary_file_suffix) ||
             (segment && *segment != segment_) || (index && *index != snapshot))
         {
--- a/src/process/voter_node/stream_journal.cpp
+++ b/src/process/voter_node/stream_journal.cpp
@@ -11,10 +11,8 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <charconv>
 #include <filesystem>
 #include <iterator>
-#include <optional>
 #include <string_view>
 #include <system_error>
 #include <utility>
@@ -48,23 +46,6 @@
             .count());
 }
 
-std::optional<std::uint64_t> number_of(std::string_view name)
-{
-    if (!name.starts_with(file_prefix))
-    {
-        return std::nullopt;
-    }
-    name.remove_prefix(file_prefix.size());
-    std::uint64_t number = 0;
-    const auto [end, error] =
-        std::from_chars(name.data(), name.data() + name.size(), number);
-    if (error != std::errc{} || end != name.data() + name.size())
-    {
-        return std::nullopt;
-    }
-    return number;
-}
-
 absl::Status journal_error(std::string_view action, std::string_view file)
 {
     return make_error(
@@ -106,7 +87,8 @@
     for (fs::directory_iterator item{folder_, error}, end;
          !error && item != end; item.increment(error))
     {
-        if (const auto number = number_of(item->path().filename().string()))
+        if (const auto number =
+                file_number(item->path().filename().string(), file_prefix))
         {
             newest_[*number] = 0;
             number_ = std::max(number_, *number);
