--- a/src/process/voter_node/stream_journal.cpp
+++ b/src/process/voter_node/stream_journal.cpp
@@ -95,11 +95,12 @@
         }
     }
     std::vector<recorded_stream> result;
-    for (auto& [number, newest] : newest_)
+    for (auto& item : newest_)
     {
+        unix_millis& newest = item.second;
         // Frames after a torn one have never been synced.
         read_frames(
-            read_file(path_of(number)),
+            read_file(path_of(item.first)),
             [&](std::span<const std::uint8_t> content)
             {
                 const auto batch = decode_table<wire::stream_batch>(content);
@@ -107,14 +108,14 @@
                 {
                     return;
                 }
-                for (const wire::stored_stream& item : batch->streams)
+                for (const wire::stored_stream& record : batch->streams)
                 {
-                    newest = std::max(newest, item.recorded_at());
-                    if (item.recorded_at() + retention_ms() > now)
+                    newest = std::max(newest, record.recorded_at());
+                    if (record.recorded_at() + retention_ms() > now)
                     {
                         result.push_back(
-                            {item.stream(), item.version(),
-                             std::min(item.recorded_at(), now)});
+                            {record.stream(), record.version(),
+                             std::min(record.recorded_at(), now)});
                     }
                 }
             });
