Say plainly when a response is news about a limit

The check whether a response is news repeated what the assignment below it did, with two conditionals in one expression. It now builds the new state and compares it with the old one. Same results: a response without a limit from a server without one is still ignored, and the time of the observation is still renewed.

Also: a member function stood between a comment's struct and the section's start, and a comment on the number of candidates told of the time before the leader could name other servers.

The rate_limit tests pass unchanged.

--- a/src/process/gateway/exchange.cpp
+++ b/src/process/gateway/exchange.cpp
@@ -303,8 +303,8 @@
     std::optional<backend_server_id> permitted,
     std::vector<backend_server_id>& skipped)
 {
-    // A few candidates suffice: all servers that exceed their limits at the
-    // same time have little left to give.
+    // A few candidates suffice: the leader may name any other server if none of
+    // them accepts the request.
     constexpr std::size_t max_candidates = 4;
     const auto members = context_.table().members(service_);
     const router_limits& limits = context_.permits().limits();
--- a/src/process/gateway/permit_client.hpp
+++ b/src/process/gateway/permit_client.hpp
@@ -56,7 +56,6 @@
     }
 
 private:
-    bool send(std::uint32_t number, const permit_request& request);
     // Requests that were denied for the same reason.
     struct denied_kind
     {
@@ -68,6 +67,7 @@
         operator<=>(const denied_kind&, const denied_kind&) = default;
     };
 
+    bool send(std::uint32_t number, const permit_request& request);
     std::optional<denied_kind> kind_of(const permit_request& request) const;
     bool is_denied(const std::optional<denied_kind>& kind) const;
     void on_result(const std::optional<denied_kind>& kind, bool is_permitted);
--- a/src/request/rate_limit/router_limits.cpp
+++ b/src/request/rate_limit/router_limits.cpp
@@ -34,22 +34,19 @@
 bool router_limits::on_response(const backend_limit& limit, time_point now)
 {
     const auto found = servers_.find(limit.backend);
-    const bool is_known =
-        found == servers_.end()
-            ? !limit.requests_per_second
-            : found->second.is_ending == !limit.requests_per_second &&
-                  found->second.requests_per_second ==
-                      limit.requests_per_second.value_or(
-                          found->second.requests_per_second);
-    if (found != servers_.end() || limit.requests_per_second)
+    const bool is_new = found == servers_.end();
+    if (is_new && !limit.requests_per_second)
     {
-        server& known = servers_[limit.backend];
-        known.observed_at = now;
-        known.is_ending = !limit.requests_per_second;
-        known.requests_per_second =
-            limit.requests_per_second.value_or(known.requests_per_second);
+        return false;
     }
-    if (is_known)
+    server named = is_new ? server{} : found->second;
+    named.observed_at = now;
+    named.is_ending = !limit.requests_per_second;
+    named.requests_per_second =
+        limit.requests_per_second.value_or(named.requests_per_second);
+    const server previous = std::exchange(servers_[limit.backend], named);
+    if (!is_new && previous.is_ending == named.is_ending &&
+        previous.requests_per_second == named.requests_per_second)
     {
         return false;
     }
