Wake the writer of stream records once a batch, and share the error of files

Found when the change was read again. Each record woke the thread that writes them, also while it collected a batch: at 744 new streams a second a voter woke 744 times a second to go on waiting. Now only the first record of a batch wakes it; the thread looks at the queue before each wait, so none is missed. The queue drops its oldest record in constant time while a disk stalls.

Ruled out: a timer of the event loop in place of the thread, as a stalled disk would stop the voter.

--- a/src/common/file_io.cpp
+++ b/src/common/file_io.cpp
@@ -1,6 +1,9 @@
 #include "common/file_io.hpp"
 
+#include "common/error.hpp"
+
 #include <fcntl.h>
+#include <fmt/format.h>
 #include <unistd.h>
 
 #include <cerrno>
@@ -81,4 +84,14 @@
     return is_synced;
 }
 
+absl::Status file_error(std::string_view action, std::string_view file)
+{
+    return make_error(
+        error_kind::storage_failed,
+        fmt::format(
+            "can't {} {}: {}; free space on the disk or repair it, the voter "
+            "resumes by itself",
+            action, file, std::generic_category().message(errno)));
+}
+
 } // namespace hickorygap
--- a/src/common/file_io.hpp
+++ b/src/common/file_io.hpp
@@ -1,6 +1,7 @@
 #ifndef HICKORYGAP_COMMON_FILE_IO_HPP
 #define HICKORYGAP_COMMON_FILE_IO_HPP
 
+#include <absl/status/status.h>
 #include <sys/types.h>
 
 #include <cstdint>
@@ -27,6 +28,10 @@
 // on an error; errno says which.
 bool sync_folder(const std::string& folder);
 
+// The error of an action on a file or folder of a voter, with the reason that
+// errno names. Kind: storage_failed.
+absl::Status file_error(std::string_view action, std::string_view file);
+
 } // namespace hickorygap
 
 #endif
--- a/src/process/consensus/file_log_storage.cpp
+++ b/src/process/consensus/file_log_storage.cpp
@@ -12,7 +12,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cerrno>
 #include <cstring>
 #include <filesystem>
 #include <iterator>
@@ -49,16 +48,6 @@
             what));
 }
 
-absl::Status io_error(std::string_view action, const std::string& file)
-{
-    return make_error(
-        error_kind::storage_failed,
-        fmt::format(
-            "can't {} {}: {}; free space on the disk or repair it, the voter "
-            "resumes by itself",
-            action, file, std::strerror(errno)));
-}
-
 // The checksum also covers the segment number and the offset of the frame, so
 // that stale bytes of another segment are never accepted as a frame.
 std::uint64_t checksum(
@@ -139,19 +128,19 @@
         data_file_mode);
     if (file < 0)
     {
-        return io_error("create", temporary);
+        return file_error("create", temporary);
     }
     const bool written = write_all(file, content, 0) && ::fsync(file) == 0;
     absl::Status status =
-        written ? absl::OkStatus() : io_error("write", temporary);
+        written ? absl::OkStatus() : file_error("write", temporary);
     ::close(file);
     if (status.ok() && ::rename(temporary.c_str(), name.c_str()) != 0)
     {
-        status = io_error("rename", temporary);
+        status = file_error("rename", temporary);
     }
     if (status.ok() && !sync_folder(fs::path{name}.parent_path().string()))
     {
-        status = io_error("sync the folder of", name);
+        status = file_error("sync the folder of", name);
     }
     return status;
 }
@@ -301,7 +290,7 @@
     segment_file_ = ::open(name.c_str(), O_RDWR | O_CLOEXEC);
     if (segment_file_ < 0)
     {
-        return io_error("open", name);
+        return file_error("open", name);
     }
     const std::vector<std::uint8_t> content = read_file(name);
     if (absl::Status status = read_frames(content, state, segment_length_);
@@ -318,7 +307,7 @@
                 0 ||
             ::fsync(segment_file_) != 0)
         {
-            return io_error("truncate", name);
+            return file_error("truncate", name);
         }
     }
     new_segment_needed_ = false;
@@ -537,7 +526,7 @@
         segment_length_);
     if (!write_all(segment_file_, frame, static_cast<off_t>(segment_length_)))
     {
-        absl::Status status = io_error("write", name);
+        absl::Status status = file_error("write", name);
         // The next attempt writes at the same offset, unless the partial frame
         // can't be cut off.
         new_segment_needed_ =
@@ -550,7 +539,7 @@
         // After a failed sync the kernel may drop the dirty pages and report
         // success for the next sync, so a new segment replaces the file.
         new_segment_needed_ = true;
-        return io_error("sync", name);
+        return file_error("sync", name);
     }
     segment_length_ += frame.size();
     return absl::OkStatus();
@@ -579,7 +568,7 @@
     const int file = ::open(name.c_str(), O_RDWR | O_CLOEXEC);
     if (file < 0)
     {
-        return io_error("open", name);
+        return file_error("open", name);
     }
     close_segment();
     segment_file_ = file;
--- a/src/process/voter_node/stream_journal.cpp
+++ b/src/process/voter_node/stream_journal.cpp
@@ -1,6 +1,5 @@
 #include "process/voter_node/stream_journal.hpp"
 
-#include "common/error.hpp"
 #include "common/file_io.hpp"
 #include "messages/codec.hpp"
 #include "process/decision_record/record_frames.hpp"
@@ -46,15 +45,6 @@
             .count());
 }
 
-absl::Status journal_error(std::string_view action, std::string_view file)
-{
-    return make_error(
-        error_kind::storage_failed,
-        fmt::format(
-            "can't {} {}: {}; check the disk of this instance", action, file,
-            std::generic_category().message(errno)));
-}
-
 } // namespace
 
 stream_journal::stream_journal(std::string folder)
@@ -125,19 +115,25 @@
 
 void stream_journal::append(const recorded_stream& record)
 {
+    bool is_first = false;
     {
         const std::lock_guard lock{mutex_};
+        is_first = pending_.empty();
         pending_.push_back(record);
         if (pending_.size() > max_pending)
         {
-            pending_.erase(pending_.begin());
+            pending_.pop_front();
         }
         if (!thread_.joinable())
         {
             thread_ = std::thread{[this] { run(); }};
         }
     }
-    wake_.notify_one();
+    // Otherwise the thread already collects a batch, or waits for the disk.
+    if (is_first)
+    {
+        wake_.notify_one();
+    }
 }
 
 absl::Status stream_journal::status() const
@@ -154,7 +150,7 @@
     {
         wake_.wait(lock, [this] { return stopping_ || !pending_.empty(); });
         wake_.wait_for(lock, batch_interval, stops);
-        std::vector<recorded_stream> batch = std::exchange(pending_, {});
+        const std::deque<recorded_stream> batch = std::exchange(pending_, {});
         lock.unlock();
         const absl::Status written = write(batch);
         lock.lock();
@@ -172,7 +168,7 @@
     }
 }
 
-absl::Status stream_journal::write(const std::vector<recorded_stream>& batch)
+absl::Status stream_journal::write(const std::deque<recorded_stream>& batch)
 {
     if (batch.empty())
     {
@@ -198,7 +194,7 @@
     if (end < 0 || !write_all(descriptor_, frame, end) ||
         ::fdatasync(descriptor_) != 0)
     {
-        absl::Status status = journal_error("write", path_of(number_));
+        absl::Status status = file_error("write", path_of(number_));
         // The file may end with a part of the frame.
         close_file();
         return status;
@@ -215,7 +211,7 @@
         ::open(path.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, file_mode);
     if (descriptor_ < 0 || !sync_folder(folder_))
     {
-        absl::Status status = journal_error("create", path);
+        absl::Status status = file_error("create", path);
         close_file();
         return status;
     }
--- a/src/process/voter_node/stream_journal.hpp
+++ b/src/process/voter_node/stream_journal.hpp
@@ -8,6 +8,7 @@
 
 #include <condition_variable>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <mutex>
 #include <string>
@@ -58,7 +59,7 @@
 
 private:
     void run();
-    absl::Status write(const std::vector<recorded_stream>& batch);
+    absl::Status write(const std::deque<recorded_stream>& batch);
     absl::Status start_file();
     void close_file();
     void remove_expired_files(unix_millis now);
@@ -76,7 +77,7 @@
 
     mutable std::mutex mutex_;
     std::condition_variable wake_;
-    std::vector<recorded_stream> pending_;
+    std::deque<recorded_stream> pending_;
     absl::Status status_;
     bool stopping_ = false;
     std::thread thread_;
