Hold a silent attempt until another server has taken the request

Cause: the router ended the attempt at the silent server before it had another one. When the next server rejected the request, failed or could not be reached, or when none could take it, nothing was left to wait for. Ruled out: the deadline and the route's time limit, which had not passed; retries without budget, which kept the attempt before, too.

The silent attempt is now held until another server has sent the head of a successful response, for 300 ms at most after the request was sent there. It becomes the current one again when the other server does not take the request, and the other attempt is withdrawn when the silent server goes on first. A retry is counted when it is sent.

--- a/src/connection/h1/event_splitter.cpp
+++ b/src/connection/h1/event_splitter.cpp
@@ -93,4 +93,19 @@
     return event;
 }
 
+bool event_splitter::has_data_event() const
+{
+    std::string_view rest = buffer_;
+    for (std::size_t end = find_event_end(rest); end != std::string_view::npos;
+         end = find_event_end(rest))
+    {
+        if (!has_only_comments(rest.substr(0, end)))
+        {
+            return true;
+        }
+        rest.remove_prefix(end);
+    }
+    return false;
+}
+
 } // namespace hickorygap
--- a/src/connection/h1/event_splitter.hpp
+++ b/src/connection/h1/event_splitter.hpp
@@ -35,6 +35,9 @@
     // The next complete event; nullopt until more bytes are added.
     std::optional<stream_event> next();
 
+    // Whether a complete event with more than comments has been added.
+    bool has_data_event() const;
+
     // Bytes of an incomplete event.
     std::string_view remainder() const
     {
--- a/src/process/gateway/backend_pool.hpp
+++ b/src/process/gateway/backend_pool.hpp
@@ -50,6 +50,17 @@
         std::string_view request, std::string_view method,
         response_observer& receiver);
 
+    // The response goes to another receiver from now on.
+    void set_receiver(response_observer& receiver)
+    {
+        receiver_ = &receiver;
+    }
+
+    bool is_connected() const
+    {
+        return connection_->is_connected();
+    }
+
     response_reader& reader()
     {
         return *reader_;
--- a/src/process/gateway/exchange.cpp
+++ b/src/process/gateway/exchange.cpp
@@ -35,6 +35,14 @@
 // again.
 constexpr duration queue_check_interval = std::chrono::milliseconds{200};
 
+// Longest time for which two servers may work on a request, measured from its
+// sending to the second one. Servers that reject a request do so at once, and a
+// stream must not go on at one server while another works on it for longer.
+constexpr duration max_attempt_overlap = std::chrono::milliseconds{300};
+
+// Interval at which it is checked again whether the second server is connected.
+constexpr duration overlap_check_interval = std::chrono::milliseconds{50};
+
 // Logged as the age of an input that is not known.
 constexpr duration unknown_age_marker = std::chrono::milliseconds{-1};
 
@@ -410,17 +418,20 @@
         give_up(dispatch_outcome::rejected);
         return;
     }
-    if (!is_admitted(choice))
+    if (!is_admitted(choice) ||
+        (std::exchange(held_send_is_due_, false) && !take_retry()))
     {
         give_up(dispatch_outcome::rejected);
         return;
     }
-    backend_ = choice.backend->id;
-    backend_name_ = choice.backend->listed.id;
-    backend_version_ = choice.backend->software_version;
-    tried_backends_.push_back(backend_);
-    connection_ = context_.pool().acquire(*choice.backend, !is_repeatable());
-    if (connection_ == nullptr)
+    attempt_ = {};
+    attempt_.backend = choice.backend->id;
+    attempt_.backend_name = choice.backend->listed.id;
+    attempt_.backend_version = choice.backend->software_version;
+    tried_backends_.push_back(attempt_.backend);
+    attempt_.connection =
+        context_.pool().acquire(*choice.backend, !is_repeatable());
+    if (attempt_.connection == nullptr)
     {
         try_another_connection();
         return;
@@ -482,7 +493,7 @@
 exchange::make_instructions(const dispatch_choice& choice) const
 {
     dispatch_instructions instructions;
-    instructions.backend_server = backend_name_;
+    instructions.backend_server = attempt_.backend_name;
     instructions.time_left = time_left();
     instructions.resume_after = relay_.last_event();
     if (choice.prefix_source != nullptr)
@@ -506,37 +517,37 @@
         *request_.head, request_.body.size(), make_instructions(choice));
     text += request_.body;
     ++sends_;
-    sent_at_ = context_.loop().now();
-    head_read_ = false;
-    relays_events_ = false;
-    awaits_rejection_end_ = false;
-    answer_began_.reset();
-    answer_is_settled_ = false;
-    relay_.start_attempt(backend_name_);
-    context_.table().on_sent(backend_, sent_at_);
+    attempt_.sent_at = context_.loop().now();
+    relay_.start_attempt(attempt_.backend_name);
+    context_.table().on_sent(attempt_.backend, attempt_.sent_at);
     context_.traffic_metrics().on_sent();
     const decision_inputs inputs = context_.decision_inputs_of(choice);
     context_.traffic_metrics().on_decision(inputs);
     log(log_level::info, subsystem::attempt,
         "request_sent id={} backend={} reason={} load={:.1f} mean={:.1f} "
         "send={} version={} list_age_ms={:.0f} load_age_ms={:.0f}",
-        call_.attempt_id, backend_name_, dispatch_reason_name(choice.reason),
-        choice.load, choice.mean_load, sends_, configuration_->version(),
+        call_.attempt_id, attempt_.backend_name,
+        dispatch_reason_name(choice.reason), choice.load, choice.mean_load,
+        sends_, configuration_->version(),
         milliseconds(inputs.backend_list_age.value_or(unknown_age_marker)),
         milliseconds(inputs.fleet_load_age.value_or(unknown_age_marker)));
     start_attempt_timer();
+    if (held_attempt_)
+    {
+        limit_overlap(max_attempt_overlap);
+    }
     if (route_->kind == call_kind::streaming && route_->resumable)
     {
-        context_.streams().on_sent(stream_id_, backend_version_);
+        context_.streams().on_sent(stream_id_, attempt_.backend_version);
     }
-    connection_->send(text, request_.head->getMethod(), *this);
+    attempt_.connection->send(text, request_.head->getMethod(), *this);
 }
 
 // Starts the timer after which a repeatable request, or the rest of its stream,
 // is requested from another server because this one makes no progress.
 void exchange::start_attempt_timer()
 {
-    progress_at_ = context_.loop().now();
+    attempt_.progress_at = context_.loop().now();
     if (is_repeatable() && sends_ < route_->max_attempts)
     {
         restart_attempt_timer(first_response_timeout(
@@ -554,7 +565,7 @@
 void exchange::on_progress_timeout()
 {
     attempt_timer_ = 0;
-    if (ended_ || connection_ == nullptr)
+    if (ended_ || attempt_.connection == nullptr)
     {
         return;
     }
@@ -563,37 +574,155 @@
         // Re-armed when it fires, which is cheaper than to restart it with each
         // event.
         const duration left = stream_stall_timeout(route_->target_gap) -
-                              (context_.loop().now() - progress_at_);
+                              (context_.loop().now() - attempt_.progress_at);
         if (left > duration{0})
         {
             restart_attempt_timer(left);
             return;
         }
     }
-    else if (head_read_ && !relays_events_)
+    else if (attempt_.head_read && !attempt_.relays_events)
     {
         return;
     }
-    const backend_record* server = context_.table().find(backend_);
+    const backend_record* server = context_.table().find(attempt_.backend);
     if (server != nullptr && is_queueing(*server, context_.loop().now()))
     {
         // At another server it would go to the end of the queue.
         restart_attempt_timer(queue_check_interval);
         return;
     }
-    if (!may_retry(history()) || !take_retry())
+    if (!may_retry(history()))
     {
         return;
     }
-    log(log_level::info, subsystem::attempt,
-        "attempt_stalled id={} backend={} send={} events={} silent_ms={:.0f}",
-        call_.attempt_id, backend_name_, sends_, relay_.events(),
-        milliseconds(context_.loop().now() - progress_at_));
+    if (!std::exchange(attempt_.is_stalled, true))
+    {
+        log(log_level::info, subsystem::attempt,
+            "attempt_stalled id={} backend={} send={} events={} "
+            "silent_ms={:.0f}",
+            call_.attempt_id, attempt_.backend_name, sends_, relay_.events(),
+            milliseconds(context_.loop().now() - attempt_.progress_at));
+    }
     may_have_run_ = true;
-    end_attempt(dispatch_outcome::silent);
+    hold_attempt();
     dispatch();
 }
 
+// Attempts without progress. A silent server may go on, so its attempt is held
+// until another server has taken the request.
+
+void exchange::hold_attempt()
+{
+    release_held_attempt(dispatch_outcome::silent);
+    held_attempt_ = std::exchange(attempt_, {});
+    held_attempt_->connection->set_receiver(held_observer_);
+    held_send_is_due_ = true;
+}
+
+// The held attempt becomes the current one again.
+void exchange::resume_held_attempt()
+{
+    context_.loop().cancel(attempt_timer_);
+    context_.loop().cancel(overlap_timer_);
+    attempt_ = *std::exchange(held_attempt_, std::nullopt);
+    attempt_.connection->set_receiver(*this);
+    held_send_is_due_ = false;
+    if (sends_ < route_->max_attempts)
+    {
+        restart_attempt_timer(queue_check_interval);
+    }
+}
+
+// Ends the held attempt, if there is one.
+void exchange::release_held_attempt(dispatch_outcome outcome)
+{
+    context_.loop().cancel(overlap_timer_);
+    if (held_attempt_)
+    {
+        context_.pool().abandon(*held_attempt_->connection);
+        record_end(*std::exchange(held_attempt_, std::nullopt), outcome);
+    }
+}
+
+void exchange::limit_overlap(duration limit)
+{
+    overlap_timer_ = context_.loop().after(
+        limit,
+        [this]
+        {
+            overlap_timer_ = 0;
+            if (attempt_.connection == nullptr)
+            {
+                return;
+            }
+            if (attempt_.connection->is_connected())
+            {
+                release_held_attempt(dispatch_outcome::silent);
+                return;
+            }
+            limit_overlap(overlap_check_interval);
+        });
+}
+
+void exchange::on_held_response()
+{
+    response_reader& reader = held_attempt_->connection->reader();
+    if (held_attempt_->relays_events)
+    {
+        held_attempt_->events.add(reader.body());
+    }
+    if (reader.current() == response_reader::state::broken)
+    {
+        context_.pool().abandon(*held_attempt_->connection);
+        on_held_connection_lost();
+        return;
+    }
+    if (!held_attempt_goes_on())
+    {
+        return;
+    }
+    log(log_level::info, subsystem::attempt,
+        "attempt_goes_on id={} backend={} silent_ms={:.0f}", call_.attempt_id,
+        held_attempt_->backend_name,
+        milliseconds(context_.loop().now() - held_attempt_->progress_at));
+    withdraw_queries();
+    if (attempt_.connection != nullptr)
+    {
+        end_attempt(dispatch_outcome::withdrawn);
+    }
+    resume_held_attempt();
+    on_response();
+}
+
+// Whether the server of the held attempt has made progress with the request. A
+// held attempt that has failed is ended.
+bool exchange::held_attempt_goes_on()
+{
+    const response_reader& reader = held_attempt_->connection->reader();
+    if (reader.current() == response_reader::state::head_incomplete)
+    {
+        return false;
+    }
+    if (!held_attempt_->head_read &&
+        reader.head().getStatus() >= first_redirect)
+    {
+        release_held_attempt(dispatch_outcome::rejected);
+        return false;
+    }
+    return !held_attempt_->relays_events ||
+           reader.current() == response_reader::state::complete ||
+           held_attempt_->events.has_data_event();
+}
+
+void exchange::on_held_connection_lost()
+{
+    const backend_attempt lost = *std::exchange(held_attempt_, std::nullopt);
+    context_.loop().cancel(overlap_timer_);
+    record_end(lost, dispatch_outcome::broken);
+    record_broken(lost);
+}
+
 void exchange::on_deadline()
 {
     deadline_timer_ = 0;
@@ -601,9 +730,11 @@
     {
         return;
     }
-    if (connection_ != nullptr)
+    withdraw_queries();
+    release_held_attempt(dispatch_outcome::silent);
+    if (attempt_.connection != nullptr)
     {
-        may_have_run_ = may_have_run_ || !is_rejected();
+        may_have_run_ = may_have_run_ || !attempt_.is_rejected();
         end_attempt(
             relay_.has_started() ? dispatch_outcome::withdrawn
                                  : dispatch_outcome::silent);
@@ -623,7 +754,8 @@
     {
         return;
     }
-    if (connection_ != nullptr)
+    release_held_attempt(dispatch_outcome::withdrawn);
+    if (attempt_.connection != nullptr)
     {
         end_attempt(dispatch_outcome::withdrawn);
     }
@@ -636,9 +768,9 @@
 
 void exchange::on_caller_drained()
 {
-    if (connection_ != nullptr)
+    if (attempt_.connection != nullptr)
     {
-        connection_->set_reading(true);
+        attempt_.connection->set_reading(true);
     }
 }
 
@@ -646,27 +778,27 @@
 
 void exchange::record_progress()
 {
-    progress_at_ = context_.loop().now();
-    context_.table().on_progress(backend_, progress_at_);
+    attempt_.progress_at = context_.loop().now();
+    context_.table().on_progress(attempt_.backend, attempt_.progress_at);
 }
 
 void exchange::on_response()
 {
-    response_reader& reader = connection_->reader();
-    if (!head_read_ &&
+    response_reader& reader = attempt_.connection->reader();
+    if (!attempt_.head_read &&
         reader.current() != response_reader::state::head_incomplete &&
         reader.current() != response_reader::state::broken && !read_head())
     {
         // The request may already have been sent to another server.
         return;
     }
-    if (relays_events_)
+    if (attempt_.relays_events)
     {
         relay_events();
         return;
     }
     record_progress();
-    if (is_rejected())
+    if (attempt_.is_rejected())
     {
         // The connection can be reused once the body of the rejection is
         // complete, which is not worth a long wait.
@@ -674,7 +806,7 @@
         {
             attempt_failed(dispatch_outcome::rejected, false);
         }
-        else if (!std::exchange(awaits_rejection_end_, true))
+        else if (!std::exchange(attempt_.awaits_rejection_end, true))
         {
             context_.loop().cancel(attempt_timer_);
             attempt_timer_ = context_.loop().after(
@@ -700,13 +832,14 @@
 // False when the attempt has failed.
 bool exchange::read_head()
 {
-    head_read_ = true;
+    attempt_.head_read = true;
     const time_point now = context_.loop().now();
-    const HTTPResponse& head = connection_->reader().head();
-    response_info_ = context_.dialect().decode_response(head);
-    if (response_info_.load)
+    const HTTPResponse& head = attempt_.connection->reader().head();
+    attempt_.response = context_.dialect().decode_response(head);
+    if (attempt_.response.load)
     {
-        context_.table().on_load(backend_, *response_info_.load, now);
+        context_.table().on_load(
+            attempt_.backend, *attempt_.response.load, now);
     }
     // A response to another request says nothing about this one: it may be a
     // late duplicate on a reused connection.
@@ -714,31 +847,35 @@
     {
         log(log_level::warning, subsystem::http,
             "crossed_answer id={} backend={} answered_id={} status={}",
-            call_.attempt_id, backend_name_, response_info_.attempt_id,
-            static_cast<int>(head.getStatus()));
+            call_.attempt_id, attempt_.backend_name,
+            attempt_.response.attempt_id, static_cast<int>(head.getStatus()));
         attempt_failed(dispatch_outcome::broken, true);
         return false;
     }
     record_progress();
-    if (response_info_.wrong_server)
+    if (attempt_.response.wrong_server)
     {
-        context_.table().on_replaced(backend_, now);
+        context_.table().on_replaced(attempt_.backend, now);
     }
     else
     {
         record_announcements();
     }
-    if (is_rejected())
+    if (attempt_.is_rejected())
     {
         return true;
     }
     const bool success = head.getStatus() < first_redirect;
-    if (success && (!response_info_.sealed || response_info_.altered))
+    if (success && (!attempt_.response.sealed || attempt_.response.altered))
     {
         attempt_failed(dispatch_outcome::broken, true);
         return false;
     }
-    relays_events_ = success && route_->kind == call_kind::streaming;
+    attempt_.relays_events = success && route_->kind == call_kind::streaming;
+    if (success)
+    {
+        release_held_attempt(dispatch_outcome::silent);
+    }
     return true;
 }
 
@@ -746,49 +883,52 @@
 // down, or accepts no requests for some time.
 void exchange::record_announcements()
 {
-    const backend_record* server = context_.table().find(backend_);
-    if (response_info_.leaving && server != nullptr && is_in_service(*server))
+    const backend_record* server = context_.table().find(attempt_.backend);
+    if (attempt_.response.leaving && server != nullptr &&
+        is_in_service(*server))
     {
         log(log_level::info, subsystem::routing,
-            "backend_announces_leaving backend={} id={}", backend_name_,
+            "backend_announces_leaving backend={} id={}", attempt_.backend_name,
             call_.attempt_id);
-        context_.table().on_leaving(backend_);
+        context_.table().on_leaving(attempt_.backend);
     }
-    if (response_info_.declines_for)
+    if (attempt_.response.declines_for)
     {
         log(log_level::info, subsystem::routing,
-            "backend_declines backend={} id={} for_ms={:.0f}", backend_name_,
-            call_.attempt_id, milliseconds(*response_info_.declines_for));
+            "backend_declines backend={} id={} for_ms={:.0f}",
+            attempt_.backend_name, call_.attempt_id,
+            milliseconds(*attempt_.response.declines_for));
         context_.table().on_declined(
-            backend_, context_.loop().now() + *response_info_.declines_for);
+            attempt_.backend,
+            context_.loop().now() + *attempt_.response.declines_for);
     }
     // The limit of a server ends with the first response without one.
-    const bool is_unreadable =
-        response_info_.names_request_limit && !response_info_.request_limit;
-    const std::optional<double> limit = response_info_.request_limit;
+    const bool is_unreadable = attempt_.response.names_request_limit &&
+                               !attempt_.response.request_limit;
+    const std::optional<double> limit = attempt_.response.request_limit;
     if (server != nullptr && !is_unreadable &&
-        context_.permits().on_response({backend_, limit}))
+        context_.permits().on_response({attempt_.backend, limit}))
     {
         log(log_level::info, subsystem::routing,
             "backend_limit_changed backend={} id={} requests_per_second={}",
-            backend_name_, call_.attempt_id,
+            attempt_.backend_name, call_.attempt_id,
             limit ? fmt::format("{:.3f}", *limit) : "none");
     }
 }
 
 void exchange::relay_whole_response()
 {
-    const HTTPResponse& head = connection_->reader().head();
+    const HTTPResponse& head = attempt_.connection->reader().head();
     const int status = head.getStatus();
     const bool failed = status >= first_server_error;
     const time_point now = context_.loop().now();
     const dispatch_outcome outcome =
         failed ? dispatch_outcome::server_error : dispatch_outcome::answered;
-    context_.table().on_first_byte(backend_, now - sent_at_);
+    context_.table().on_first_byte(attempt_.backend, now - attempt_.sent_at);
     context_.blame().on_completed(fingerprint_);
     if (status < first_redirect)
     {
-        answer_began_ = now;
+        attempt_.answer_began = now;
         settle_answer();
     }
     if (failed && is_repeatable() && may_retry(history()) && take_retry())
@@ -798,7 +938,13 @@
         dispatch();
         return;
     }
-    relay_.send_response(head, connection_->reader().body());
+    if (failed && held_attempt_)
+    {
+        end_attempt(outcome);
+        resume_held_attempt();
+        return;
+    }
+    relay_.send_response(head, attempt_.connection->reader().body());
     end_attempt(outcome);
     finish(
         status,
@@ -807,26 +953,29 @@
 
 void exchange::relay_events()
 {
-    response_reader& reader = connection_->reader();
+    response_reader& reader = attempt_.connection->reader();
     const bool had_started = relay_.has_started();
     const std::uint64_t events = relay_.events();
-    const bool complete = relay_.send_events(reader);
+    const bool complete = relay_.send_events(reader, attempt_.events);
     if (relay_.events() > events)
     {
         record_progress();
-        answer_began_ = answer_began_.value_or(progress_at_);
+        attempt_.answer_began =
+            attempt_.answer_began.value_or(attempt_.progress_at);
     }
-    if (answer_began_ &&
-        (complete || progress_at_ - *answer_began_ >= settling_time))
+    if (attempt_.answer_began &&
+        (complete ||
+         attempt_.progress_at - *attempt_.answer_began >= settling_time))
     {
         settle_answer();
     }
     if (!had_started && relay_.has_started())
     {
-        stream_version_ = backend_version_;
+        stream_version_ = attempt_.backend_version;
         const time_point now = context_.loop().now();
         first_event_after_ = now - arrived_;
-        context_.table().on_first_byte(backend_, now - sent_at_);
+        context_.table().on_first_byte(
+            attempt_.backend, now - attempt_.sent_at);
         if (attempt_timer_ != 0)
         {
             restart_attempt_timer(stream_stall_timeout(route_->target_gap));
@@ -842,42 +991,43 @@
     }
     else if (
         reader.current() != response_reader::state::body_incomplete ||
-        relay_.is_overlong())
+        attempt_.events.is_overlong())
     {
         attempt_failed(dispatch_outcome::broken, true);
     }
     else if (caller_.pending() > max_pending_bytes)
     {
-        connection_->set_reading(false);
+        attempt_.connection->set_reading(false);
     }
 }
 
 void exchange::settle_answer()
 {
-    if (!std::exchange(answer_is_settled_, true))
+    if (!std::exchange(attempt_.answer_is_settled, true))
     {
-        context_.crashes().on_answered(shared_parts_, *answer_began_);
+        context_.crashes().on_answered(shared_parts_, *attempt_.answer_began);
     }
 }
 
 void exchange::on_connection_lost(connection_end end)
 {
-    connection_ = nullptr;
+    attempt_.connection = nullptr;
     context_.loop().cancel(attempt_timer_);
     if (end == connection_end::refused)
     {
         // Nothing was sent, so this does not count as an attempt.
         context_.table().on_end(
-            backend_, dispatch_outcome::withdrawn, context_.loop().now());
+            attempt_.backend, dispatch_outcome::withdrawn,
+            context_.loop().now());
         --sends_;
         log(log_level::info, subsystem::attempt,
             "backend_unreachable id={} backend={} waited_ms={:.0f}",
-            call_.attempt_id, backend_name_,
-            milliseconds(context_.loop().now() - sent_at_));
+            call_.attempt_id, attempt_.backend_name,
+            milliseconds(context_.loop().now() - attempt_.sent_at));
         try_another_connection();
         return;
     }
-    if (is_rejected())
+    if (attempt_.is_rejected())
     {
         attempt_failed(dispatch_outcome::rejected, false);
         return;
@@ -904,18 +1054,11 @@
 // this request if the connection has carried no other one.
 bool exchange::is_own_response() const
 {
-    if (response_info_.attempt_id.empty() && is_rejected())
+    if (attempt_.response.attempt_id.empty() && attempt_.is_rejected())
     {
-        return !connection_->is_reused();
+        return !attempt_.connection->is_reused();
     }
-    return response_info_.attempt_id == call_.attempt_id;
-}
-
-// The backend server has said that it did not run the request.
-bool exchange::is_rejected() const
-{
-    return head_read_ &&
-           (response_info_.not_run || response_info_.wrong_server);
+    return attempt_.response.attempt_id == call_.attempt_id;
 }
 
 // Handling of failed attempts.
@@ -926,26 +1069,32 @@
     log(log_level::info, subsystem::attempt,
         "attempt_failed id={} backend={} outcome={} may_have_run={} send={} "
         "events={} after_ms={:.0f} fingerprint={:016x} parts={:x}",
-        call_.attempt_id, backend_name_, dispatch_outcome_name(outcome),
+        call_.attempt_id, attempt_.backend_name, dispatch_outcome_name(outcome),
         may_have_run, sends_, relay_.events(),
-        milliseconds(context_.loop().now() - sent_at_), fingerprint_,
+        milliseconds(context_.loop().now() - attempt_.sent_at), fingerprint_,
         fmt::join(shared_parts_, ","));
     end_attempt(outcome);
     if (outcome == dispatch_outcome::broken)
     {
-        ++broken_attempts_;
-        suspected_prompt prompt;
-        prompt.sent = sent_at_;
-        if (!answer_is_settled_)
-        {
-            prompt.parts = shared_parts_;
-        }
-        context_.crashes().on_attempt_broken(
-            {backend_, fingerprint_, head_read_, std::move(prompt)});
+        record_broken(attempt_);
     }
     retry(outcome);
 }
 
+// The connection of the attempt has broken: the server may have crashed.
+void exchange::record_broken(const backend_attempt& attempt)
+{
+    ++broken_attempts_;
+    suspected_prompt prompt;
+    prompt.sent = attempt.sent_at;
+    if (!attempt.answer_is_settled)
+    {
+        prompt.parts = shared_parts_;
+    }
+    context_.crashes().on_attempt_broken(
+        {attempt.backend, fingerprint_, attempt.head_read, std::move(prompt)});
+}
+
 // Sends the request to another server if permitted, and otherwise gives up.
 void exchange::retry(dispatch_outcome outcome)
 {
@@ -1032,18 +1181,26 @@
 void exchange::end_attempt(dispatch_outcome outcome)
 {
     context_.loop().cancel(attempt_timer_);
-    if (connection_ != nullptr)
+    if (attempt_.connection != nullptr)
     {
-        if (connection_->reader().current() == response_reader::state::complete)
+        if (attempt_.connection->reader().current() ==
+            response_reader::state::complete)
         {
             release_connection();
         }
         else
         {
-            context_.pool().abandon(*std::exchange(connection_, nullptr));
+            context_.pool().abandon(
+                *std::exchange(attempt_.connection, nullptr));
         }
     }
-    context_.table().on_end(backend_, outcome, context_.loop().now());
+    record_end(attempt_, outcome);
+}
+
+void exchange::record_end(
+    const backend_attempt& attempt, dispatch_outcome outcome)
+{
+    context_.table().on_end(attempt.backend, outcome, context_.loop().now());
     context_.traffic_metrics().on_attempt_end(outcome);
 }
 
@@ -1051,12 +1208,19 @@
 {
     context_.loop().cancel(attempt_timer_);
     context_.pool().release(
-        *std::exchange(connection_, nullptr), response_info_.idle_timeout);
+        *std::exchange(attempt_.connection, nullptr),
+        attempt_.response.idle_timeout);
 }
 
-// Sends the final response when no backend server gave one.
+// Sends the final response when no backend server gave one and none may still
+// do so.
 void exchange::give_up(dispatch_outcome outcome)
 {
+    if (held_attempt_)
+    {
+        resume_held_attempt();
+        return;
+    }
     switch (failure_response_for(history(), outcome))
     {
     case failure_response::not_run:
@@ -1114,6 +1278,7 @@
     context_.loop().cancel(deadline_timer_);
     context_.loop().cancel(attempt_timer_);
     withdraw_queries();
+    release_held_attempt(dispatch_outcome::withdrawn);
     report_end(status, outcome);
     if (outcome == request_outcome::cut_midway)
     {
@@ -1150,8 +1315,8 @@
         "first_event_ms={:.0f} took_ms={:.0f} version={}",
         call_.attempt_id, status, request_outcome_name(outcome),
         route_ ? route_->name : "none", service_,
-        organisation_ ? organisation_->name : "none", backend_name_, sends_,
-        refused_connections_, relay_.events(),
+        organisation_ ? organisation_->name : "none", attempt_.backend_name,
+        sends_, refused_connections_, relay_.events(),
         milliseconds(first_event_after_.value_or(duration{0})),
         milliseconds(took), configuration_ ? configuration_->version() : 0);
 }
--- a/src/process/gateway/exchange.hpp
+++ b/src/process/gateway/exchange.hpp
@@ -2,6 +2,7 @@
 #define HICKORYGAP_PROCESS_GATEWAY_EXCHANGE_HPP
 
 #include "connection/h1/request_reader.hpp"
+#include "process/gateway/backend_attempt.hpp"
 #include "process/gateway/gateway_context.hpp"
 #include "process/gateway/request_outcome.hpp"
 #include "process/gateway/response_relay.hpp"
@@ -43,6 +44,29 @@
     void on_connection_lost(connection_end end) override;
 
 private:
+    // Receives the response to the held attempt.
+    class held_attempt_observer final : public response_observer
+    {
+    public:
+        explicit held_attempt_observer(exchange& owner)
+            : owner_{owner}
+        {
+        }
+
+        void on_response() override
+        {
+            owner_.on_held_response();
+        }
+
+        void on_connection_lost(connection_end /*end*/) override
+        {
+            owner_.on_held_connection_lost();
+        }
+
+    private:
+        exchange& owner_;
+    };
+
     bool find_route();
     void choose_service();
     void choose_service_of(software_version_id version);
@@ -64,11 +88,18 @@
     void record_progress();
     void settle_answer();
 
+    void hold_attempt();
+    void resume_held_attempt();
+    void release_held_attempt(dispatch_outcome outcome);
+    void limit_overlap(duration limit);
+    void on_held_response();
+    bool held_attempt_goes_on();
+    void on_held_connection_lost();
+
     bool read_head();
     void try_another_connection();
     void record_announcements();
     bool is_own_response() const;
-    bool is_rejected() const;
     void relay_whole_response();
     void relay_events();
 
@@ -78,6 +109,8 @@
     bool take_retry();
     void give_up(dispatch_outcome outcome);
     void end_attempt(dispatch_outcome outcome);
+    void record_end(const backend_attempt& attempt, dispatch_outcome outcome);
+    void record_broken(const backend_attempt& attempt);
     void release_connection();
     void refuse(
         Poco::Net::HTTPResponse::HTTPStatus status, request_outcome outcome,
@@ -134,27 +167,17 @@
     stream_id stream_id_ = 0;
     std::optional<software_version_id> stream_version_;
 
-    // State of the current attempt.
-    backend_connection* connection_ = nullptr;
-    backend_server_id backend_ = 0;
-    std::string backend_name_;
-    software_version_id backend_version_ = 0;
-    time_point sent_at_;
-
-    // Last time at which the server sent a response head, a stream event, or a
-    // part of a whole response.
-    time_point progress_at_;
-    bool head_read_ = false;
-    bool relays_events_ = false;
-    bool awaits_rejection_end_ = false;
-
-    // When the answer of the current attempt began.
-    std::optional<time_point> answer_began_;
-
-    // The answer has gone on long enough to prove that the request does not
-    // crash the server.
-    bool answer_is_settled_ = false;
-    backend_response_info response_info_;
+    backend_attempt attempt_;
+
+    // An earlier attempt at a server that makes no progress. It becomes the
+    // current one again if no other server takes the request.
+    std::optional<backend_attempt> held_attempt_;
+    held_attempt_observer held_observer_{*this};
+    timer_id overlap_timer_ = 0;
+
+    // The send that makes up for the held attempt has not been counted against
+    // the retry budget yet.
+    bool held_send_is_due_ = false;
 
     // State across all attempts.
     std::vector<backend_server_id> tried_backends_;
--- a/src/process/gateway/response_relay.cpp
+++ b/src/process/gateway/response_relay.cpp
@@ -52,7 +52,6 @@
 void response_relay::start_attempt(std::string_view backend)
 {
     backend_ = backend;
-    splitter_ = {};
 }
 
 std::string response_relay::end_of_head() const
@@ -72,10 +71,10 @@
 }
 
 // The complete events that the caller does not have yet.
-std::string response_relay::next_events()
+std::string response_relay::next_events(event_splitter& splitter)
 {
     std::string batch;
-    while (auto event = splitter_.next())
+    while (auto event = splitter.next())
     {
         // A server that resumes a stream may repeat events that the caller has.
         if (event->id && last_event_ && *event->id <= *last_event_)
@@ -101,17 +100,18 @@
     return batch;
 }
 
-bool response_relay::send_events(response_reader& reader)
+bool response_relay::send_events(
+    response_reader& reader, event_splitter& splitter)
 {
-    splitter_.add(reader.body());
-    const std::string batch = next_events();
+    splitter.add(reader.body());
+    const std::string batch = next_events(splitter);
     if (!batch.empty())
     {
         send_stream_head(reader.head());
         caller_.send(fmt::format("{:x}\r\n{}\r\n", batch.size(), batch));
     }
     return reader.current() == response_reader::state::complete &&
-           splitter_.remainder().empty();
+           splitter.remainder().empty();
 }
 
 void response_relay::send_stream_head(const HTTPResponse& head)
--- a/src/process/gateway/response_relay.hpp
+++ b/src/process/gateway/response_relay.hpp
@@ -61,15 +61,9 @@
     send_response(const Poco::Net::HTTPResponse& head, std::string_view body);
 
     // Sends the complete events that have arrived, without those that the
-    // caller already has. True when the stream has ended.
-    bool send_events(response_reader& reader);
-
-    // The current server has sent more than the size limit of an event without
-    // completing one.
-    bool is_overlong() const
-    {
-        return splitter_.is_overlong();
-    }
+    // caller already has. splitter: holds the start of an event of the current
+    // attempt. True when the stream has ended.
+    bool send_events(response_reader& reader, event_splitter& splitter);
 
     // Sends the end of the stream.
     void finish_stream(const Poco::Net::HTTPResponse& head);
@@ -95,7 +89,7 @@
     }
 
 private:
-    std::string next_events();
+    std::string next_events(event_splitter& splitter);
     void send_stream_head(const Poco::Net::HTTPResponse& head);
     std::string end_of_head() const;
 
@@ -103,7 +97,6 @@
     const request_dialect& dialect_;
     std::string attempt_id_;
     std::string backend_;
-    event_splitter splitter_;
     std::optional<std::uint64_t> last_event_;
     std::uint64_t events_ = 0;
     bool started_ = false;
