Keep the idle timeout that was in force when a wait began

Callers reuse idle connections for as long as the configuration allows.

Cause: the timer of a connection compared the whole wait with the newest timeout. A wait now ends by the longer one of the timeouts at its start and now; the next wait follows the new one.

--- a/src/process/gateway/caller_session.cpp
+++ b/src/process/gateway/caller_session.cpp
@@ -3,6 +3,7 @@
 #include "common/logging.hpp"
 #include "connection/h1/http_endpoint.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace hickorygap
@@ -34,10 +35,10 @@
     std::function<void()> on_end)
     : context_{context}
     , on_end_{std::move(on_end)}
-    , connection_{std::make_unique<stream_connection>(
-          context.loop(), socket, *this)}
-    , waiting_since_{context.loop().now()}
+    , connection_{
+          std::make_unique<stream_connection>(context.loop(), socket, *this)}
 {
+    start_wait();
     start_timer(limits().idle_timeout);
 }
 
@@ -54,6 +55,12 @@
     return configuration ? configuration->limits() : defaults;
 }
 
+void caller_session::start_wait()
+{
+    waiting_since_ = context_.loop().now();
+    idle_timeout_ = limits().idle_timeout;
+}
+
 void caller_session::start_timer(duration limit)
 {
     context_.loop().cancel(timer_);
@@ -75,7 +82,8 @@
         start_timer(limits().idle_timeout);
         return;
     }
-    const duration limit = !request_started_    ? limits().idle_timeout
+    const duration limit = !request_started_
+                               ? std::max(idle_timeout_, limits().idle_timeout)
                            : reader_.has_head() ? body_timeout
                                                 : limits().header_timeout;
     const duration waited = context_.loop().now() - waiting_since_;
@@ -231,7 +239,7 @@
         end_session();
         return;
     }
-    waiting_since_ = context_.loop().now();
+    start_wait();
     connection_->set_reading(true);
     if (!connection_->input().empty())
     {
--- a/src/process/gateway/caller_session.hpp
+++ b/src/process/gateway/caller_session.hpp
@@ -49,6 +49,7 @@
     void on_response_aborted() override;
 
 private:
+    void start_wait();
     void read_requests();
     void fail_request();
     void start_timer(duration limit);
@@ -64,6 +65,10 @@
 
     // Start of the current wait, for a request or for the rest of one.
     time_point waiting_since_;
+
+    // Idle timeout when the current wait for a request began. Callers rely on
+    // it, although a newer configuration may have a shorter one.
+    duration idle_timeout_{0};
     bool request_started_ = false;
     bool closing_ = false;
     bool last_request_ = false;
