Cancel the previous overlap timer before a new one is set

A request that is sent a third time while its silent attempt is held got a second timer for the end of the overlap. The first one outlived the request and wrote to freed memory; AddressSanitizer showed it in the test of routers that are cut off (heap-use-after-free in exchange::limit_overlap).

--- a/src/process/gateway/exchange.cpp
+++ b/src/process/gateway/exchange.cpp
@@ -647,6 +647,7 @@
 
 void exchange::limit_overlap(duration limit)
 {
+    context_.loop().cancel(overlap_timer_);
     overlap_timer_ = context_.loop().after(
         limit,
         [this]
