Dial backend servers through an interface, and show a cut-off router

The router opens connections to backend servers through server_dialer, so that tests can cut the paths of single routers: connections that hang, are reset, or live on while new ones are refused.

--- a/src/connection/event/stream_connection.hpp
+++ b/src/connection/event/stream_connection.hpp
@@ -2,6 +2,7 @@
 #define HICKORYGAP_CONNECTION_EVENT_STREAM_CONNECTION_HPP
 
 #include "common/address.hpp"
+#include "connection/event/byte_channel.hpp"
 #include "connection/event/event_loop.hpp"
 
 #include <Poco/Net/StreamSocket.h>
@@ -15,48 +16,8 @@
 namespace hickorygap
 {
 
-// How a connection ended.
-enum class connection_end
-{
-    // The peer closed the connection; all its bytes have been received.
-    finished,
-
-    // Connection reset or network error.
-    reset,
-
-    // The connection could not be established; nothing was sent.
-    refused
-};
-
-// Receives the events of one connection. The observer must not destroy the
-// connection directly from a callback, only through event_loop::defer.
-class connection_observer
-{
-public:
-    connection_observer() = default;
-    connection_observer(const connection_observer&) = delete;
-    connection_observer& operator=(const connection_observer&) = delete;
-    virtual ~connection_observer() = default;
-
-    // An outgoing connection was established.
-    virtual void on_connected()
-    {
-    }
-
-    // Bytes were added to input().
-    virtual void on_input() = 0;
-
-    // All output has been passed to the kernel.
-    virtual void on_drained()
-    {
-    }
-
-    // Called at most once, and not after close().
-    virtual void on_end(connection_end end) = 0;
-};
-
 // Non-blocking TCP connection with input and output buffers.
-class stream_connection final : public io_handler
+class stream_connection final : public io_handler, public byte_channel
 {
 public:
     // Takes ownership of an accepted socket.
@@ -71,51 +32,40 @@
         event_loop& loop, const numeric_address& address,
         connection_observer& observer);
 
-    // Received bytes; the observer removes those that it has consumed.
-    std::string& input()
+    std::string& input() override
     {
         return input_;
     }
-
-    // Sends the bytes, or buffers them until the socket is writable.
-    void write(std::string_view bytes);
+    void write(std::string_view bytes) override;
 
     // Whether the kernel's receive buffer contains unread bytes.
     bool has_unread_input() const;
 
-    // Number of bytes that were not passed to the kernel yet.
-    std::size_t pending_output() const
+    std::size_t pending_output() const override
     {
         return output_.size() - sent_;
     }
 
-    // Pauses or resumes reading, as back-pressure on a peer that sends faster
-    // than its bytes can be forwarded. While reading is paused, the end of the
-    // connection is not detected.
-    void set_reading(bool reading);
+    void set_reading(bool reading) override;
 
     // Sets TCP_USER_TIMEOUT: the connection ends when sent data stays
     // unacknowledged for this long, because the peer has vanished without a
     // reset.
     void set_acknowledgement_timeout(duration limit);
 
-    bool is_open() const
+    bool is_open() const override
     {
         return open_;
     }
-    bool is_connected() const
+    bool is_connected() const override
     {
         return connected_;
     }
-
-    // When input was last received; initially the time of the connection.
-    time_point last_input() const
+    time_point last_input() const override
     {
         return last_input_;
     }
-
-    // Closes immediately; pending output is lost.
-    void close();
+    void close() override;
 
     // Closes once all pending output has been sent.
     void close_after_output();
--- a/src/process/gateway/backend_pool.cpp
+++ b/src/process/gateway/backend_pool.cpp
@@ -123,9 +123,11 @@
     }
 }
 
-backend_pool::backend_pool(event_loop& loop, backend_table& table)
+backend_pool::backend_pool(
+    event_loop& loop, backend_table& table, server_dialer& dialer)
     : loop_{loop}
     , table_{table}
+    , dialer_{dialer}
 {
     close_idle();
 }
@@ -212,8 +214,7 @@
 backend_connection* backend_pool::dial(const backend_record& backend)
 {
     auto added = std::make_unique<backend_connection>(*this, backend.id);
-    auto connection =
-        stream_connection::connect(loop_, backend.listed.address, *added);
+    auto connection = dialer_.dial(loop_, backend.listed.address, *added);
     if (!connection.ok())
     {
         log(log_level::warning, subsystem::network,
--- a/src/process/gateway/backend_pool.hpp
+++ b/src/process/gateway/backend_pool.hpp
@@ -2,7 +2,7 @@
 #define HICKORYGAP_PROCESS_GATEWAY_BACKEND_POOL_HPP
 
 #include "common/text.hpp"
-#include "connection/event/stream_connection.hpp"
+#include "connection/event/server_dialer.hpp"
 #include "connection/h1/response_reader.hpp"
 #include "request/dispatch/backend_table.hpp"
 
@@ -87,7 +87,7 @@
 
     backend_pool& pool_;
     backend_server_id backend_;
-    std::unique_ptr<stream_connection> connection_;
+    std::unique_ptr<byte_channel> connection_;
     std::optional<response_reader> reader_;
     response_observer* receiver_ = nullptr;
     std::uint64_t sends_ = 0;
@@ -105,7 +105,8 @@
 class backend_pool
 {
 public:
-    backend_pool(event_loop& loop, backend_table& table);
+    // The dialer must outlive the pool.
+    backend_pool(event_loop& loop, backend_table& table, server_dialer& dialer);
     ~backend_pool();
 
     // Limit of connections of this router to one server of the service.
@@ -161,6 +162,7 @@
 
     event_loop& loop_;
     backend_table& table_;
+    server_dialer& dialer_;
     absl::flat_hash_map<backend_server_id, server_connections> servers_;
     name_map<std::uint32_t> limits_;
     timer_id sweep_timer_ = 0;
--- a/src/process/gateway/gateway.cpp
+++ b/src/process/gateway/gateway.cpp
@@ -33,10 +33,17 @@
 
 gateway::gateway(
     event_loop& loop, fleet_settings settings, gateway_dialects dialects)
+    : gateway{loop, std::move(settings), dialects, tcp_dialer::shared()}
+{
+}
+
+gateway::gateway(
+    event_loop& loop, fleet_settings settings, gateway_dialects dialects,
+    server_dialer& dialer)
     : loop_{loop}
     , settings_{std::move(settings)}
     , dialects_{dialects}
-    , context_{loop, settings_, *dialects.requests}
+    , context_{loop, settings_, *dialects.requests, dialer}
     , follower_{loop, settings_, *dialects.backend_list, *this}
     , callers_{
           loop, [this](const Poco::Net::StreamSocket& socket)
--- a/src/process/gateway/gateway.hpp
+++ b/src/process/gateway/gateway.hpp
@@ -31,8 +31,15 @@
 class gateway final : public fleet_node, public fleet_observer
 {
 public:
+    // Connects to backend servers by TCP.
     gateway(
         event_loop& loop, fleet_settings settings, gateway_dialects dialects);
+
+    // The dialer opens the connections to backend servers; it must outlive the
+    // router.
+    gateway(
+        event_loop& loop, fleet_settings settings, gateway_dialects dialects,
+        server_dialer& dialer);
     ~gateway() override;
 
     absl::Status open() override;
--- a/src/process/gateway/gateway_context.cpp
+++ b/src/process/gateway/gateway_context.cpp
@@ -38,12 +38,12 @@
 
 gateway_context::gateway_context(
     event_loop& loop, const fleet_settings& settings,
-    const request_dialect& dialect)
+    const request_dialect& dialect, server_dialer& dialer)
     : loop_{loop}
     , settings_{settings}
     , dialect_{dialect}
     , random_{random_seed()}
-    , pool_{loop, table_}
+    , pool_{loop, table_, dialer}
     , permits_{loop, random_()}
     , streams_{loop}
     , cost_policy_{random_()}
--- a/src/process/gateway/gateway_context.hpp
+++ b/src/process/gateway/gateway_context.hpp
@@ -34,7 +34,7 @@
 public:
     gateway_context(
         event_loop& loop, const fleet_settings& settings,
-        const request_dialect& dialect);
+        const request_dialect& dialect, server_dialer& dialer);
 
     // nullptr before the first configuration.
     std::shared_ptr<const routing_configuration> configuration() const
--- a/tests/process/gateway/gateway_fixture.hpp
+++ b/tests/process/gateway/gateway_fixture.hpp
@@ -168,7 +168,7 @@
     explicit gateway_fixture(const route& routed)
         : settings_{make_settings()}
         , is_open_{loop_.open().ok()}
-        , context_{loop_, settings_, dialect_}
+        , context_{loop_, settings_, dialect_, tcp_dialer::shared()}
         , listener_{loop_, [this](const Poco::Net::StreamSocket& socket) {
                         accept(socket);
                     }}
--- a/tests/process/route_fleet/route_fleet_fixture.hpp
+++ b/tests/process/route_fleet/route_fleet_fixture.hpp
@@ -9,6 +9,7 @@
 #include "process/gateway/gateway.hpp"
 #include "process/gateway/gateway_fixture.hpp"
 #include "process/voter_node/voter_node.hpp"
+#include "support/cut_dialer.hpp"
 #include "support/loopback.hpp"
 #include "support/temporary_folder.hpp"
 
@@ -58,6 +59,13 @@
         }
     }
 
+    // Objects that the loop destroys later refer to the dialers.
+    ~route_fleet()
+    {
+        routers_.clear();
+        loop_.run_once(duration{0});
+    }
+
     // The server is in the list from the next read by the leader on.
     backend_double& add_backend(
         const backend_double::script& on_request, std::string version = "v1",
@@ -110,6 +118,26 @@
         test::run_for(loop_, time);
     }
 
+    // Cuts a router off from the servers of the service, or from all servers if
+    // it is empty.
+    void cut(std::size_t router, cut_mode mode, std::string_view service = {})
+    {
+        std::set<std::uint16_t> ports;
+        for (std::size_t i = 0; i < ports_.size(); ++i)
+        {
+            if (services_[i] == service)
+            {
+                ports.insert(ports_[i]);
+            }
+        }
+        dialers_.at(router)->cut(mode, std::move(ports));
+    }
+
+    gateway& router(std::size_t index)
+    {
+        return *routers_.at(index);
+    }
+
     event_loop& loop()
     {
         return loop_;
@@ -189,6 +217,7 @@
         constexpr std::size_t first_host = 2;
         std::unique_ptr<gateway> router;
         fleet_settings settings;
+        dialers_.push_back(std::make_unique<cut_dialer>());
         do
         {
             settings = common_settings(
@@ -197,7 +226,8 @@
             settings.readiness = {"127.0.0.1", next_port()};
             router = std::make_unique<gateway>(
                 loop_, settings,
-                gateway_dialects{&requests_, &configurations_, &list_});
+                gateway_dialects{&requests_, &configurations_, &list_},
+                *dialers_.back());
         } while (!router->open().ok());
         caller_ports_.push_back(settings.callers.port);
         routers_.push_back(std::move(router));
@@ -217,6 +247,7 @@
     std::uint16_t operators_port_ = 0;
     std::unique_ptr<voter_node> voter_;
     std::vector<std::uint16_t> caller_ports_;
+    std::vector<std::unique_ptr<cut_dialer>> dialers_;
     std::vector<std::unique_ptr<gateway>> routers_;
     std::vector<std::uint16_t> ports_;
     std::vector<std::string> versions_;
