Read the entries of the backend list one by one

Here an entry nested 120,000 deep overflowed the stack in the parser, which recurses for each level, and one number 1e999 or one text that is not UTF-8 made the whole page unreadable. An entry with slots was taken for one with a single slot, and an id with a line end would have been written to the header of forwarded requests.

The page is now read by a cursor that finds the extent of each value from its strings and brackets, in constant memory and without recursion, and hands it to RapidJSON only up to 64 levels. The limit was preferred to RapidJSON's iterative flag, because code that copies parsed values recurses too, and to reading numbers as text, because RapidJSON refuses large ones in that mode as well. Each entry is parsed by itself. After one that is no JSON, e.g. with an unterminated string, the list is taken up again at the next comma that a usable entry follows, or at the bracket after which the page goes on to its end; at most 256 places are tried for a page. A page that was cut off is still refused as a whole.

The reader of members refuses numbers that the output can't hold, members given twice and text with control characters, for configurations too.

Ruled out: ports out of range and unnamed states were skipped before.

--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -54,6 +54,29 @@
     return request;
 }
 
+// `text` repeated `count` times.
+std::string repeated(std::string_view text, std::size_t count)
+{
+    std::string result;
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        result += text;
+    }
+    return result;
+}
+
+// Deep enough that a parser which recurses for each level exhausts the stack.
+constexpr std::size_t excessive_depth = 120000;
+
+// Entries of the backend list: one with id (quoted), port, slots and further
+// members to fill in, and one that is valid with any id.
+constexpr std::string_view entry_format =
+    R"({{"id":{},"address":"10.0.0.7:{}","slots":{},"state":"ready",)"
+    R"("service":"s","zone":"z","version":"v1"{}}})";
+constexpr std::string_view valid_format =
+    R"({{"id":"{}","service":"s","address":"10.0.0.9:80","zone":"z",)"
+    R"("slots":8,"state":"ready","version":"v1"}})";
+
 } // namespace
 
 // Guards against a member of the document that is stored in the wrong field of
@@ -208,6 +231,80 @@
     CHECK_FALSE(replica_list{}.decode_page("[]").ok());
 }
 
+// Guards against one odd entry that ends the process, hides the other entries
+// of its page or stops the paging, and against a value of such an entry that is
+// used: a truncated number, or text that would end a line of a header.
+TEST_CASE("an odd entry of the backend list costs only itself")
+{
+    const auto entry = [](std::string_view id, std::string_view port,
+                          std::string_view slots, std::string_view members)
+    { return fmt::format(entry_format, id, port, slots, members); };
+    const std::string arrays =
+        repeated("[", excessive_depth) + repeated("]", excessive_depth);
+    const std::string objects = repeated("{\"a\":", excessive_depth) + "1" +
+                                repeated("}", excessive_depth);
+    const std::string digits(400, '9');
+    const std::string zero_byte{"\"i\0 2\"", 6};
+    const auto odd = GENERATE_COPY(
+        as<std::string>{}, arrays, objects,
+        entry("\"i-2\"", "80", "8", ",\"x\":" + arrays),
+        entry("\"i-2\"", "80", "8", ",\"x\":" + objects),
+        entry("\"i-2\"", "80", "1e999", ""),
+        entry("\"i-2\"", "80", "8", ",\"born\":-1e999"),
+        entry("\"i-2\"", "80", digits, ""),
+        entry("\"i-2\"", "80", "8", ",\"x\":{\"y\":[" + digits + "]}"),
+        entry("\"i-2\"", "80", "4294967297", ""),
+        entry("\"i-2\"", "80", "-1", ""), entry("\"i-2\"", "80", "NaN", ""),
+        entry("\"i-2\"", "0", "8", ""), entry("\"i-2\"", "65616", "8", ""),
+        entry("\"i-2\"", "99999999999999999999", "8", ""),
+        entry("\"i-2\"", "80\\u0000", "8", ""), entry("17", "80", "8", ""),
+        entry("\"i\xff\xfe\"", "80", "8", ""),
+        entry("\"i\\ud800\"", "80", "8", ""),
+        entry("\"i\\u0000\"", "80", "8", ""), entry(zero_byte, "80", "8", ""),
+        entry("\"i\\r\\nX: y\"", "80", "8", ""),
+        entry("\"i-2\"", "80", "8", ",\"id\":\"i-3\""),
+        entry("\"i-2", "80", "8", ""), entry("i-2\"", "80", "8", ""),
+        entry("\"i-2\"", "80", "8", ",\"x\":[{\"y\":1},{\"z\":\"}]"),
+        entry("\"i-2\"", "80", "8", ",\"x\":[1,2"), std::string{"{\"id\":"},
+        std::string{"\xff\xfe{"}, std::string{});
+    CAPTURE(odd.substr(0, 200));
+    const std::string first = fmt::format(valid_format, "i-1");
+    const std::string last = fmt::format(valid_format, "i-9");
+    for (const auto& entries :
+         {fmt::format("{},{},{}", odd, first, last),
+          fmt::format("{},\n {},{}", first, odd, last),
+          fmt::format("{},{},{}", first, last, odd)})
+    {
+        const auto page = replica_list{}.decode_page(fmt::format(
+            R"({{"instances":[{}],"next":"p-50","total":1e999}})", entries));
+        INFO(std::string{page.status().message()});
+        REQUIRE(page.ok());
+        CHECK(page->unreadable >= 1);
+        REQUIRE(page->backends.size() == 2);
+        CHECK(page->backends[0].id == "i-1");
+        CHECK(page->backends[1].id == "i-9");
+        CHECK(page->next_page == "p-50");
+    }
+}
+
+// Guards against a page that was cut off and is taken for a complete one, which
+// would drop the servers of its other half and of all further pages.
+TEST_CASE("a damaged page of the backend list is refused")
+{
+    const auto text = GENERATE(
+        as<std::string>{}, R"({"instances":[],"next":"p)",
+        R"({"instances":[]})"
+        "x",
+        R"({"instances":[],"instances":[],"next":null})",
+        R"({"instances":[7,{"next":null})", R"({"instances":[{"id":"i],"next)",
+        R"({"instances":[],"next":7})", R"({"instances":7,"next":null})",
+        R"({"instances":[],"next":"p\n50"})", R"({"next":null})", "");
+    CAPTURE(text);
+    const auto page = replica_list{}.decode_page(text);
+    REQUIRE_FALSE(page.ok());
+    CHECK(kind_of(page.status()) == error_kind::invalid_request);
+}
+
 // Guards against a draining backend server that still counts as serving.
 TEST_CASE("a draining entry of the backend list is leaving")
 {
