Refuse configurations with values that can't be represented

A PUT of a configuration nested 120,000 deep ended the voter that read it, because the parser recurses for each level, and a router that got such a document ended too. A text that is not UTF-8, half a surrogate pair and bytes after a NUL byte at the end of the document were accepted.

--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -151,6 +151,50 @@
     CHECK(kind_of(decoded.status()) == error_kind::ticket_invalid);
 }
 
+// Guards against a document that ends the process or is accepted with other
+// values than its own: it is answered with 400, and refused by routers that get
+// it from a voter with another release.
+TEST_CASE("an odd value makes a configuration document invalid")
+{
+    const std::string arrays =
+        repeated("[", excessive_depth) + repeated("]", excessive_depth);
+    const std::string objects = repeated("{\"a\":", excessive_depth) + "1" +
+                                repeated("}", excessive_depth);
+    const std::string digits(400, '9');
+    const std::string last = "\"public\":true}],";
+    const auto before_last = [&](const std::string& text) {
+        return std::pair{last, text + last};
+    };
+    const auto [from, to] = GENERATE_COPY(
+        as<std::pair<std::string, std::string>>{},
+        before_last("\"x\":" + arrays + ","),
+        before_last("\"x\":" + objects + ","), before_last("\"x\":[1e999],"),
+        before_last("\"x\":" + digits + ","),
+        before_last("\"x\":\"\xff\xfe\","), before_last("\"x\":\"y,"),
+        before_last("\"host\":\"other\","),
+        std::pair{"\"version\":7", "\"version\":18446744073709551616"},
+        std::pair{"\"version\":7", "\"version\":7,\"version\":8"},
+        std::pair{"\"weight\":10", "\"weight\":4294967296"},
+        std::pair{"\"timeout_ms\":600", "\"timeout_ms\":" + digits},
+        std::pair{"\"timeout_ms\":600", "\"timeout_ms\":9007199254740992"},
+        std::pair{"timeout_ms\":3000", "timeout_ms\":9300000000000000000"},
+        std::pair{"\"max_attempts\":2", "\"max_attempts\":4294967296"},
+        std::pair{"\"name\":\"t1\"", "\"name\":\"t1\\r\\nHold: 1\""},
+        std::pair{"\"name\":\"t1\"", "\"name\":\"t1\\u0000\""},
+        std::pair{"\"name\":\"t1\"", "\"name\":\"t1\\udc00\""},
+        std::pair{"}]}", std::string{"}]}\0x", 5}},
+        std::pair{valid_document, arrays}, std::pair{valid_document, objects},
+        std::pair{
+            valid_document, R"({"version":7,"services":[],"routes":)"
+                            R"({"columns":["x"],"rows":[[)" +
+                                arrays + "]]}}"});
+    CAPTURE(from, to.substr(0, 200));
+    const auto decoded = configuration_document{}.decode(
+        replace_first(valid_document, from, to));
+    REQUIRE_FALSE(decoded.ok());
+    CHECK(kind_of(decoded.status()) == error_kind::ticket_invalid);
+}
+
 // Guards against a table value that is assigned to the wrong row or column, and
 // against a malformed table that is accepted.
 TEST_CASE("the table form of a configuration equals the list form")
--- a/tests/process/gateway/gateway_test.cpp
+++ b/tests/process/gateway/gateway_test.cpp
@@ -97,8 +97,13 @@
     CHECK(f.ready() == "503");
     f.router->on_backend_list({});
     CHECK(f.ready() == "200");
-    CHECK_FALSE(f.router->on_configuration(4, "{\"version\":"));
-    CHECK(f.ready() == "200");
+    for (const std::string& invalid :
+         {std::string{"{\"version\":"}, std::string{"{\"version\":1e999}"},
+          std::string(120000, '[') + std::string(120000, ']')})
+    {
+        CHECK_FALSE(f.router->on_configuration(4, invalid));
+        CHECK(f.ready() == "200");
+    }
 }
 
 // Guards against requests that are cut during a planned shutdown because they
--- a/tests/process/voter_node/voter_node_test.cpp
+++ b/tests/process/voter_node/voter_node_test.cpp
@@ -188,14 +188,17 @@
     }
 }
 
-// Guards against invalid calls that are accepted, or refused without an error
-// that names the problem.
+// Guards against invalid calls that are accepted, end the process, or are
+// refused without an error that names the problem.
 TEST_CASE("invalid operator calls are refused with a reason")
 {
     const auto [head, body, status, reason] =
         GENERATE(table<std::string, std::string, std::string, std::string>({
             {"PUT /config", R"({"version":)", "400", "error"},
             {"PUT /config", R"({"version":1,"routes":7})", "400", "routes"},
+            {"PUT /config", std::string(120000, '['), "400", "no JSON"},
+            {"PUT /config", std::string(120000, '[') + std::string(120000, ']'),
+             "400", "levels"},
             {"GET /other", "", "404", "check method and path"},
             {"POST /config", "", "404", "check method and path"},
         }));
