Split streams in time proportional to their length

The splitter now keeps the positions up to which events were returned and up to which line ends were searched, and finds both forms in one pass. Bytes are moved once, when no complete event is left.

Ruled out: numbers out of range in `id` fields, events without an end (limit of 256 KiB) and events of comments only were handled before.

--- a/src/connection/h1/event_splitter.cpp
+++ b/src/connection/h1/event_splitter.cpp
@@ -1,6 +1,8 @@
 #include "connection/h1/event_splitter.hpp"
 
+#include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace hickorygap
 {
@@ -58,16 +60,24 @@
 }
 
 // Position after the empty line that ends the first event; npos when it has not
-// arrived.
-std::size_t find_event_end(std::string_view text)
+// arrived. `from`: a position before which no empty line starts.
+std::size_t find_event_end(std::string_view text, std::size_t from)
 {
-    const std::size_t lf_end = text.find("\n\n");
-    const std::size_t crlf_end = text.find("\n\r\n");
-    if (lf_end == std::string_view::npos && crlf_end == std::string_view::npos)
+    for (std::size_t line_end = text.find('\n', from);
+         line_end != std::string_view::npos;
+         line_end = text.find('\n', line_end + 1))
     {
-        return std::string_view::npos;
+        const std::string_view rest = text.substr(line_end + 1);
+        if (rest.starts_with('\n'))
+        {
+            return line_end + 2;
+        }
+        if (rest.starts_with("\r\n"))
+        {
+            return line_end + 3;
+        }
     }
-    return lf_end < crlf_end ? lf_end + 2 : crlf_end + 3;
+    return std::string_view::npos;
 }
 
 } // namespace
@@ -80,24 +90,28 @@
 
 std::optional<stream_event> event_splitter::next()
 {
-    const std::size_t end = find_event_end(buffer_);
+    const std::size_t end = find_event_end(buffer_, searched_);
     if (end == std::string_view::npos)
     {
+        buffer_.erase(0, std::exchange(consumed_, 0));
+        // An empty line can start with the last two bytes.
+        searched_ = std::max<std::size_t>(buffer_.size(), 2) - 2;
         return std::nullopt;
     }
     stream_event event;
-    event.text = buffer_.substr(0, end);
+    event.text = buffer_.substr(consumed_, end - consumed_);
     event.id = parse_id(event.text);
     event.is_comment = has_only_comments(event.text);
-    buffer_.erase(0, end);
+    consumed_ = end;
+    searched_ = end;
     return event;
 }
 
 bool event_splitter::has_data_event() const
 {
-    std::string_view rest = buffer_;
-    for (std::size_t end = find_event_end(rest); end != std::string_view::npos;
-         end = find_event_end(rest))
+    std::string_view rest = remainder();
+    for (std::size_t end = find_event_end(rest, 0);
+         end != std::string_view::npos; end = find_event_end(rest, 0))
     {
         if (!has_only_comments(rest.substr(0, end)))
         {
--- a/src/connection/h1/event_splitter.hpp
+++ b/src/connection/h1/event_splitter.hpp
@@ -41,18 +41,25 @@
     // Bytes of an incomplete event.
     std::string_view remainder() const
     {
-        return buffer_;
+        return std::string_view{buffer_}.substr(consumed_);
     }
 
     // Whether the buffered bytes exceed the longest event. Bounds the memory
     // that a faulty server can fill by never ending an event.
     bool is_overlong() const
     {
-        return buffer_.size() > max_event_bytes;
+        return remainder().size() > max_event_bytes;
     }
 
 private:
     std::string buffer_;
+
+    // Bytes of the buffer that have been returned as events.
+    std::size_t consumed_ = 0;
+
+    // Position from which the end of the next event is searched, so that bytes
+    // are examined once, however many arrive at a time.
+    std::size_t searched_ = 0;
 };
 
 } // namespace hickorygap
--- a/tests/connection/h1/message_framing_test.cpp
+++ b/tests/connection/h1/message_framing_test.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <ctime>
 #include <string>
 #include <tuple>
 
@@ -184,3 +185,35 @@
         "id: 7\ndata: a\n\nid:8\r\ndata: b\r\n\r\ndata: c\n\n");
     CHECK(splitter.remainder() == "id: 10\nda");
 }
+
+// Guards against examining the buffered bytes again for each event, or for each
+// piece of one: many small events in one read would hold up all other streams
+// of the router.
+TEST_CASE("splitting a stream takes time in proportion to its length")
+{
+    const auto [event, count, piece] =
+        GENERATE(table<std::string, std::size_t, std::size_t>({
+            {"id: 1\ndata: x\n\n", 30000, 450000},
+            {std::string(240000, 'x') + "\n\n", 1, 1},
+        }));
+    std::string text;
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        text += event;
+    }
+    event_splitter splitter;
+    std::size_t found = 0;
+    const std::clock_t start = std::clock();
+    for (std::size_t i = 0; i < text.size(); i += piece)
+    {
+        std::string part = text.substr(i, piece);
+        splitter.add(part);
+        while (splitter.next())
+        {
+            ++found;
+        }
+    }
+    CHECK(found == count);
+    // Processor time, so that a busy machine does not fail the test.
+    CHECK((std::clock() - start) / CLOCKS_PER_SEC < 1);
+}
