--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -496,6 +496,7 @@
         row{429, "", "2", false, {}}, row{200, "", "2", false, {}},
         row{503, "", "-1", false, {}}, row{503, "", "soon", false, {}},
         row{503, "", "1e3", false, {}}, row{503, "", "nan", false, {}},
+        row{503, "", "inf", false, {}},
         row{503, "", "99999999999999999999", false, 24h});
     CAPTURE(tested.status, tested.leaving, tested.retry_after);
     HTTPResponse response{static_cast<HTTPResponse::HTTPStatus>(tested.status)};
@@ -527,7 +528,7 @@
     const auto tested = GENERATE(
         row{"", false, {}}, row{"4.25", true, 4.25}, row{" 3 ", true, 3.0},
         row{"0", true, 0.0}, row{"-1", true, {}}, row{"many", true, {}},
-        row{"4.2;", true, {}});
+        row{"inf", true, {}}, row{"infinity", true, {}}, row{"4.2;", true, {}});
     CAPTURE(tested.text);
     HTTPResponse response{HTTPResponse::HTTP_OK};
     if (!tested.text.empty())
