--- a/src/request/dispatch/backend_table.cpp
+++ b/src/request/dispatch/backend_table.cpp
@@ -429,9 +429,9 @@
         return own;
     }
     const double others = std::max(
-        0.0,
-        static_cast<double>(record.report->running + record.report->waiting) -
-            static_cast<double>(record.in_flight_at_report));
+        0.0, static_cast<double>(record.report->running) +
+                 static_cast<double>(record.report->waiting) -
+                 static_cast<double>(record.in_flight_at_report));
     const double age =
         std::chrono::duration<double>(now - record.reported_at).count();
     return own + others * std::exp2(-age / report_half_life_s);
--- a/tests/request/dispatch/dispatch_policy_test.cpp
+++ b/tests/request/dispatch/dispatch_policy_test.cpp
@@ -296,6 +296,9 @@
     f.table.on_end(record.id, dispatch_outcome::answered, f.now);
     CHECK(estimated_load(record, f.now) == Approx(7));
     CHECK(estimated_load(record, f.now + 10s) == Approx(1).margin(0.1));
+    // A report whose sum exceeds 32 bits is not taken for that of an idle one.
+    f.table.on_load(record.id, {4294967295, 2, 16}, f.now);
+    CHECK(estimated_load(record, f.now) == Approx(4294967297.0));
 }
 
 // Guards against a server record that is dropped while a request still refers
