Take only "not_run": true for a proof that a request did not run

With `serve`, a 503 whose body had any text, number, list or object as "not_run", such as {"error":{"not_run":"no"}}, counted as the statement that the request did not run, so a call that may run only once could be sent again. POCO converts all of them to true. Only the value true counts now.

Ruled out: bodies nested 120,000 deep, numbers that are too large and bodies that are no JSON were taken for no statement before (POCO's parser refuses more than 128 levels).

--- a/src/connection/http/response_classification.cpp
+++ b/src/connection/http/response_classification.cpp
@@ -13,18 +13,26 @@
 
 using Poco::Net::HTTPResponse;
 
+// Whether the object says "not_run": true. POCO converts any text, number or
+// list to a truth value, so the type is checked.
+bool says_not_run(const Poco::JSON::Object& object)
+{
+    const Poco::Dynamic::Var value = object.get("not_run");
+    return value.isBoolean() && value.extract<bool>();
+}
+
 bool has_not_run_flag(const std::string& body)
 {
     try
     {
         Poco::JSON::Parser parser;
         const auto root = parser.parse(body).extract<Poco::JSON::Object::Ptr>();
-        if (root->optValue("not_run", false))
+        if (says_not_run(*root))
         {
             return true;
         }
         const auto error = root->getObject("error");
-        return !error.isNull() && error->optValue("not_run", false);
+        return !error.isNull() && says_not_run(*error);
     }
     catch (const Poco::Exception&)
     {
