--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -331,6 +331,19 @@
     }
 }
 
+// Guards against a token that ends the request line or the parameter, so that
+// the next page is refused, or is another one.
+TEST_CASE("the token of a page is encoded in the target of the call for it")
+{
+    const auto [token, target] = GENERATE(table<std::string, std::string>({
+        {"", "/replicas"},
+        {"p-50_a.b~c", "/replicas?page_token=p-50_a.b~c"},
+        {"a b&c=d+e#f%", "/replicas?page_token=a%20b%26c%3Dd%2Be%23f%25"},
+        {"/?=\xc3\xa4", "/replicas?page_token=%2F%3F%3D%C3%A4"},
+    }));
+    CHECK(replica_list{}.page_target(token) == target);
+}
+
 // Guards against a page that was cut off and is taken for a complete one, which
 // would drop the servers of its other half and of all further pages.
 TEST_CASE("a damaged page of the backend list is refused")
