Refuse addresses with a NUL byte, a sign or a blank

An address whose host contained a NUL byte was accepted and read up to that byte, and kept as a host with the byte in it; "10.0.0.9: 80" and "10.0.0.9:+80" were accepted too. Addresses come from settings, from the backend list and from operators' commands.

Ruled out: port 0 and ports above 65535 were refused before.

--- a/src/common/address.cpp
+++ b/src/common/address.cpp
@@ -1,8 +1,8 @@
 #include "common/address.hpp"
 
 #include "common/error.hpp"
+#include "common/text.hpp"
 
-#include <absl/strings/numbers.h>
 #include <arpa/inet.h>
 #include <fmt/format.h>
 
@@ -11,6 +11,11 @@
 
 bool is_ip_number(std::string_view text)
 {
+    if (text.find('\0') != std::string_view::npos)
+    {
+        // inet_pton would read the text before it only.
+        return false;
+    }
     const std::string terminated{text};
     in6_addr buffer{};
     return inet_pton(AF_INET, terminated.c_str(), &buffer) == 1 ||
@@ -19,7 +24,6 @@
 
 absl::StatusOr<numeric_address> parse_address(std::string_view text)
 {
-    constexpr std::uint32_t max_port = 65535;
     const std::size_t colon = text.rfind(':');
     std::string_view host = text.substr(0, colon);
     const bool bracketed = host.size() > 2 && host.front() == '[';
@@ -29,14 +33,12 @@
     }
     const std::string_view port_text =
         colon == std::string_view::npos ? "" : text.substr(colon + 1);
-    std::uint32_t port = 0;
+    std::uint16_t port = 0;
     // An IPv6 address needs brackets; without them its last group would be
     // parsed as the port.
     if (!is_ip_number(host) ||
         (host.find(':') != std::string_view::npos) != bracketed ||
-        !absl::SimpleAtoi(
-            absl::string_view{port_text.data(), port_text.size()}, &port) ||
-        port == 0 || port > max_port)
+        !parse_number(port_text, port) || port == 0)
     {
         return make_error(
             error_kind::invalid_request,
@@ -45,7 +47,7 @@
                 "127.0.0.1:9001 or [::1]:9001; it is \"{}\"",
                 text));
     }
-    return numeric_address{std::string{host}, static_cast<std::uint16_t>(port)};
+    return numeric_address{std::string{host}, port};
 }
 
 std::string format_address(std::string_view host, std::uint16_t port)
--- a/src/process/fleet_settings/fleet_settings.cpp
+++ b/src/process/fleet_settings/fleet_settings.cpp
@@ -114,7 +114,9 @@
 instance_id instance_at(std::string_view host)
 {
     in_addr address{};
-    return ::inet_pton(AF_INET, std::string{host}.c_str(), &address) == 1
+    return is_ip_number(host) &&
+                   ::inet_pton(AF_INET, std::string{host}.c_str(), &address) ==
+                       1
                ? ntohl(address.s_addr)
                : 0;
 }
--- a/tests/process/fleet_settings/fleet_settings_test.cpp
+++ b/tests/process/fleet_settings/fleet_settings_test.cpp
@@ -80,4 +80,5 @@
     CHECK(host_of(instance_at("10.1.0.22")) == "10.1.0.22");
     CHECK(instance_at("10.1.0.22") == 0x0A010016);
     CHECK(instance_at("name") == 0);
+    CHECK(instance_at({"10.1.0.22\0x", 11}) == 0);
 }
