Tell voters the version of a stream with its first event

Callers who took a stream up at another router got the rest of it from a server of another software version (operators' report on a router out of step during a release).

Cause: a router told the voters the version with each sending of the request. Before the first event a request may go to servers of two versions. When the first server was only silent and went on, voters held the version of the second one. When the second message was lost (the router was cut off, or its links stood still), they held that of the first one, although the events came from the second. Ruled out: a router that knows no version guesses one (it refuses, 503).

A router now tells the version just before it sends the first event to the caller. So a stream is told with one version, and a lost message makes it unknown, and its take-up refused. Until then a request may still go to any version.

--- a/src/process/gateway/exchange.cpp
+++ b/src/process/gateway/exchange.cpp
@@ -543,10 +543,6 @@
     {
         limit_overlap(max_attempt_overlap);
     }
-    if (route_->kind == call_kind::streaming && route_->resumable)
-    {
-        context_.streams().on_sent(stream_id_, attempt_.backend_version);
-    }
     attempt_.connection->send(text, request_.head->getMethod(), *this);
 }
 
@@ -969,7 +965,18 @@
     response_reader& reader = attempt_.connection->reader();
     const bool had_started = relay_.has_started();
     const std::uint64_t events = relay_.events();
-    const bool complete = relay_.send_events(reader, attempt_.events);
+    const std::string batch = relay_.take_events(reader, attempt_.events);
+    if (!batch.empty())
+    {
+        if (!had_started)
+        {
+            record_stream_version();
+        }
+        relay_.send_events(reader.head(), batch);
+    }
+    const bool complete =
+        reader.current() == response_reader::state::complete &&
+        attempt_.events.remainder().empty();
     if (relay_.events() > events)
     {
         record_progress();
@@ -984,7 +991,6 @@
     }
     if (!had_started && relay_.has_started())
     {
-        stream_version_ = attempt_.backend_version;
         const time_point now = context_.loop().now();
         first_event_after_ = now - arrived_;
         context_.table().on_first_byte(
@@ -1014,6 +1020,19 @@
     }
 }
 
+// The first event is about to be sent to the caller: from now on the stream
+// belongs to the version of this attempt's server. Before that, a request may
+// be sent to servers of several versions, and any of them may be the one that
+// goes on.
+void exchange::record_stream_version()
+{
+    stream_version_ = attempt_.backend_version;
+    if (route_->resumable)
+    {
+        context_.streams().on_begun(stream_id_, *stream_version_);
+    }
+}
+
 void exchange::settle_answer()
 {
     if (!std::exchange(attempt_.answer_is_settled, true))
--- a/src/process/gateway/exchange.hpp
+++ b/src/process/gateway/exchange.hpp
@@ -86,6 +86,7 @@
     void restart_attempt_timer(duration limit);
     void on_progress_timeout();
     void record_progress();
+    void record_stream_version();
     void settle_answer();
 
     void hold_attempt();
--- a/src/process/gateway/response_relay.cpp
+++ b/src/process/gateway/response_relay.cpp
@@ -70,9 +70,10 @@
     caller_.send(text);
 }
 
-// The complete events that the caller does not have yet.
-std::string response_relay::next_events(event_splitter& splitter)
+std::string
+response_relay::take_events(response_reader& reader, event_splitter& splitter)
 {
+    splitter.add(reader.body());
     std::string batch;
     while (auto event = splitter.next())
     {
@@ -100,18 +101,11 @@
     return batch;
 }
 
-bool response_relay::send_events(
-    response_reader& reader, event_splitter& splitter)
+void response_relay::send_events(
+    const HTTPResponse& head, std::string_view events)
 {
-    splitter.add(reader.body());
-    const std::string batch = next_events(splitter);
-    if (!batch.empty())
-    {
-        send_stream_head(reader.head());
-        caller_.send(fmt::format("{:x}\r\n{}\r\n", batch.size(), batch));
-    }
-    return reader.current() == response_reader::state::complete &&
-           splitter.remainder().empty();
+    send_stream_head(head);
+    caller_.send(fmt::format("{:x}\r\n{}\r\n", events.size(), events));
 }
 
 void response_relay::send_stream_head(const HTTPResponse& head)
--- a/src/process/gateway/response_relay.hpp
+++ b/src/process/gateway/response_relay.hpp
@@ -60,10 +60,14 @@
     void
     send_response(const Poco::Net::HTTPResponse& head, std::string_view body);
 
-    // Sends the complete events that have arrived, without those that the
-    // caller already has. splitter: holds the start of an event of the current
-    // attempt. True when the stream has ended.
-    bool send_events(response_reader& reader, event_splitter& splitter);
+    // Removes the complete events that have arrived and returns those that the
+    // caller does not have yet; empty when there are none. They count as sent.
+    // splitter: holds the start of an event of the current attempt.
+    std::string take_events(response_reader& reader, event_splitter& splitter);
+
+    // Sends events, after the head of the stream if they are the first.
+    void
+    send_events(const Poco::Net::HTTPResponse& head, std::string_view events);
 
     // Sends the end of the stream.
     void finish_stream(const Poco::Net::HTTPResponse& head);
@@ -89,7 +93,6 @@
     }
 
 private:
-    std::string next_events(event_splitter& splitter);
     void send_stream_head(const Poco::Net::HTTPResponse& head);
     std::string end_of_head() const;
 
--- a/src/process/gateway/stream_version_client.cpp
+++ b/src/process/gateway/stream_version_client.cpp
@@ -24,7 +24,7 @@
     send_ = std::move(send);
 }
 
-void stream_version_client::on_sent(
+void stream_version_client::on_begun(
     stream_id stream, software_version_id version)
 {
     if (own_.find(stream, loop_.now()) == version)
--- a/src/process/gateway/stream_version_client.hpp
+++ b/src/process/gateway/stream_version_client.hpp
@@ -25,10 +25,11 @@
     using send_function = std::function<std::size_t(const wire::payloadUnion&)>;
     void set_send(send_function send);
 
-    // The stream is sent to a server of this version. Must be called before
-    // the request is sent, so that the voters know of it before any event can
-    // reach the caller.
-    void on_sent(stream_id stream, software_version_id version);
+    // The stream begins, or goes on here, with an event of a server of this
+    // version. Must be called before the event is sent to the caller, so that
+    // the message to the voters leaves first. A stream must be told with one
+    // version only: when the message is lost, voters must not know another one.
+    void on_begun(stream_id stream, software_version_id version);
 
     // The stream has ended in order, so this router need not remember it.
     void on_complete(stream_id stream);
--- a/src/process/voter_node/stream_journal.hpp
+++ b/src/process/voter_node/stream_journal.hpp
@@ -18,7 +18,7 @@
 namespace hickorygap
 {
 
-// The software version that a stream was sent to, as it is stored.
+// The software version that began a stream, as it is stored.
 struct recorded_stream
 {
     stream_id stream = 0;
--- a/src/request/dispatch/stream_versions.hpp
+++ b/src/request/dispatch/stream_versions.hpp
@@ -30,7 +30,7 @@
 // Callers wait less than this for a stream, all their attempts included.
 inline constexpr duration stream_retention_period = std::chrono::seconds{60};
 
-// The software versions of the backend servers that streams were sent to.
+// The software versions of the backend servers that began streams.
 //
 // What two versions write does not fit together, so a stream may be resumed
 // only at the version that began it. Routers and voters keep one each: routers
--- a/tests/process/gateway/gateway_fixture.hpp
+++ b/tests/process/gateway/gateway_fixture.hpp
@@ -197,7 +197,8 @@
         return result;
     }
 
-    backend_double& add_backend(backend_double::script on_request)
+    backend_double&
+    add_backend(backend_double::script on_request, std::string version = {})
     {
         // Retries until a port is free.
         std::unique_ptr<backend_double> added;
@@ -213,7 +214,8 @@
              "domain-a",
              {"127.0.0.1", port},
              8,
-             false});
+             false,
+             std::move(version)});
         context_.set_backend_list(list_);
         backends_.push_back(std::move(added));
         return *backends_.back();
--- a/tests/process/route_fleet/stream_version_test.cpp
+++ b/tests/process/route_fleet/stream_version_test.cpp
@@ -25,6 +25,25 @@
 constexpr int servers_per_version = 3;
 constexpr int streams = 24;
 
+// Two events that hold the version, after the event `last`. A stream that
+// begins with them has no end, one that is resumed ends in order.
+std::string
+versioned_events(std::string_view version, std::string_view attempt, int last)
+{
+    std::string text = fmt::format(
+        "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nReply-Seal: s\r\n"
+        "Content-Type: text/event-stream\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n",
+        attempt);
+    for (int id = last + 1; id <= last + 2; ++id)
+    {
+        const std::string event =
+            fmt::format("id: {}\ndata: {}\n\n", id, version);
+        text += fmt::format("{:x}\r\n{}\r\n", event.size(), event);
+    }
+    return text + (last == 0 ? "" : "0\r\n\r\n");
+}
+
 // A server that writes its version into each event. A stream that it begins
 // breaks off after two events, one that it resumes ends in order after two.
 backend_double::script versioned_script(std::string version)
@@ -33,18 +52,7 @@
                backend_double::connection& to, const received_request& got)
     {
         const int last = std::stoi(got.head->get("Last-Event-Id", "0"));
-        std::string text = fmt::format(
-            "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nReply-Seal: s\r\n"
-            "Content-Type: text/event-stream\r\n"
-            "Transfer-Encoding: chunked\r\n\r\n",
-            got.head->get("Request-Id"));
-        for (int id = last + 1; id <= last + 2; ++id)
-        {
-            const std::string event =
-                fmt::format("id: {}\ndata: {}\n\n", id, version);
-            text += fmt::format("{:x}\r\n{}\r\n", event.size(), event);
-        }
-        to.write(text + (last == 0 ? "" : "0\r\n\r\n"));
+        to.write(versioned_events(version, got.head->get("Request-Id"), last));
         if (last == 0)
         {
             to.close();
@@ -206,3 +214,42 @@
     }
     CHECK(resumed == streams);
 }
+
+// Guards against a stream whose voters hold the version of a second server that
+// was asked meanwhile, although the first one was only silent and went on.
+TEST_CASE("a stream goes on at the version of a server that was silent")
+{
+    route_fleet fleet{routers, std::string{document}};
+    int asked = 0;
+    const auto script = [&](const std::string& version)
+    {
+        return [&, version](
+                   backend_double::connection& to, const received_request& got)
+        {
+            if (got.head->has("Last-Event-Id"))
+            {
+                versioned_script(version)(to, got);
+            }
+            else if (++asked == 1)
+            {
+                fleet.loop().after(
+                    1150ms, [&to, version]
+                    { to.write(versioned_events(version, "s1", 0)); });
+            }
+        };
+    };
+    fleet.add_backend(script("v1"), "v1");
+    fleet.add_backend(script("v2"), "v2");
+    fleet.await_readiness();
+    fleet.run_for(1500ms);
+    const caller_double& first = fleet.call(0, stream_request("s1", ""));
+    REQUIRE(run_until(
+        fleet.loop(),
+        [&] { return first.received().find("id: 2") != std::string::npos; },
+        3s));
+    CHECK(asked == 2);
+    const caller_double& next = fleet.call(1, resuming_request("s1"));
+    await_end(fleet, next);
+    CHECK_FALSE(holds_both_versions(first.received() + next.received()));
+    CHECK(next.received().ends_with("0\r\n\r\n"));
+}
