Reject a response head that contains a second status line

Callers were told "not run" for requests that a server had run, and such requests ran at a second server (operators' report on repeated refusals).

Cause: a faulty server began to write an earlier refusal once more on a kept connection, broke off inside its head, and went on with the real response. The two heads were read as one: the status and the Not-Run statement of the copy, with the identifier of the real response, which made it the request's own refusal. A copy cut in its status line gave callers 503 or 429 with the body of a success.

A head that holds the status line of another response after its start is broken now, so the request counts as one that may have run.

The rows of message_framing_test were run with the change only.

--- a/src/connection/h1/message_framing.cpp
+++ b/src/connection/h1/message_framing.cpp
@@ -30,11 +30,16 @@
 constexpr std::string_view content_length_name = "Content-Length";
 constexpr std::string_view transfer_encoding_name = "Transfer-Encoding";
 
+bool is_digit(char c)
+{
+    return c >= '0' && c <= '9';
+}
+
 // Characters of a token, RFC 9110 section 5.6.2.
 bool is_token_character(char c)
 {
-    const bool alphanumeric = (c >= '0' && c <= '9') ||
-                              (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+    const bool alphanumeric =
+        is_digit(c) || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
     constexpr std::string_view others = "!#$%&'*+-.^_`|~";
     return alphanumeric || others.find(c) != std::string_view::npos;
 }
@@ -54,6 +59,28 @@
            std::ranges::all_of(line.substr(colon + 1), is_field_character);
 }
 
+// Whether a response's header block contains a status line after its start. It
+// then consists of the start of one response, which broke off inside a line,
+// and the head of the next one.
+bool contains_second_status_line(std::string_view head)
+{
+    constexpr std::string_view version = "HTTP/1.";
+    constexpr std::size_t status_digits = 3;
+    for (std::size_t at = head.find(version, 1); at != std::string_view::npos;
+         at = head.find(version, at + 1))
+    {
+        // A digit of the version, a space and the status.
+        const std::string_view rest = head.substr(at + version.size());
+        if (rest.size() >= 2 + status_digits && is_digit(rest[0]) &&
+            rest[1] == ' ' &&
+            std::ranges::all_of(rest.substr(2, status_digits), is_digit))
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
 template <typename Message>
 bool parse_with_poco(std::string_view head, Message& message)
 {
@@ -188,7 +215,8 @@
 
 bool parse_head(std::string_view head, Poco::Net::HTTPResponse& response)
 {
-    return parse_with_poco(head, response);
+    return !contains_second_status_line(head) &&
+           parse_with_poco(head, response);
 }
 
 std::optional<body_framing>
--- a/src/connection/h1/message_framing.hpp
+++ b/src/connection/h1/message_framing.hpp
@@ -47,8 +47,8 @@
 bool is_well_formed_head(std::string_view head);
 
 // Parses a header block that is_well_formed_head accepts. False when the start
-// line isn't one of HTTP/1.0 or HTTP/1.1, or a field exceeds the parser's
-// limits.
+// line isn't one of HTTP/1.0 or HTTP/1.1, a field exceeds the parser's limits,
+// or a response's header block contains the status line of another response.
 bool parse_head(std::string_view head, Poco::Net::HTTPRequest& request);
 bool parse_head(std::string_view head, Poco::Net::HTTPResponse& response);
 
--- a/tests/connection/h1/message_framing_test.cpp
+++ b/tests/connection/h1/message_framing_test.cpp
@@ -138,6 +138,14 @@
             {"HTTP/1.1 200 OK\r\nContent-Len", state::head_incomplete,
              state::broken},
             {"\x01\x02garbage\r\n\r\n", state::broken, state::broken},
+            // The first response broke off inside its head.
+            {"HTTP/1.1 503 ServHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+             state::broken, state::broken},
+            {"HTTP/1.1 503 No\r\nRetry-After: 0.HTTP/1.0 200 OK\r\n"
+             "Content-Length: 0\r\n\r\n",
+             state::broken, state::broken},
+            {"HTTP/1.1 200 OK\r\nVia: HTTP/1.1 a\r\nContent-Length: 0\r\n\r\n",
+             state::complete, state::complete},
         }));
     CAPTURE(text);
     response_reader reader{"POST"};
