Don't reuse a connection for an attempt that was refused on it

A caller whose request was refused, and who sent it again under the same identifier, was told once more that it had not run, or it ran at a second server, while a server ran it.

Cause: the next attempt went over the kept connection of the refusal. When the server wrote that refusal once more, its identifier was the right one, so nothing told the copy from a refusal of the new attempt.

A connection remembers the attempts that were refused on it. It is closed instead of reused for one of them, and after 64 refusals, so that it can remember all of them. Ruled out: closing a connection after each refusal (servers in need refuse often, and a new connection costs them more).

--- a/src/process/gateway/backend_connection.cpp
+++ b/src/process/gateway/backend_connection.cpp
@@ -4,6 +4,7 @@
 #include "common/logging.hpp"
 #include "process/gateway/backend_pool.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace hickorygap
@@ -34,6 +35,11 @@
     }
 }
 
+bool backend_connection::has_refused(std::uint64_t attempt) const
+{
+    return std::ranges::find(refused_, attempt) != refused_.end();
+}
+
 std::optional<instance_id> backend_connection::tunnel_host() const
 {
     return tunnel_ == nullptr ? std::nullopt : std::optional{hosts_.back()};
--- a/src/process/gateway/backend_connection.hpp
+++ b/src/process/gateway/backend_connection.hpp
@@ -73,6 +73,16 @@
         return sends_ > 1;
     }
 
+    // The server has refused this attempt here, and may write that once more.
+    void on_refused(std::uint64_t attempt)
+    {
+        refused_.push_back(attempt);
+    }
+
+    // Whether an attempt of this identifier was refused here before, so that a
+    // refusal of it can't be told from a copy of the earlier one.
+    bool has_refused(std::uint64_t attempt) const;
+
     // The router that hosts the tunnel; nullopt for a direct connection.
     std::optional<instance_id> tunnel_host() const;
 
@@ -115,6 +125,9 @@
     std::optional<response_reader> reader_;
     response_observer* receiver_ = nullptr;
     std::uint64_t sends_ = 0;
+
+    // Hashed identifiers of the attempts that were refused.
+    std::vector<std::uint64_t> refused_;
     timer_id dial_timer_ = 0;
 
     // Set while the connection is only opened to check whether the server
--- a/src/process/gateway/backend_pool.cpp
+++ b/src/process/gateway/backend_pool.cpp
@@ -46,6 +46,10 @@
 // for longer than this.
 constexpr duration max_fresh_idle_time = std::chrono::milliseconds{600};
 
+// A connection is closed after this many refusals, which it remembers. A server
+// in need refuses often, and a new connection each time would cost it more.
+constexpr std::size_t max_remembered_refusals = 64;
+
 constexpr duration sweep_interval = std::chrono::milliseconds{500};
 
 // Limit of connections to one server when its service has no limit.
@@ -85,8 +89,9 @@
     on_paths_changed_ = std::move(on_changed);
 }
 
-backend_connection*
-backend_pool::acquire(const backend_record& backend, connection_choice choice)
+backend_connection* backend_pool::acquire(
+    const backend_record& backend, connection_choice choice,
+    std::uint64_t attempt)
 {
     server_connections& server = servers_[backend.id];
     const auto blocked_since =
@@ -104,7 +109,8 @@
         const bool may_be_cut =
             blocked_since &&
             idle_connection->channel_->last_input() < *blocked_since;
-        if (idle <= idle_connection->idle_timeout_ && !may_be_cut)
+        if (idle <= idle_connection->idle_timeout_ && !may_be_cut &&
+            !idle_connection->has_refused(attempt))
         {
             return idle_connection;
         }
@@ -415,6 +421,7 @@
     const bool usable =
         connection.tunnel_ == nullptr && connection.channel_->is_open() &&
         connection.channel_->input().empty() &&
+        connection.refused_.size() < max_remembered_refusals &&
         connection.reader_->current() == response_reader::state::complete &&
         connection.reader_->keeps_connection();
     const duration limit =
--- a/src/process/gateway/backend_pool.hpp
+++ b/src/process/gateway/backend_pool.hpp
@@ -76,9 +76,11 @@
     void set_on_paths_changed(std::function<void()> on_changed);
 
     // A new or idle connection; nullptr when the limit is reached or the system
-    // refuses.
-    backend_connection*
-    acquire(const backend_record& backend, connection_choice choice);
+    // refuses. attempt: hashed identifier; a connection on which it was refused
+    // before is closed instead of reused.
+    backend_connection* acquire(
+        const backend_record& backend, connection_choice choice,
+        std::uint64_t attempt);
 
     // Opens a connection to check whether the server accepts it, and keeps an
     // established one for reuse. on_probed may be called before probe returns.
--- a/src/process/gateway/exchange.cpp
+++ b/src/process/gateway/exchange.cpp
@@ -430,10 +430,12 @@
     attempt_.backend_version = choice.backend->software_version;
     tried_backends_.push_back(attempt_.backend);
     attempt_.connection = context_.pool().acquire(
-        *choice.backend, choice.reason == dispatch_reason::last_resort
-                             ? connection_choice::established_now
-                         : is_repeatable() ? connection_choice::any
-                                           : connection_choice::fresh);
+        *choice.backend,
+        choice.reason == dispatch_reason::last_resort
+            ? connection_choice::established_now
+        : is_repeatable() ? connection_choice::any
+                          : connection_choice::fresh,
+        hash_name(call_.attempt_id));
     if (attempt_.connection == nullptr)
     {
         try_another_connection();
@@ -867,6 +869,7 @@
     }
     if (attempt_.is_rejected())
     {
+        attempt_.connection->on_refused(hash_name(call_.attempt_id));
         return true;
     }
     const bool success = head.getStatus() < first_redirect;
--- a/tests/process/gateway/repeated_refusal_test.cpp
+++ b/tests/process/gateway/repeated_refusal_test.cpp
@@ -156,6 +156,11 @@
         }
         ++runs_;
         const std::string real = success_for(tested_.next_id, tested_.kind);
+        if (!kept_.contains(&to))
+        {
+            to.write(real);
+            return;
+        }
         const std::size_t half = tested_.copy.size() / 2;
         switch (tested_.when)
         {
@@ -231,6 +236,21 @@
     CHECK(servers.runs() == 1);
 }
 
+// Guards against a copy that is taken for the refusal of the caller's next
+// attempt because that has the same identifier.
+TEST_CASE("a refusal that is written once more refuses no attempt of its name")
+{
+    const std::string copy = GENERATE(refusal, too_many, misdirected, unnamed);
+    const repetition when = GENERATE(
+        repetition::after_next_request, repetition::in_two_parts,
+        repetition::before_real_response);
+    CAPTURE(copy, when);
+    repeating_servers servers{
+        {"", call_kind::non_repeatable, refusal, copy, when, "", "a1"}};
+    CHECK(servers.call_next() == "200");
+    CHECK(servers.runs() == 1);
+}
+
 // Guards against a copy that breaks off inside its head, so that the head of
 // the real response seems to be the rest of it: the status and the statement of
 // the copy, and the identifier of the next request.
