Believe unnamed refusals only on connections opened for the request

A request over a connection that had been opened to check its server was reported as not run, or sent to a second server, after a refusal that named no request and had been written before the request came.

Cause: such a connection had carried no request, so it did not count as reused, and the refusal was taken for that of its first request. It counts as reused now, like each connection that was idle before.

--- a/src/process/gateway/backend_connection.cpp
+++ b/src/process/gateway/backend_connection.cpp
@@ -24,7 +24,6 @@
 {
     reader_.emplace(method);
     receiver_ = &receiver;
-    ++sends_;
     if (is_connected())
     {
         channel_->write(request);
--- a/src/process/gateway/backend_connection.hpp
+++ b/src/process/gateway/backend_connection.hpp
@@ -66,11 +66,11 @@
         return channel_->is_open() && channel_->is_connected();
     }
 
-    // Whether an earlier request was sent over this connection, so that a late
-    // response to it may still arrive.
+    // Whether the connection was idle before its request. A response that does
+    // not name its request may then have been written before the request came.
     bool is_reused() const
     {
-        return sends_ > 1;
+        return was_idle_;
     }
 
     // The server has refused this attempt here, and may write that once more.
@@ -124,7 +124,7 @@
     std::string unsent_;
     std::optional<response_reader> reader_;
     response_observer* receiver_ = nullptr;
-    std::uint64_t sends_ = 0;
+    bool was_idle_ = false;
 
     // Hashed identifiers of the attempts that were refused.
     std::vector<std::uint64_t> refused_;
--- a/src/process/gateway/backend_pool.cpp
+++ b/src/process/gateway/backend_pool.cpp
@@ -437,6 +437,7 @@
 // Adds the connection to the idle ones.
 void backend_pool::add_idle(backend_connection& connection, duration limit)
 {
+    connection.was_idle_ = true;
     connection.idle_since_ = loop_.now();
     connection.idle_timeout_ = limit;
     connection.channel_->set_reading(true);
--- a/src/process/gateway/exchange.cpp
+++ b/src/process/gateway/exchange.cpp
@@ -1086,7 +1086,7 @@
 
 // Whether the response belongs to this request. A server that rejects a request
 // without reading it does not know its identifier; such a rejection belongs to
-// this request if the connection has carried no other one.
+// this request if the connection was opened for it.
 bool exchange::is_own_response() const
 {
     if (attempt_.response.attempt_id.empty() && attempt_.is_rejected())
--- a/tests/process/gateway/repeated_refusal_test.cpp
+++ b/tests/process/gateway/repeated_refusal_test.cpp
@@ -267,3 +267,28 @@
         CHECK(servers.runs() == 1);
     }
 }
+
+// Guards against a refusal that names no request and is believed on a
+// connection that was opened earlier, to check whether the server accepts it.
+TEST_CASE("an unnamed refusal on an older connection refuses no request")
+{
+    gateway_fixture fixture{
+        gateway_fixture::make_route(call_kind::non_repeatable, 2)};
+    const auto script = [](connection& to, const received_request&)
+    { to.write(unnamed); };
+    std::vector<const backend_double*> servers;
+    for (int i = 0; i < 2; ++i)
+    {
+        servers.push_back(&fixture.add_backend(script));
+    }
+    for (const backend_record* each :
+         fixture.context().table().members("reports"))
+    {
+        fixture.context().pool().probe(*each, [](bool) {});
+    }
+    fixture.run_for(20ms);
+    const caller_double& caller = fixture.call(gateway_fixture::request_text());
+    REQUIRE(fixture.run_until([&] { return is_answered(caller); }));
+    CHECK(status_of(caller) == "502");
+    CHECK(servers[0]->requests().size() + servers[1]->requests().size() == 1);
+}
