Don't send a request after unread bytes of its server

A request that may run once got 502 although its server answered it, when the server had written an earlier refusal once more just before.

Cause: the copy had arrived on the idle connection, but was still unread when the request was written, and was then read in place of its response. No promise was broken, but the caller lost the response. Idle connections with unread bytes are closed now when the pool picks one.

--- a/src/connection/event/byte_channel.hpp
+++ b/src/connection/event/byte_channel.hpp
@@ -63,6 +63,9 @@
     // Received bytes; the observer removes those that it has consumed.
     virtual std::string& input() = 0;
 
+    // Whether bytes have arrived that were not added to input() yet.
+    virtual bool has_unread_input() const = 0;
+
     // Sends the bytes, or buffers them until they can be sent.
     virtual void write(std::string_view bytes) = 0;
 
--- a/src/connection/event/stream_connection.hpp
+++ b/src/connection/event/stream_connection.hpp
@@ -38,8 +38,7 @@
     }
     void write(std::string_view bytes) override;
 
-    // Whether the kernel's receive buffer contains unread bytes.
-    bool has_unread_input() const;
+    bool has_unread_input() const override;
 
     std::size_t pending_output() const override
     {
--- a/src/connection/link/link_connection.hpp
+++ b/src/connection/link/link_connection.hpp
@@ -63,6 +63,12 @@
         connection_->set_reading(reading);
     }
 
+    // Whether bytes have arrived that were not handled yet.
+    bool has_unread_input() const
+    {
+        return connection_->has_unread_input();
+    }
+
     void close();
     bool is_open() const
     {
--- a/src/process/gateway/backend_pool.cpp
+++ b/src/process/gateway/backend_pool.cpp
@@ -110,7 +110,8 @@
             blocked_since &&
             idle_connection->channel_->last_input() < *blocked_since;
         if (idle <= idle_connection->idle_timeout_ && !may_be_cut &&
-            !idle_connection->has_refused(attempt))
+            !idle_connection->has_refused(attempt) &&
+            !idle_connection->channel_->has_unread_input())
         {
             return idle_connection;
         }
--- a/src/process/gateway/backend_pool.hpp
+++ b/src/process/gateway/backend_pool.hpp
@@ -75,8 +75,9 @@
     // off from have changed.
     void set_on_paths_changed(std::function<void()> on_changed);
 
-    // A new or idle connection; nullptr when the limit is reached or the system
-    // refuses. attempt: hashed identifier; a connection on which it was refused
+    // A new or idle connection, on which no bytes have arrived that belong to
+    // no request; nullptr when the limit is reached or the system refuses.
+    // attempt: hashed identifier; a connection on which it was refused
     // before is closed instead of reused.
     backend_connection* acquire(
         const backend_record& backend, connection_choice choice,
--- a/src/process/gateway/tunnel_connection.hpp
+++ b/src/process/gateway/tunnel_connection.hpp
@@ -51,6 +51,10 @@
         return input_;
     }
 
+    bool has_unread_input() const override
+    {
+        return link_->has_unread_input();
+    }
     void write(std::string_view bytes) override;
 
     void set_reading(bool reading) override;
--- a/tests/process/gateway/repeated_refusal_test.cpp
+++ b/tests/process/gateway/repeated_refusal_test.cpp
@@ -206,6 +206,8 @@
         row{"idle", once, refusal, refusal, repetition::while_idle, "200"},
         row{"idle, part of it", once, refusal, refusal.substr(0, 20),
             repetition::while_idle, "200"},
+        row{"idle, unread", once, refusal, refusal,
+            repetition::while_idle_unread, "200"},
         row{"503", once, refusal, refusal, repetition::after_next_request,
             "502"},
         row{"503, unnamed", once, refusal, unnamed,
--- a/tests/support/cut_dialer.hpp
+++ b/tests/support/cut_dialer.hpp
@@ -112,6 +112,11 @@
         {
             return stream_ ? stream_->input() : nothing_;
         }
+        bool has_unread_input() const override
+        {
+            return stream_ && mode() != cut_mode::hang &&
+                   stream_->has_unread_input();
+        }
         void write(std::string_view bytes) override
         {
             if (mode() != cut_mode::hang && stream_)
