Hand over all recent chats with a cell

A chat could lose its cached context when the owner of its cell shut down gracefully: the next request went to another engine than the one before.

Cause: a handover left out the chats on their first rendezvous engine, as the next owner would find that engine by hashing. Owners place chats that they do not know on the least loaded engine, and use the hash only between engines of equal load. Entry routers name their recent chats too, which hides the fault unless the entry router that served the chat is gone as well.

--- a/src/request/placement/cell_owner.cpp
+++ b/src/request/placement/cell_owner.cpp
@@ -918,17 +918,13 @@
 }
 
 std::vector<std::pair<chat_id, backend_server_id>>
-cell_owner::displaced_chats(std::size_t limit) const
+cell_owner::recent_chats(std::size_t limit) const
 {
-    const auto all = engines_.listed();
     std::vector<std::pair<chat_id, backend_server_id>> result;
     directory_.visit_latest(
         [&](chat_id chat, engine_index engine)
         {
-            if (engines_.by_rendezvous(all, chat) != engine)
-            {
-                result.emplace_back(chat, engines_.id_of(engine));
-            }
+            result.emplace_back(chat, engines_.id_of(engine));
             return result.size() < limit;
         });
     return result;
--- a/src/request/placement/cell_owner.hpp
+++ b/src/request/placement/cell_owner.hpp
@@ -135,11 +135,11 @@
     // All grants, in the form in which they are handed over to the next owner.
     std::vector<wire::held_grant_msg> held_grants() const;
 
-    // Chats that are not on the engine with the highest rendezvous score, the
-    // most recently served first. Only these need to be handed over: the next
-    // owner places the others on the same engines by hashing.
+    // The chats that were served last and their latest servers, the most recent
+    // one first. All are handed over: the next owner places chats that it does
+    // not know on the least loaded engine.
     std::vector<std::pair<chat_id, backend_server_id>>
-    displaced_chats(std::size_t limit) const;
+    recent_chats(std::size_t limit) const;
 
     std::vector<wire::decision_record_msg> take_records();
 
--- a/src/request/placement/placement_service.cpp
+++ b/src/request/placement/placement_service.cpp
@@ -199,7 +199,7 @@
                 std::make_unique<wire::held_grant_msg>(held));
         }
         for (const auto& [chat, server] :
-             owned.owner.displaced_chats(handover_chats))
+             owned.owner.recent_chats(handover_chats))
         {
             handover.chats.push_back(chat);
             handover.backend_servers.push_back(server);
--- a/tests/request/placement/placement_service_test.cpp
+++ b/tests/request/placement/placement_service_test.cpp
@@ -458,6 +458,77 @@
     }
 }
 
+namespace
+{
+
+instance_id find_owner(placement_fleet& fleet)
+{
+    for (const instance_id id : fleet.live())
+    {
+        if (!fleet.at(id).owned_cells().empty())
+        {
+            return id;
+        }
+    }
+    return 0;
+}
+
+// The server that a request of the chat gets; the request ends after `length`.
+backend_server_id serve_chat(
+    placement_fleet& fleet, instance_id entry, request_id request, chat_id chat,
+    duration length)
+{
+    fleet.submit(entry, make_test_query(request, chat, fleet.now));
+    fleet.run(length);
+    const auto decisions = fleet.decisions(entry);
+    REQUIRE(decisions.size() == 1);
+    const auto grant = std::get<placement_grant>(decisions.front().decision);
+    fleet.finish(entry, grant);
+    fleet.run(milliseconds{10});
+    return grant.backend_server;
+}
+
+} // namespace
+
+// Guards against a handover without the chats that a hash would place on the
+// same server: the next owner does not choose by a hash, but by the load.
+TEST_CASE("a handover keeps chats on their servers whatever the loads are")
+{
+    constexpr double any_load = 12;
+    placement_fleet fleet{4, make_test_topology(12, 8, any_load), 3};
+    fleet.run(milliseconds{100});
+    const instance_id owner = find_owner(fleet);
+    const instance_id entry = owner == 1 ? 2 : 1;
+    std::map<chat_id, backend_server_id> served;
+    for (chat_id chat = 1; chat <= 20; ++chat)
+    {
+        served[chat] = serve_chat(fleet, entry, chat, chat, milliseconds{30});
+    }
+    // An entry router reports its recent chats too, unless it has failed.
+    fleet.crash(entry);
+    fleet.announce_members();
+    fleet.call_on(
+        owner,
+        [&](placement_service& service) { service.begin_handover(fleet.now); });
+    fleet.run(milliseconds{100});
+    const instance_id next = find_owner(fleet);
+    for (const auto& [chat, server] : served)
+    {
+        CAPTURE(chat);
+        fleet.call_on(
+            next,
+            [&](placement_service& service)
+            {
+                load_report report;
+                report.running = 1;
+                service.on_load_report(server, report, fleet.now);
+            });
+        CHECK(
+            serve_chat(fleet, next, 100 + chat, chat, milliseconds{30}) ==
+            server);
+    }
+}
+
 // Guards against a surge of one organisation that floods the owner with
 // messages although it is refused, and against refusals that affect other
 // organisations.
