Let a scenario wait until the instances agree on owners

Traced with the decision records that the runner now prints on a failure. In the failed run the three requests were decided by three instances, i3, i2 and i5: the scenario waits until each instance says that it is ready, but not until the others know it, and only ready instances own cells. i5 had polled engine e1 while the request of another owner ran there, counted that as foreign load, and so found e1 at its load bound (1 request of 4 engines). The request waited 201 ms and went to e3. Ruled out: lost grants, engines reported as down, and a late end of the grant before.

The test is wrong: instances agree on owners only some time after a start (docs: "the membership views converge within seconds"), and the scenario is about a settled fleet. `expect fleet-ready` waits until each instance knows that all others are ready, in addition to `expect ready`; the checks of the hits are unchanged.

--- a/tests/scenarios/runner/runner.cpp
+++ b/tests/scenarios/runner/runner.cpp
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <csignal>
+#include <set>
 #include <thread>
 
 namespace hickorygap::testing
@@ -397,6 +398,10 @@
     {
         return expect_ready(line);
     }
+    if (what == "fleet-ready")
+    {
+        return expect_fleet_ready(line);
+    }
     if (what == "same-ticket")
     {
         return expect_same_ticket(line);
@@ -575,6 +580,52 @@
     return absl::OkStatus();
 }
 
+// expect fleet-ready INSTANCE...: each of them knows that all running instances
+// are ready. Only then they agree on the owners of cells.
+absl::Status runner::expect_fleet_ready(const script_line& line)
+{
+    for (const std::string& name : expand_names(line.words, 1))
+    {
+        const absl::Status status = wait_until(
+            line,
+            [&]() -> std::string
+            {
+                const http_result result =
+                    get_from_operator_port(name, "/operator/in-force");
+                const auto rows =
+                    parse_object(result.body)->getArray("instances");
+                std::set<std::string> ready;
+                for (std::size_t i = 0; !rows.isNull() && i < rows->size(); ++i)
+                {
+                    const auto row = rows->getObject(static_cast<unsigned>(i));
+                    if (row->optValue<bool>("ready", false))
+                    {
+                        ready.insert(
+                            "i" + row->optValue<std::string>("id", ""));
+                    }
+                }
+                for (const std::string& other : fleet_->running_instances())
+                {
+                    if (!ready.contains(other))
+                    {
+                        return fmt::format(
+                            "{} does not know that {} is ready", name, other);
+                    }
+                }
+                return "";
+            });
+        if (!status.ok())
+        {
+            return status;
+        }
+    }
+    // An instance derives the owners of cells from what it knows within a tick
+    // of 20 ms.
+    constexpr std::chrono::milliseconds owner_update_time{100};
+    std::this_thread::sleep_for(owner_update_time);
+    return absl::OkStatus();
+}
+
 // expect same-ticket NUMBER INSTANCE...: all return the same content for the
 // ticket.
 absl::Status runner::expect_same_ticket(const script_line& line)
@@ -613,9 +664,27 @@
     return hits == std::stoul(line.words.at(2))
                ? absl::OkStatus()
                : line_error(
-                     line,
-                     fmt::format(
-                         "{} cache hits, expected {}", hits, line.words.at(2)));
+                     line, fmt::format(
+                               "{} cache hits, expected {}; {}", hits,
+                               line.words.at(2),
+                               describe_placements(line.words.at(1))));
+}
+
+// The decision records of a chat of alpha as the voters have stored them, to
+// trace a failed check. Instances send their records in batches, so this waits
+// first.
+std::string runner::describe_placements(const std::string& chat)
+{
+    constexpr std::chrono::seconds record_delay{3};
+    std::this_thread::sleep_for(record_delay);
+    std::string text;
+    for (const std::string& name : fleet_->running_instances())
+    {
+        const http_result result = get_from_operator_port(
+            name, "/operator/decisions?organisation=alpha&chat=" + chat);
+        text += fmt::format("\ndecisions at {}: {}", name, result.body);
+    }
+    return text;
 }
 
 // expect no-new-work ENGINE mark: stores the number of requests of the engine.
--- a/tests/scenarios/runner/runner.hpp
+++ b/tests/scenarios/runner/runner.hpp
@@ -42,6 +42,7 @@
     absl::Status expect_in_force(const script_line& line);
     absl::Status expect_runs(const script_line& line);
     absl::Status expect_ready(const script_line& line);
+    absl::Status expect_fleet_ready(const script_line& line);
     absl::Status expect_same_ticket(const script_line& line);
     absl::Status expect_one_engine(const script_line& line);
     absl::Status expect_served(const script_line& line);
@@ -55,6 +56,7 @@
     std::vector<std::string>
     expand_names(const std::vector<std::string>& words, std::size_t first);
     std::string find_leader();
+    std::string describe_placements(const std::string& chat);
     http_result get_from_operator_port(
         const std::string& instance, const std::string& path);
 
