Trace the sound request that is lost beside a crashing prompt part

A sound request runs at the server that the crashing request crashes. Both are retried in the same millisecond, from two routers, and both choose the same next server of 15 at random. It crashes too; with two crashes both are quarantined, and the sound one ends with 502. Ruled out: the retry budget, the deadline, a quarantine of a sound part, and the load, which only 1 of the 8 choices involved had seen.

The test is right and stays listed. On a failure both tests of the file now print which calls were not served, and what they got.

--- a/tests/process/route_fleet/crashing_request_test.cpp
+++ b/tests/process/route_fleet/crashing_request_test.cpp
@@ -3,7 +3,9 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 using namespace hickorygap;
@@ -116,6 +118,22 @@
     };
 }
 
+// The callers that got no success, with the first line of what they got.
+std::string describe_unserved(std::span<const caller_double* const> callers)
+{
+    std::string text;
+    for (std::size_t i = 0; i < callers.size(); ++i)
+    {
+        const std::string_view received = callers[i]->received();
+        if (!received.starts_with("HTTP/1.1 200"))
+        {
+            text += fmt::format(
+                "call {}: {}\n", i, received.substr(0, received.find('\r')));
+        }
+    }
+    return text;
+}
+
 } // namespace
 
 // Guards against routers that each let the same request crash more servers, and
@@ -181,6 +199,7 @@
     const auto served = std::ranges::count_if(
         healthy, [](const caller_double* each)
         { return each->received().starts_with("HTTP/1.1 200"); });
+    INFO("not served:\n" << describe_unserved(healthy));
     // A non-repeatable request is lost with its server.
     const auto lost = tested.kind == "unsafe" ? crashed : 0;
     CHECK(served + lost >= static_cast<std::ptrdiff_t>(healthy.size()));
@@ -257,6 +276,7 @@
     const auto served = static_cast<std::size_t>(std::ranges::count_if(
         healthy, [](const caller_double* each)
         { return each->received().starts_with("HTTP/1.1 200"); }));
+    INFO("not served:\n" << describe_unserved(healthy));
     // A non-repeatable request is lost with its server.
     const std::size_t lost = tested.kind == "unsafe" ? crashed : 0;
     CHECK(served + lost >= healthy.size());
