Name the error of the disk when decision records cannot be synced

Cause: sync and rotate set the mark of a lost write before they built the error, which then named the mark instead of errno. Both now use one function that builds the error first.

--- a/src/process/decision_record/decision_store.cpp
+++ b/src/process/decision_record/decision_store.cpp
@@ -211,15 +211,12 @@
     {
         return std::vector<wire::decision_batch_ack_msg>{};
     }
-    if (failed_ || ::fdatasync(descriptor_) != 0)
+    auto unsynced = std::exchange(unsynced_, {});
+    if (auto status = sync_last_file(); !status.ok())
     {
-        // After a failed fdatasync the kernel may have discarded the data, and
-        // a second fdatasync would report success.
-        unsynced_.clear();
-        failed_ = true;
-        return storage_error("syncing decision records");
+        return status;
     }
-    return std::exchange(unsynced_, {});
+    return unsynced;
 }
 
 absl::StatusOr<decision_list>
@@ -405,12 +402,25 @@
     return sync_record_folder(folder_);
 }
 
+// After a failed fdatasync the kernel may have discarded the data, and a second
+// fdatasync would report success.
+absl::Status decision_store::sync_last_file()
+{
+    if (!failed_ && ::fdatasync(descriptor_) == 0)
+    {
+        return absl::OkStatus();
+    }
+    // Before failed_ is set: the first error names its cause.
+    absl::Status status = storage_error("syncing decision records");
+    failed_ = true;
+    return status;
+}
+
 absl::Status decision_store::rotate()
 {
-    if (::fdatasync(descriptor_) != 0)
+    if (auto status = sync_last_file(); !status.ok())
     {
-        failed_ = true;
-        return storage_error("syncing decision records");
+        return status;
     }
     if (auto status = write_index(files_.back()); !status.ok())
     {
--- a/src/process/decision_record/decision_store.hpp
+++ b/src/process/decision_record/decision_store.hpp
@@ -91,6 +91,7 @@
     absl::Status open_last_file(frames_tail tail);
     frames_tail scan(record_file& file) const;
     absl::Status start_file(std::uint64_t number);
+    absl::Status sync_last_file();
     absl::Status rotate();
     absl::Status write_all(const std::vector<std::uint8_t>& bytes);
     absl::Status write_index(const record_file& file) const;
--- a/tests/process/decision_record/decision_store_test.cpp
+++ b/tests/process/decision_record/decision_store_test.cpp
@@ -2,11 +2,14 @@
 #include "process/decision_record/decision_store.hpp"
 
 #include <catch2/catch.hpp>
+#include <fcntl.h>
 #include <fmt/format.h>
 #include <rapidcheck/catch.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
+#include <cstring>
 #include <filesystem>
 #include <fstream>
 #include <random>
@@ -348,3 +351,49 @@
     CHECK(kind_of(store->append(forged)) == error_kind::invalid_request);
     CHECK(store->append(chain[1]).ok());
 }
+
+namespace
+{
+
+// Lets the open file of the process refer to a device that accepts writes and
+// cannot be synced, like a failing disk.
+void replace_by_unsyncable_device(const fs::path& file)
+{
+    const int device = ::open("/dev/null", O_WRONLY | O_CLOEXEC);
+    REQUIRE(device >= 0);
+    bool replaced = false;
+    for (const auto& entry : fs::directory_iterator{"/proc/self/fd"})
+    {
+        std::error_code closed;
+        if (fs::read_symlink(entry.path(), closed) == file)
+        {
+            const int open_file = std::stoi(entry.path().filename().string());
+            replaced = ::dup2(device, open_file) == open_file;
+        }
+    }
+    ::close(device);
+    REQUIRE(replaced);
+}
+
+} // namespace
+
+// Guards against a report of the first failed sync that names no cause but an
+// earlier loss, when there was none.
+TEST_CASE("the first failed sync names the error of the disk")
+{
+    const bool by_rotation = GENERATE(false, true);
+    CAPTURE(by_rotation);
+    temporary_folder folder;
+    const auto store = open_store(folder, by_rotation ? 1 : 64'000'000);
+    const auto chain = make_chain(1, 100, 3);
+    REQUIRE(store->append(chain[0]).ok());
+    replace_by_unsyncable_device(folder.files(".records").back());
+    const absl::Status first =
+        by_rotation ? store->append(chain[1]) : store->sync().status();
+    CHECK_THAT(
+        std::string{first.message()}, Catch::Contains(std::strerror(EINVAL)));
+    const absl::Status later = store->append(chain[2]);
+    CHECK_THAT(
+        std::string{later.message()},
+        Catch::Contains("an earlier write was lost"));
+}
