Count a router with an old and a new link once

Cause: the number of routers in the leader's notices was that of the links with a live router, and the old link of such a router lasts until its reports expire. The number is now that of live_routers(), which already takes the newest link of each. Messages to all routers still go over both links.

--- a/src/process/fleet_process/peer_links.cpp
+++ b/src/process/fleet_process/peer_links.cpp
@@ -169,9 +169,7 @@
 
 std::uint32_t peer_links::routers() const
 {
-    return static_cast<std::uint32_t>(std::ranges::count_if(
-        incoming_,
-        [this](const auto& item) { return is_live_router(item.second); }));
+    return static_cast<std::uint32_t>(live_routers().size());
 }
 
 linked_router* peer_links::router_on(const link_connection& link)
--- a/src/process/fleet_process/peer_links.hpp
+++ b/src/process/fleet_process/peer_links.hpp
@@ -107,7 +107,7 @@
     // Routers with an open incoming link, whether they are live or not.
     std::set<instance_id> connected() const;
 
-    // Number of links with a live router.
+    // Number of live routers.
     std::uint32_t routers() const;
 
     void on_link_ready(link_connection& link) override;
