End latency quantiles with the windows of their values

Cause: a window ended only when the next value arrived, and the one before it was used whatever its age. Reading takes the time now, and a window counts for five more minutes after its end; then the quantiles are NaN, as before the first values.

--- a/src/process/metrics/latency_summary.cpp
+++ b/src/process/metrics/latency_summary.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <mutex>
+#include <utility>
 
 namespace hickorygap
 {
@@ -43,9 +44,10 @@
     void observe(duration value, time_point now)
     {
         const std::lock_guard lock{mutex_};
-        if (now.since_start >= window_end_.since_start)
+        if (now >= window_end_)
         {
             previous_ = current_;
+            previous_end_ = window_end_;
             current_ = make_estimator();
             window_end_ = now + window_length;
         }
@@ -55,20 +57,29 @@
         sum_s_ += seconds;
     }
 
-    snapshot read() const
+    snapshot read(time_point now) const
     {
         const std::lock_guard lock{mutex_};
         snapshot result;
         result.count = count_;
         result.sum_s = sum_s_;
         // The window with more values gives the better estimate.
-        const estimator& source =
-            accumulators::count(current_) >= accumulators::count(previous_)
-                ? current_
-                : previous_;
-        if (accumulators::count(source) >= min_values)
+        const estimator* source = nullptr;
+        std::size_t values = min_values - 1;
+        for (const auto& [window, end] :
+             {std::pair{&current_, window_end_},
+              std::pair{&previous_, previous_end_}})
         {
-            const auto estimates = accumulators::extended_p_square(source);
+            const std::size_t count = accumulators::count(*window);
+            if (now < end + window_length && count > values)
+            {
+                source = window;
+                values = count;
+            }
+        }
+        if (source != nullptr)
+        {
+            const auto estimates = accumulators::extended_p_square(*source);
             result.quantiles_s.emplace();
             std::copy_n(
                 estimates.begin(), latency_quantiles.size(),
@@ -81,7 +92,10 @@
     mutable std::mutex mutex_;
     estimator current_ = make_estimator();
     estimator previous_ = make_estimator();
+
+    // Ends of the windows. Their estimates count for one more window length.
     time_point window_end_;
+    time_point previous_end_;
     std::uint64_t count_ = 0;
     double sum_s_ = 0.0;
 };
@@ -98,9 +112,9 @@
     implementation_->observe(value, now);
 }
 
-latency_summary::snapshot latency_summary::read() const
+latency_summary::snapshot latency_summary::read(time_point now) const
 {
-    return implementation_->read();
+    return implementation_->read(now);
 }
 
 } // namespace hickorygap
--- a/src/process/metrics/latency_summary.hpp
+++ b/src/process/metrics/latency_summary.hpp
@@ -16,8 +16,7 @@
 
 // Count, sum and estimated quantiles of durations in constant memory. Count and
 // sum cover the time since construction, the quantiles one window that started
-// at most 10 minutes before the latest value while values arrive steadily.
-// Thread-safe.
+// at most 10 minutes before. Thread-safe.
 class latency_summary
 {
 public:
@@ -26,7 +25,7 @@
         std::uint64_t count = 0;
         double sum_s = 0.0;
 
-        // In seconds; nullopt until there are enough values for an estimate.
+        // In seconds; nullopt when there are too few values for an estimate.
         std::optional<std::array<double, latency_quantiles.size()>> quantiles_s;
     };
 
@@ -36,7 +35,7 @@
     latency_summary& operator=(const latency_summary&) = delete;
 
     void observe(duration value, time_point now);
-    snapshot read() const;
+    snapshot read(time_point now) const;
 
 private:
     class implementation;
--- a/src/process/metrics/metrics_registry.cpp
+++ b/src/process/metrics/metrics_registry.cpp
@@ -66,7 +66,7 @@
     text_output out, const std::string& name, const std::string& labels,
     const latency_summary& value)
 {
-    const latency_summary::snapshot snapshot = value.read();
+    const latency_summary::snapshot snapshot = value.read(boot_now());
     for (std::size_t i = 0; i < latency_quantiles.size(); ++i)
     {
         // In the Prometheus text format an unknown quantile is NaN.
--- a/tests/process/metrics/metrics_registry_test.cpp
+++ b/tests/process/metrics/metrics_registry_test.cpp
@@ -80,7 +80,7 @@
         const int value = i * 7 % 1000 + 1;
         summary.observe(std::chrono::milliseconds{value}, now);
     }
-    auto snapshot = summary.read();
+    auto snapshot = summary.read(now);
     REQUIRE(snapshot.quantiles_s.has_value());
     for (std::size_t i = 0; i < latency_quantiles.size(); ++i)
     {
@@ -97,7 +97,48 @@
             summary.observe(std::chrono::seconds{3}, now);
         }
     }
-    snapshot = summary.read();
+    snapshot = summary.read(now);
     CHECK(snapshot.count == 1100);
     CHECK(snapshot.quantiles_s->front() == Approx(3.0));
 }
+
+// Guards against quantiles of values that arrived long ago, shown as if they
+// were new while no or few values arrive.
+TEST_CASE("quantiles end with the windows of their values")
+{
+    using std::chrono::minutes;
+    struct row
+    {
+        std::string label;
+        duration idle;
+        int later_values;
+        duration read_after;
+        bool has_quantiles;
+    };
+    const auto tested = GENERATE(
+        row{"just observed", minutes{0}, 0, minutes{0}, true},
+        row{"window before", minutes{9}, 0, minutes{0}, true},
+        row{"window before, few new values", minutes{9}, 1, minutes{0}, true},
+        row{"few new values, two windows later", minutes{9}, 1, minutes{1},
+            false},
+        row{"two windows ago", minutes{10}, 0, minutes{0}, false},
+        row{"two windows ago, few new values", minutes{10}, 1, minutes{0},
+            false},
+        row{"two windows ago, enough new values", minutes{10}, 11, minutes{0},
+            true});
+    CAPTURE(tested.label);
+    latency_summary summary;
+    time_point now{std::chrono::hours{1}};
+    const auto observe = [&](int values)
+    {
+        for (int i = 0; i < values; ++i)
+        {
+            summary.observe(std::chrono::seconds{1}, now);
+        }
+    };
+    observe(100);
+    now = now + tested.idle;
+    observe(tested.later_values);
+    const auto read = summary.read(now + tested.read_after);
+    CHECK(read.quantiles_s.has_value() == tested.has_quantiles);
+}
