--- a/src/process/consensus/file_log_storage.cpp
+++ b/src/process/consensus/file_log_storage.cpp
@@ -384,12 +384,18 @@
         }
         offset += frame_header_bytes + payload->size();
     }
-    if (offset < synced || state.empty)
+    if (offset < synced)
     {
         return damaged_error(fmt::format(
             "file {} has {} valid bytes, fewer than after its last sync",
             path(name), offset));
     }
+    if (state.empty)
+    {
+        return damaged_error(fmt::format(
+            "file {} has no record of a term and a vote in its {} bytes",
+            path(name), offset));
+    }
     valid_length = offset;
     return absl::OkStatus();
 }
--- a/tests/process/consensus/file_log_storage_test.cpp
+++ b/tests/process/consensus/file_log_storage_test.cpp
@@ -201,6 +201,38 @@
     CHECK(count_entries(zeros.path()) == 4);
 }
 
+// Guards against an error that blames the length of a file that lacks something
+// else.
+TEST_CASE("the error of a log names what the log lacks")
+{
+    const bool has_sync_mark = GENERATE(false, true);
+    CAPTURE(has_sync_mark);
+    const temporary_folder folder;
+    store_entries(folder.path(), false);
+    if (!has_sync_mark)
+    {
+        fs::remove(folder.file("synced"));
+    }
+    const fs::path log = folder.file("log-");
+    std::size_t too_short = 0;
+    std::size_t without_vote = 0;
+    for (auto length = fs::file_size(log) / 5; length-- > 0;)
+    {
+        fs::resize_file(log, length);
+        file_log_storage storage{folder.path()};
+        const auto state = storage.load();
+        REQUIRE_FALSE(state.ok());
+        const std::string message{state.status().message()};
+        const auto has = [&](const char* text)
+        { return message.find(text) != std::string::npos; };
+        too_short += has("fewer than after its last sync") ? 1 : 0;
+        without_vote += has("no record of a term and a vote") ? 1 : 0;
+    }
+    // Only files that end with the header or are empty have no damaged record.
+    CHECK(too_short == (has_sync_mark ? 2 : 0));
+    CHECK(without_vote == (has_sync_mark ? 0 : 2));
+}
+
 // Guards against a voter that continues although synced state is lost.
 TEST_CASE("damage of synced state fails the load and the error names a remedy")
 {
