--- a/tests/connection/http/raw_client.cpp
+++ b/tests/connection/http/raw_client.cpp
@@ -9,24 +9,18 @@
 namespace hickorygap::testing
 {
 
-namespace
-{
-
-// Fails a test that would otherwise hang; no passing test reaches it.
-constexpr int receive_timeout_seconds = 60;
-
-} // namespace
-
 raw_client::raw_client(std::uint16_t port)
     : raw_client(
           Poco::Net::StreamSocket{Poco::Net::SocketAddress{"127.0.0.1", port}})
 {
 }
 
-raw_client::raw_client(const Poco::Net::StreamSocket& socket)
+raw_client::raw_client(
+    const Poco::Net::StreamSocket& socket,
+    const Poco::Timespan& receive_timeout)
     : socket_(socket)
 {
-    socket_.setReceiveTimeout(Poco::Timespan{receive_timeout_seconds, 0});
+    socket_.setReceiveTimeout(receive_timeout);
 }
 
 void raw_client::send(std::string_view text)
@@ -43,8 +37,14 @@
         count = socket_.receiveBytes(
             buffer.data(), static_cast<int>(buffer.size()));
     }
+    catch (const Poco::TimeoutException&)
+    {
+        timed_out_ = true;
+        return false;
+    }
     catch (const Poco::Exception&)
     {
+        // A connection that was reset has ended.
         return false;
     }
     received_.append(buffer.data(), static_cast<std::size_t>(count));
@@ -149,7 +149,7 @@
     while (read_more())
     {
     }
-    return true;
+    return !timed_out_;
 }
 
 void raw_client::close()
--- a/tests/connection/http/raw_client.hpp
+++ b/tests/connection/http/raw_client.hpp
@@ -2,6 +2,7 @@
 #define HICKORYGAP_TESTS_CONNECTION_HTTP_RAW_CLIENT_HPP
 
 #include <Poco/Net/StreamSocket.h>
+#include <Poco/Timespan.h>
 
 #include <cstdint>
 #include <map>
@@ -26,8 +27,12 @@
 public:
     explicit raw_client(std::uint16_t port);
 
-    // Uses a connected socket, for example a TLS socket.
-    explicit raw_client(const Poco::Net::StreamSocket& socket);
+    // Uses a connected socket, for example a TLS socket. The receive timeout
+    // fails a test that would otherwise hang; no passing test reaches the usual
+    // one.
+    explicit raw_client(
+        const Poco::Net::StreamSocket& socket,
+        const Poco::Timespan& receive_timeout = Poco::Timespan{60, 0});
 
     void send(std::string_view text);
 
@@ -46,8 +51,8 @@
     // Whether unread input is available on the socket.
     bool has_input();
 
-    // Reads until the server has closed the connection. Always true; a
-    // connection that stays open hits the receive timeout.
+    // Reads until the server has closed the connection; false when it is still
+    // open after the receive timeout.
     bool at_end();
 
     void close();
@@ -60,6 +65,7 @@
 
     Poco::Net::StreamSocket socket_;
     std::string received_;
+    bool timed_out_ = false;
 };
 
 // Text of a request with a Content-Length.
