Learn a limit from any router that names it unless its end is news to it

Cause: a leader learnt the limits that it missed only from queries with its newest version or with one of another leader. The version changes with each limit that a new leader learns, so with many limited servers most routers held a version between the two. Such a query was permitted without a limit for each server that the leader had not heard of, and its answer made the router drop the limit. Ruled out by the test: lost reports, late messages and new routers by themselves.

The leader now compares the version with the last change of that server's limit only.

The test counts requests to several servers, from the moment at which a router knows the limit in any way, which is stricter than before.

--- a/src/request/rate_limit/rate_limit_allocator.cpp
+++ b/src/request/rate_limit/rate_limit_allocator.cpp
@@ -63,20 +63,35 @@
     return result;
 }
 
+// Version of the last change of the server's limit; zero if this leader has
+// never heard of one, or has forgotten that it ended.
+std::uint64_t
+rate_limit_allocator::last_change_of(backend_server_id backend) const
+{
+    if (const auto found = buckets_.find(backend); found != buckets_.end())
+    {
+        return found->second.changed_in;
+    }
+    const auto removed = std::ranges::find(
+        removed_.rbegin(), removed_.rend(), backend, &removed_limit::backend);
+    return removed == removed_.rend() ? 0 : removed->removed_in;
+}
+
 // Learns what the router has observed, and the limits by which it knows the
 // candidates if they are missing here: this leader was elected since, or a
-// report was lost. A router with an older version of this leader's limits may
-// not have heard yet that a limit has ended.
+// report was lost. A router with a version before the last change of the
+// server's limit may not have heard yet that it has ended.
 void rate_limit_allocator::learn_from(const permit_query& query, time_point now)
 {
-    const bool knows_removals =
-        query.version == version_ || !has_same_term(query.version);
     for (const backend_limit& candidate : query.candidates)
     {
         const auto found = buckets_.find(candidate.backend);
         const bool is_missing =
             found == buckets_.end() || found->second.ended_at;
-        if (is_missing && knows_removals && candidate.requests_per_second &&
+        const bool knows_change =
+            !has_same_term(query.version) ||
+            query.version >= last_change_of(candidate.backend);
+        if (is_missing && knows_change && candidate.requests_per_second &&
             !candidate.is_ending)
         {
             observe(candidate, now);
--- a/src/request/rate_limit/rate_limit_allocator.hpp
+++ b/src/request/rate_limit/rate_limit_allocator.hpp
@@ -97,6 +97,7 @@
     static void fill(bucket& item, time_point now);
     void drop_ended(time_point now);
     bool has_same_term(std::uint64_t version) const;
+    std::uint64_t last_change_of(backend_server_id backend) const;
     void observe(const backend_limit& limit, time_point now);
     void learn_from(const permit_query& query, time_point now);
     void remove(bucket_map::iterator item);
--- a/tests/request/rate_limit/limited_fleet_test.cpp
+++ b/tests/request/rate_limit/limited_fleet_test.cpp
@@ -19,30 +19,31 @@
 namespace
 {
 
-constexpr backend_server_id server = 7;
 constexpr duration step = 5ms;
 constexpr duration day = 60s;
 
-// The platform's bound counts requests of routers that a response has told the
-// limit half a second ago or earlier, and that have not been restarted since.
+// Counted are requests of routers that have known the limit for this time and
+// have not been restarted since. The platform's bound counts those of routers
+// that a response has told the limit.
 constexpr duration window = 4s;
 constexpr duration notice_period = 500ms;
 constexpr duration settling_time = 3s;
 
-// A fleet of routers with one leader and one server with a limit. Messages and
-// responses are late by random times; reports can be lost, routers restarted
-// and leaders replaced.
+// A fleet of routers with one leader, and servers with the same limit, each of
+// which gets the same share of the requests. Messages and responses are late by
+// random times; reports can be lost, routers restarted and leaders replaced.
 class limited_fleet
 {
 public:
     limited_fleet(
-        std::size_t routers, double limit, double report_loss, double false_end,
-        std::uint64_t seed)
+        std::size_t routers, std::size_t servers, double limit,
+        double report_loss, double false_end, std::uint64_t seed)
         : random_{seed}
         , limit_{limit}
         , report_loss_{report_loss}
         , false_end_{false_end}
         , routers_(routers)
+        , counted_(servers)
     {
         for (std::size_t i = 0; i < routers; ++i)
         {
@@ -65,7 +66,9 @@
             double expected = chance;
             while (expected >= 1 || unit_(random_) < expected)
             {
-                on_request(random_below(random_, routers_.size()));
+                on_request(
+                    random_below(random_, routers_.size()),
+                    random_below(random_, counted_.size()));
                 expected -= 1;
             }
         }
@@ -77,7 +80,7 @@
         restarted.limits = std::make_shared<router_limits>(random_());
         restarted.limits->set_routers(
             static_cast<std::uint32_t>(routers_.size()));
-        restarted.told_at.reset();
+        restarted.told_at.assign(counted_.size(), {});
         send_changes(index, 0);
     }
 
@@ -91,15 +94,19 @@
         }
     }
 
-    // Largest number of counted requests in one window after the settling time.
+    // Largest number of counted requests to one server in one window after the
+    // settling time.
     std::size_t most_in_window() const
     {
         std::size_t most = 0;
-        auto end = counted_.begin();
-        for (auto begin = counted_.begin(); begin != counted_.end(); ++begin)
+        for (const std::vector<time_point>& times : counted_)
         {
-            end = std::lower_bound(end, counted_.end(), *begin + window);
-            most = std::max(most, static_cast<std::size_t>(end - begin));
+            auto end = times.begin();
+            for (auto begin = times.begin(); begin != times.end(); ++begin)
+            {
+                end = std::lower_bound(end, times.end(), *begin + window);
+                most = std::max(most, static_cast<std::size_t>(end - begin));
+            }
         }
         return most;
     }
@@ -113,7 +120,9 @@
     struct router
     {
         std::shared_ptr<router_limits> limits;
-        std::optional<time_point> told_at;
+
+        // When the router first knew the limit of each server.
+        std::vector<std::optional<time_point>> told_at;
     };
 
     void later(duration longest, std::function<void()> action)
@@ -123,34 +132,37 @@
         events_.emplace(now_ + delay, std::move(action));
     }
 
-    void on_request(std::size_t index)
+    void on_request(std::size_t index, backend_server_id server)
     {
         const std::shared_ptr<router_limits> limits = routers_[index].limits;
         if (!limits->is_limited(server))
         {
-            send_to_server(index);
+            send_to_server(index, server);
+            return;
         }
-        else if (!leader_)
+        auto& told_at = routers_[index].told_at[server];
+        told_at = told_at.value_or(now_);
+        if (!leader_)
         {
             if (limits->take_own_permit(server, now_))
             {
-                send_to_server(index);
+                send_to_server(index, server);
             }
         }
         else
         {
-            ask(index);
+            ask(index, server);
         }
     }
 
-    void ask(std::size_t index)
+    void ask(std::size_t index, backend_server_id server)
     {
         const std::shared_ptr<router_limits> limits = routers_[index].limits;
         const permit_query query = limits->make_query({std::vector{server}});
         limits->on_reported();
         later(
             40ms,
-            [this, index, limits, query]
+            [this, index, server, limits, query]
             {
                 if (!leader_)
                 {
@@ -159,7 +171,7 @@
                 const permit_answer answer = answer_query(query);
                 later(
                     20ms,
-                    [this, index, limits, answer]
+                    [this, index, server, limits, answer]
                     {
                         if (routers_[index].limits != limits)
                         {
@@ -168,7 +180,7 @@
                         limits->on_changes(answer.changes, now_);
                         if (answer.backend)
                         {
-                            send_to_server(index);
+                            send_to_server(index, server);
                         }
                     });
             });
@@ -199,25 +211,26 @@
         }
     }
 
-    void send_to_server(std::size_t index)
+    void send_to_server(std::size_t index, backend_server_id server)
     {
         ++sent_;
         const router& from = routers_[index];
-        if (now_ >= time_point{settling_time} && from.told_at &&
-            now_ - *from.told_at >= notice_period)
+        const std::optional<time_point> told_at = from.told_at[server];
+        if (now_ >= time_point{settling_time} && told_at &&
+            now_ - *told_at >= notice_period)
         {
-            counted_.push_back(now_);
+            counted_[server].push_back(now_);
         }
         later(
             400ms,
-            [this, index, limits = from.limits]
+            [this, index, server, limits = from.limits]
             {
                 router& to = routers_[index];
                 if (to.limits != limits)
                 {
                     return;
                 }
-                to.told_at = to.told_at.value_or(now_);
+                to.told_at[server] = to.told_at[server].value_or(now_);
                 backend_limit named{server, limit_};
                 if (unit_(random_) < false_end_)
                 {
@@ -260,7 +273,9 @@
     std::vector<router> routers_;
     std::shared_ptr<rate_limit_allocator> leader_ =
         std::make_shared<rate_limit_allocator>(1);
-    std::vector<time_point> counted_;
+
+    // By server.
+    std::vector<std::vector<time_point>> counted_;
     std::size_t sent_ = 0;
 };
 
@@ -276,28 +291,35 @@
     {
         std::string label;
         std::size_t routers;
+        std::size_t servers;
         double limit;
+
+        // Requests per request that the servers accept.
+        double demand;
         double report_loss;
         double false_end;
         bool has_new_leaders;
         bool has_new_routers;
     };
     const auto tested = GENERATE(
-        row{"calm", 8, 3.0, 0, 0, false, false},
-        row{"reports are lost", 8, 3.0, 1.0, 0, false, false},
-        row{"some responses lack the limit", 8, 3.0, 0, 0.1, false, false},
-        row{"new leaders", 8, 3.0, 0, 0, true, false},
-        row{"new routers", 8, 3.0, 0, 0, false, true},
-        row{"all at once", 8, 3.0, 0.7, 0.05, true, true},
-        row{"large fleet", 195, 4.0, 0.7, 0.05, true, true},
-        row{"small limit", 40, 0.5, 0.7, 0.05, true, true});
+        row{"calm", 8, 1, 3.0, 10, 0, 0, false, false},
+        row{"reports are lost", 8, 1, 3.0, 10, 1.0, 0, false, false},
+        row{"some responses lack the limit", 8, 1, 3.0, 10, 0, 0.1, false,
+            false},
+        row{"new leaders", 8, 1, 3.0, 10, 0, 0, true, false},
+        row{"new routers", 8, 1, 3.0, 10, 0, 0, false, true},
+        row{"all at once", 8, 1, 3.0, 10, 0.7, 0.05, true, true},
+        row{"large fleet", 195, 1, 4.0, 10, 0.7, 0.05, true, true},
+        row{"small limit", 40, 1, 0.5, 10, 0.7, 0.05, true, true},
+        row{"new leaders of many servers", 40, 40, 1.0, 30, 0, 0, true, false});
     const auto seed = GENERATE(range(1, 6));
     CAPTURE(tested.label, seed);
-    limited_fleet fleet{
-        tested.routers, tested.limit, tested.report_loss, tested.false_end,
-        static_cast<std::uint64_t>(seed)};
+    limited_fleet fleet{tested.routers,   tested.servers,
+                        tested.limit,     tested.report_loss,
+                        tested.false_end, static_cast<std::uint64_t>(seed)};
     random_engine random{static_cast<std::uint64_t>(seed)};
-    const double demand = 10 * tested.limit;
+    const double limits = tested.limit * static_cast<double>(tested.servers);
+    const double demand = tested.demand * limits;
     std::uint64_t term = 1;
     for (time_point now{1s}; now < time_point{day}; now = now + 1s)
     {
@@ -320,5 +342,5 @@
         1.5 * tested.limit * std::chrono::duration<double>(window).count() + 5);
     CHECK(
         static_cast<double>(fleet.sent()) >=
-        0.5 * tested.limit * std::chrono::duration<double>(day).count());
+        0.5 * limits * std::chrono::duration<double>(day).count());
 }
