Let routers without a leader return slowly when a limit ends

Cause: router_limits gave itself every permit for a server whose limit was ending. It now gives itself its share of the same growing rate that the leader permits, and all permits once the growth is over.

--- a/src/request/rate_limit/backend_limit.hpp
+++ b/src/request/rate_limit/backend_limit.hpp
@@ -2,8 +2,10 @@
 #define HICKORYGAP_REQUEST_RATE_LIMIT_BACKEND_LIMIT_HPP
 
 #include "common/ids.hpp"
+#include "common/time.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <optional>
 #include <vector>
@@ -113,6 +115,21 @@
     return std::max(limit, min_requests_per_second);
 }
 
+// Time in which the permitted rate grows after a server has stopped to name its
+// limit. The limit has no effect any more after that.
+inline constexpr duration limit_growth_period = std::chrono::seconds{2};
+
+// The same for a server that has stopped to name its limit before this time.
+// The rate is doubled at once, and grows fourfold per second.
+inline double permitted_rate_after_end(double limit, duration age)
+{
+    constexpr double end_factor = 2.0;
+    constexpr double growth_per_second = 4.0;
+    return permitted_rate(limit) * end_factor *
+           std::pow(
+               growth_per_second, std::chrono::duration<double>(age).count());
+}
+
 } // namespace hickorygap
 
 #endif
--- a/src/request/rate_limit/rate_limit_allocator.cpp
+++ b/src/request/rate_limit/rate_limit_allocator.cpp
@@ -1,7 +1,6 @@
 #include "request/rate_limit/rate_limit_allocator.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <iterator>
 
 namespace hickorygap
@@ -21,12 +20,6 @@
 // A router that misses a removal learns it from the answer to its next query.
 constexpr std::size_t max_removed = 256;
 
-// When a limit ends, the permitted rate is doubled at once, and grows by this
-// factor per second for this time.
-constexpr double end_factor = 2.0;
-constexpr double growth_per_second = 4.0;
-constexpr duration growth_period = std::chrono::seconds{2};
-
 } // namespace
 
 rate_limit_allocator::rate_limit_allocator(std::uint64_t term)
@@ -150,7 +143,7 @@
     {
         const auto next = std::next(item);
         if (item->second.ended_at &&
-            now - *item->second.ended_at > growth_period)
+            now - *item->second.ended_at > limit_growth_period)
         {
             remove(item);
         }
@@ -208,15 +201,9 @@
 double
 rate_limit_allocator::permitted_rate_at(const bucket& item, time_point at)
 {
-    double rate = permitted_rate(item.requests_per_second);
-    if (item.ended_at)
-    {
-        rate *= end_factor *
-                std::pow(
-                    growth_per_second,
-                    std::chrono::duration<double>(at - *item.ended_at).count());
-    }
-    return rate;
+    return item.ended_at ? permitted_rate_after_end(
+                               item.requests_per_second, at - *item.ended_at)
+                         : permitted_rate(item.requests_per_second);
 }
 
 void rate_limit_allocator::fill(bucket& item, time_point now)
--- a/src/request/rate_limit/router_limits.cpp
+++ b/src/request/rate_limit/router_limits.cpp
@@ -41,11 +41,11 @@
     }
     server named = is_new ? server{} : found->second;
     named.observed_at = now;
-    named.is_ending = !limit.requests_per_second;
-    named.requests_per_second =
-        limit.requests_per_second.value_or(named.requests_per_second);
+    set_limit(
+        named, limit.requests_per_second.value_or(named.requests_per_second),
+        !limit.requests_per_second, now);
     const server previous = std::exchange(servers_[limit.backend], named);
-    if (!is_new && previous.is_ending == named.is_ending &&
+    if (!is_new && previous.ending_since == named.ending_since &&
         previous.requests_per_second == named.requests_per_second)
     {
         return false;
@@ -71,9 +71,9 @@
         }
         if (limit.requests_per_second)
         {
-            server& known = servers_[limit.backend];
-            known.requests_per_second = *limit.requests_per_second;
-            known.is_ending = limit.is_ending;
+            set_limit(
+                servers_[limit.backend], *limit.requests_per_second,
+                limit.is_ending, now);
         }
         else
         {
@@ -88,11 +88,27 @@
     }
 }
 
+void router_limits::set_limit(
+    server& known, double limit, bool is_ending, time_point now)
+{
+    known.requests_per_second = limit;
+    if (is_ending != known.ending_since.has_value())
+    {
+        known.ending_since = is_ending ? std::optional{now} : std::nullopt;
+        // The next permit was due at the rate before.
+        known.next_permit.reset();
+    }
+}
+
 // The times of permits are a Poisson process, which has no memory.
-duration router_limits::time_to_permit(const server& known)
+duration router_limits::time_to_permit(const server& known, time_point now)
 {
-    const double rate =
-        permitted_rate(known.requests_per_second) * leaderless_share / routers_;
+    const double permitted =
+        known.ending_since
+            ? permitted_rate_after_end(
+                  known.requests_per_second, now - *known.ending_since)
+            : permitted_rate(known.requests_per_second);
+    const double rate = permitted * leaderless_share / routers_;
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>{
         std::exponential_distribution<>{rate}(random_)});
 }
@@ -100,20 +116,22 @@
 bool router_limits::take_own_permit(backend_server_id backend, time_point now)
 {
     const auto found = servers_.find(backend);
-    if (found == servers_.end() || found->second.is_ending)
+    if (found == servers_.end() ||
+        (found->second.ending_since &&
+         now - *found->second.ending_since > limit_growth_period))
     {
         return true;
     }
     server& known = found->second;
     if (!known.next_permit || *known.next_permit + permit_lifetime < now)
     {
-        known.next_permit = now + time_to_permit(known);
+        known.next_permit = now + time_to_permit(known, now);
     }
     if (*known.next_permit > now)
     {
         return false;
     }
-    known.next_permit = now + time_to_permit(known);
+    known.next_permit = now + time_to_permit(known, now);
     return true;
 }
 
@@ -131,7 +149,7 @@
         if (found != servers_.end())
         {
             candidate.requests_per_second = found->second.requests_per_second;
-            candidate.is_ending = found->second.is_ending;
+            candidate.is_ending = found->second.ending_since.has_value();
         }
     }
     query.observed = observed_;
--- a/src/request/rate_limit/router_limits.hpp
+++ b/src/request/rate_limit/router_limits.hpp
@@ -72,8 +72,9 @@
     {
         double requests_per_second = 0;
 
-        // The server no longer names the limit; see rate_limit_allocator.
-        bool is_ending = false;
+        // Since when this router knows that the server no longer names the
+        // limit; see rate_limit_allocator.
+        std::optional<time_point> ending_since;
 
         // When a response of this router named the limit, if it was one.
         std::optional<time_point> observed_at;
@@ -82,7 +83,9 @@
         std::optional<time_point> next_permit;
     };
 
-    duration time_to_permit(const server& known);
+    static void
+    set_limit(server& known, double limit, bool is_ending, time_point now);
+    duration time_to_permit(const server& known, time_point now);
 
     random_engine random_;
     std::uint32_t routers_ = 1;
--- a/tests/request/rate_limit/rate_limit_test.cpp
+++ b/tests/request/rate_limit/rate_limit_test.cpp
@@ -299,6 +299,30 @@
     CHECK(static_cast<double>(sent.size()) >= 0.25 * 50 * tested.limit);
 }
 
+// Guards against routers that all return to a server at once because it stopped
+// to name its limit just before their leader was lost, and against a limit that
+// holds for as long as there is no leader.
+TEST_CASE("routers without a leader return slowly when a limit ends")
+{
+    constexpr double limit = 4;
+    constexpr std::uint32_t routers = 195;
+    std::size_t sent = 0;
+    for (std::uint32_t i = 0; i < routers; ++i)
+    {
+        router_limits router{i};
+        router.set_routers(routers);
+        router.on_response({1, limit}, {0s});
+        router.on_changes({1, 0, {{1, limit, true}}}, {2s});
+        for (time_point now{2s}; now <= time_point{4s}; now = now + 20ms)
+        {
+            sent += router.take_own_permit(1, now) ? 1 : 0;
+        }
+        CHECK(router.take_own_permit(1, {4020ms}));
+    }
+    CHECK(static_cast<double>(sent) <= max_requests(limit));
+    CHECK(static_cast<double>(sent) >= 0.5 * limit);
+}
+
 // Guards against a leader that hides what a response has just shown, and
 // against a limit that is reported again and again.
 TEST_CASE("a router reports what responses show and follows the leader")
