--- a/tests/request/rate_limit/limited_fleet_test.cpp
+++ b/tests/request/rate_limit/limited_fleet_test.cpp
@@ -311,6 +311,8 @@
         row{"all at once", 8, 1, 3.0, 10, 0.7, 0.05, true, true},
         row{"large fleet", 195, 1, 4.0, 10, 0.7, 0.05, true, true},
         row{"small limit", 40, 1, 0.5, 10, 0.7, 0.05, true, true},
+        row{"new leaders while responses lack the limit", 195, 1, 4.0, 30, 0,
+            0.05, true, false},
         row{"new leaders of many servers", 40, 40, 1.0, 30, 0, 0, true, false});
     const auto seed = GENERATE(range(1, 6));
     CAPTURE(tested.label, seed);
--- a/tests/request/rate_limit/rate_limit_test.cpp
+++ b/tests/request/rate_limit/rate_limit_test.cpp
@@ -156,6 +156,27 @@
     CHECK(after.changes.limits == std::vector<backend_limit>{{1, {}}});
 }
 
+// Guards against a new leader that permits requests without bound because the
+// limit was ending under the leader before it, and against a limit that ends
+// again with each router that asks.
+TEST_CASE("the permitted rate grows under a new leader when a limit was ending")
+{
+    constexpr double limit = 3;
+    rate_limit_allocator leader{2};
+    std::size_t permitted = 0;
+    for (time_point now{0s}; now < time_point{1s}; now = now + 5ms)
+    {
+        const permit_answer answer =
+            leader.answer({1, {{1, limit, true}}, {}}, now);
+        permitted += answer.backend ? 1 : 0;
+    }
+    CHECK(static_cast<double>(permitted) <= max_requests(limit));
+    const permit_answer after =
+        leader.answer({1, {{1, limit, true}}, {}}, {2100ms});
+    CHECK(after.backend == 1);
+    CHECK(leader.size() == 0);
+}
+
 // Guards against a leader that permits requests without bound because it has
 // not heard of a limit that the asking router knows: it has been elected since,
 // the report was lost, or the leader has emptied its table between two terms.
