Learn a smaller limit from each query that names it

Cause: the leader compared the limits in queries only with missing or ending ones of its own. It now takes a smaller one from a router that has heard of its last change of that server's limit. A larger one still needs a report: the sender may not have heard of the newest response.

--- a/src/request/rate_limit/rate_limit_allocator.cpp
+++ b/src/request/rate_limit/rate_limit_allocator.cpp
@@ -71,27 +71,31 @@
 }
 
 // Learns what the router has observed, and the limits by which it knows the
-// candidates if they are missing here: this leader was elected since, or a
-// report was lost. A router with a version before the last change of the
-// server's limit may not have heard yet that it has ended. A limit that was
-// ending under the leader before ends once more from now on.
+// candidates if they are missing or larger here: this leader was elected since,
+// or a report was lost. A router with a version before the last change of the
+// server's limit may not have heard yet that it has ended or risen. A limit
+// that was ending under the leader before ends once more from now on.
 void rate_limit_allocator::learn_from(const permit_query& query, time_point now)
 {
     for (const backend_limit& candidate : query.candidates)
     {
         const auto found = buckets_.find(candidate.backend);
-        const bool is_missing =
+        const bool is_unlimited =
             found == buckets_.end() || found->second.ended_at;
         const bool knows_change =
             !has_same_term(query.version) ||
             query.version >= last_change_of(candidate.backend);
-        if (!is_missing || !knows_change || !candidate.requests_per_second)
+        if (!knows_change || !candidate.requests_per_second)
         {
             continue;
         }
         if (!candidate.is_ending)
         {
-            observe(candidate, now);
+            if (is_unlimited || *candidate.requests_per_second <
+                                    found->second.requests_per_second)
+            {
+                observe(candidate, now);
+            }
         }
         else if (last_change_of(candidate.backend) == 0)
         {
--- a/tests/request/rate_limit/rate_limit_test.cpp
+++ b/tests/request/rate_limit/rate_limit_test.cpp
@@ -216,6 +216,33 @@
     CHECK(router.is_limited(1) == tested.is_learnt);
 }
 
+// Guards against a leader that goes on with a larger limit than the routers
+// know because the report of the smaller one was lost.
+TEST_CASE("a leader learns a smaller limit from each query, but no larger one")
+{
+    struct row
+    {
+        std::string label;
+        double named;
+        bool has_heard;
+        double expected;
+    };
+    const auto tested = GENERATE(
+        row{"smaller", 2.0, true, 2.0}, row{"larger", 5.0, true, 4.0},
+        row{"from before the last change", 2.0, false, 4.0});
+    CAPTURE(tested.label);
+    rate_limit_allocator leader{1};
+    leader.answer({0, {}, {{1, 2.0}}}, {0s});
+    const std::uint64_t before = leader.version();
+    leader.answer({0, {}, {{1, 4.0}}}, {0s});
+    leader.answer(
+        {tested.has_heard ? leader.version() : before, {{1, tested.named}}, {}},
+        {1s});
+    CHECK(
+        leader.changes_since(0).limits ==
+        std::vector<backend_limit>{{1, tested.expected}});
+}
+
 // Guards against a new leader that makes routers forget the limits that it has
 // not heard of yet.
 TEST_CASE("limits outlive a change of leaders")
