Give up permits that arrive after their timeout

Cause: after a pause the event loop handles input before timers, so an answer that was seconds old came before its timeout. Such a permit is now given up, and the request gets one of the router's own share if there is any. Ruled out by trials on a scratch model of leader and routers: permits of a late leader beside the routers' own shares (at most 10 requests in 4 s where 11 are allowed).

--- a/src/process/gateway/open_queries.cpp
+++ b/src/process/gateway/open_queries.cpp
@@ -27,7 +27,16 @@
 void open_queries::set_timeout(
     std::uint32_t number, duration time, std::function<void()> on_timeout)
 {
-    queries_.at(number).timer = loop_.after(time, std::move(on_timeout));
+    query& item = queries_.at(number);
+    item.timer = loop_.after(time, std::move(on_timeout));
+    item.deadline = loop_.now() + time;
+}
+
+bool open_queries::is_overdue(std::uint32_t number) const
+{
+    const auto found = queries_.find(number);
+    return found != queries_.end() && found->second.deadline &&
+           *found->second.deadline < loop_.now();
 }
 
 void open_queries::set_recipients(std::uint32_t number, std::size_t voters)
--- a/src/process/gateway/open_queries.hpp
+++ b/src/process/gateway/open_queries.hpp
@@ -33,6 +33,10 @@
     void set_timeout(
         std::uint32_t number, duration time, std::function<void()> on_timeout);
 
+    // Whether the timeout of an open query has passed without being handled
+    // yet: the process was paused.
+    bool is_overdue(std::uint32_t number) const;
+
     // The voters that were asked, one by default.
     void set_recipients(std::uint32_t number, std::size_t voters);
 
@@ -53,6 +57,7 @@
         result_function on_result;
         std::size_t open_answers = 1;
         timer_id timer = 0;
+        std::optional<time_point> deadline;
     };
 
     event_loop& loop_;
--- a/src/process/gateway/permit_client.cpp
+++ b/src/process/gateway/permit_client.cpp
@@ -151,7 +151,9 @@
 void permit_client::on_grant(const wire::permit_grant_msg& grant)
 {
     limits_.on_changes(decode_changes(grant), loop_.now());
-    if (grant.number == 0)
+    // A router that was paused reads answers before it runs its timers. Their
+    // permits may be seconds old, and others were given since.
+    if (grant.number == 0 || queries_.is_overdue(grant.number))
     {
         return;
     }
--- a/tests/process/gateway/permit_client_test.cpp
+++ b/tests/process/gateway/permit_client_test.cpp
@@ -5,6 +5,7 @@
 
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace hickorygap;
@@ -91,3 +92,33 @@
     CHECK(ask(request_of(2)));
     answer(2);
 }
+
+// Guards against a router that was paused and uses the permits that it was
+// given before, beside those that other routers were given since.
+TEST_CASE("a permit that arrives late is given up")
+{
+    constexpr duration pause = 100ms;
+    event_loop loop;
+    REQUIRE(loop.open().ok());
+    permit_client client{loop, 1};
+    // Own permits are next to impossible.
+    client.limits().set_routers(1'000'000);
+    client.limits().on_response({1, 2.0}, loop.now());
+    client.set_send([](const wire::payloadUnion& /*payload*/) { return true; });
+    const bool is_paused = GENERATE(false, true);
+    CAPTURE(is_paused);
+    wire::permit_grant_msg grant;
+    grant.backend = 1;
+    // Answered before the timeout is handled.
+    loop.after(0ms, [&] { client.on_grant(grant); });
+    std::optional<bool> is_permitted;
+    grant.number = client.ask(
+        {{1}}, [&](std::optional<backend_server_id> backend)
+        { is_permitted = backend.has_value(); });
+    if (is_paused)
+    {
+        std::this_thread::sleep_for(pause);
+    }
+    REQUIRE(run_until(loop, [&] { return is_permitted.has_value(); }));
+    CHECK(*is_permitted == !is_paused);
+}
