Send no limits after the loss of the leadership

Cause: the message is made when the link is free, and the table of limits is emptied with each change of leadership. Changes without a limit are not sent any more; they tell nothing under a leader either.

--- a/src/process/voter_node/router_feed.cpp
+++ b/src/process/voter_node/router_feed.cpp
@@ -542,11 +542,18 @@
 void router_feed::schedule_limits()
 {
     limit_broadcast_.schedule(
-        [this]
+        [this]() -> std::optional<wire::payloadUnion>
         {
-            const std::uint64_t base =
-                std::exchange(broadcast_limits_, limits_.version());
-            return make_payload(encode_changes(limits_.changes_since(base)));
+            const limit_changes changes =
+                limits_.changes_since(broadcast_limits_);
+            if (changes.limits.empty())
+            {
+                // This voter has lost its leadership since. The version of its
+                // empty table is the first one of another leader's term.
+                return std::nullopt;
+            }
+            broadcast_limits_ = changes.version;
+            return make_payload(encode_changes(changes));
         });
 }
 
--- a/tests/process/voter_node/voter_node_test.cpp
+++ b/tests/process/voter_node/voter_node_test.cpp
@@ -132,21 +132,43 @@
             content_ = push->document;
             version_ = push->version;
         }
+        else if (
+            const auto* grant =
+                message_in<wire::permit_grant_msg>(message.payload))
+        {
+            limit_changes_.push_back(grant->limits.size());
+        }
     }
     void on_link_end(link_connection& /*link*/) override
     {
     }
 
+    template <typename Message>
+    void send(const Message& message)
+    {
+        link_->send(make_payload(message));
+    }
     void send_status(configuration_version version)
     {
         wire::router_status_msg status;
         status.version = version;
-        link_->send(make_payload(status));
+        send(status);
+    }
+    void report_limit(backend_server_id server)
+    {
+        wire::permit_request_msg report;
+        report.observed = {{server, 2.0, false, false}};
+        send(report);
     }
     bool is_ready() const
     {
         return link_->is_ready();
     }
+    // Sizes of the changes of limits that were received.
+    const std::vector<std::size_t>& limit_changes() const
+    {
+        return limit_changes_;
+    }
     int copies() const
     {
         return copies_;
@@ -165,6 +187,7 @@
     int copies_ = 0;
     configuration_version version_ = 0;
     std::vector<std::uint8_t> content_;
+    std::vector<std::size_t> limit_changes_;
 };
 
 } // namespace
@@ -254,6 +277,33 @@
     CHECK(routers.back()->copies() == 0);
 }
 
+// Guards against a voter that has lost its leadership and tells routers, in the
+// name of the next leader, that there are no limits.
+TEST_CASE("a voter sends no limits after it has lost its leadership")
+{
+    // At this link rate the second change waits for about a second.
+    single_voter voter{0.002};
+    voter.open();
+    router_double router{
+        voter.loop(), voter.settings().peers.port, instance_id{1}};
+    REQUIRE(run_until(voter.loop(), [&] { return router.is_ready(); }));
+    router.send_status(0);
+    // Reports are ignored until the voter leads.
+    const auto has_changes = [&] { return !router.limit_changes().empty(); };
+    for (int attempt = 0; attempt < 50 && !has_changes(); ++attempt)
+    {
+        router.report_limit(1);
+        run_until(voter.loop(), has_changes, 100ms);
+    }
+    REQUIRE(has_changes());
+    router.report_limit(2);
+    wire::vote_reply_msg later_term;
+    later_term.term = 9;
+    router.send(later_term);
+    run_for(voter.loop(), 3s);
+    CHECK(router.limit_changes() == std::vector<std::size_t>{1});
+}
+
 // Guards against a voter that reports no failure when an entry of its log can't
 // be decoded.
 TEST_CASE("a voter with an unusable log stops and reports the remedy")
