Let two limits of one server end one after the other

Cause: the leader forgot a limit when the server named another one. It now keeps the largest one that the server named before, stays within it for the 2 s in which the smaller limit ends, and lets it end in the same way after that. It costs a server whose limit was lowered 2 s of slower growth when its limit ends.

--- a/src/request/rate_limit/rate_limit_allocator.cpp
+++ b/src/request/rate_limit/rate_limit_allocator.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace hickorygap
 {
@@ -134,7 +135,15 @@
     if (is_new || item.ended_at ||
         item.requests_per_second != *limit.requests_per_second)
     {
+        item.earlier_limit =
+            item.ended_at
+                ? 0
+                : std::max(item.earlier_limit, item.requests_per_second);
         item.requests_per_second = *limit.requests_per_second;
+        if (item.earlier_limit <= item.requests_per_second)
+        {
+            item.earlier_limit = 0;
+        }
         item.ended_at.reset();
         item.changed_in = ++version_;
         fill(item, now);
@@ -156,10 +165,21 @@
     for (auto item = buckets_.begin(); item != buckets_.end();)
     {
         const auto next = std::next(item);
-        if (item->second.ended_at &&
-            now - *item->second.ended_at > limit_growth_period)
+        bucket& limited = item->second;
+        if (limited.ended_at && now - *limited.ended_at > limit_growth_period)
         {
-            remove(item);
+            if (limited.earlier_limit > 0)
+            {
+                fill(limited, now);
+                limited.requests_per_second =
+                    std::exchange(limited.earlier_limit, 0);
+                limited.ended_at = now;
+                limited.changed_in = ++version_;
+            }
+            else
+            {
+                remove(item);
+            }
         }
         item = next;
     }
@@ -215,9 +235,15 @@
 double
 rate_limit_allocator::permitted_rate_at(const bucket& item, time_point at)
 {
-    return item.ended_at ? permitted_rate_after_end(
-                               item.requests_per_second, at - *item.ended_at)
-                         : permitted_rate(item.requests_per_second);
+    if (!item.ended_at)
+    {
+        return permitted_rate(item.requests_per_second);
+    }
+    const double rate =
+        permitted_rate_after_end(item.requests_per_second, at - *item.ended_at);
+    return item.earlier_limit > 0
+               ? std::min(rate, permitted_rate(item.earlier_limit))
+               : rate;
 }
 
 void rate_limit_allocator::fill(bucket& item, time_point now)
--- a/src/request/rate_limit/rate_limit_allocator.hpp
+++ b/src/request/rate_limit/rate_limit_allocator.hpp
@@ -26,7 +26,9 @@
 // When a server no longer names its limit, the permitted rate grows for
 // some seconds before the limit is dropped: otherwise all routers would return
 // to the server at the same moment, even after one response that lacks the
-// limit by mistake.
+// limit by mistake. A server can have two limits at once, of which it names the
+// smaller one. When it names none after that, the larger one may still hold, so
+// the limits end one after the other.
 //
 // Each query names the limits that its router knows of the servers concerned,
 // so that a leader that has missed a limit learns it before it permits
@@ -69,6 +71,10 @@
     {
         double requests_per_second = 0;
 
+        // A larger limit that the server named before this one, and whose end
+        // no response has shown. Zero for none.
+        double earlier_limit = 0;
+
         // Tokens as of filled_at.
         double tokens = 0;
         time_point filled_at;
--- a/tests/request/rate_limit/rate_limit_test.cpp
+++ b/tests/request/rate_limit/rate_limit_test.cpp
@@ -156,6 +156,35 @@
     CHECK(after.changes.limits == std::vector<backend_limit>{{1, {}}});
 }
 
+// Guards against routers that return to a server with two limits when it no
+// longer names the smaller one, while the larger one holds for some seconds
+// more, and against a limit that does not end then.
+TEST_CASE("two limits of one server end one after the other")
+{
+    constexpr double smaller = 1.0;
+    constexpr double larger = 2.6;
+    rate_limit_allocator leader{1};
+    leader.answer({0, {}, {{1, larger}}}, {0s});
+    leader.answer({0, {}, {{1, smaller}}}, {5s});
+    std::vector<time_point> permitted;
+    for (time_point now{6s}; now < time_point{13s}; now = now + 5ms)
+    {
+        if (now == time_point{10s})
+        {
+            leader.answer({0, {}, {{1, {}}}}, now);
+        }
+        if (leader.answer({leader.version(), {{1, smaller, true}}, {}}, now)
+                .backend)
+        {
+            permitted.push_back(now);
+        }
+    }
+    CHECK(
+        static_cast<double>(most_in_window(permitted)) <= max_requests(larger));
+    leader.answer({0, {}, {}}, {15s});
+    CHECK(leader.size() == 0);
+}
+
 // Guards against a new leader that permits requests without bound because the
 // limit was ending under the leader before it, and against a limit that ends
 // again with each router that asks.
