Append a proposal again after its log entry was replaced

Cause: the leader keeps the log index of each proposal to recognise copies. An entry of another leader could replace the proposal, and the voter lead again with a shorter log. The key of the proposal stayed, and for good when another proposal took its index. A copy now counts as one only while the entry in the log has the term of the proposal, and an append drops what stood at its index and after it. Ruled out: routing_voter, which proposes only when its whole log is applied, so an index is applied before it is used again.

--- a/src/process/replicated_state/voter.cpp
+++ b/src/process/replicated_state/voter.cpp
@@ -97,7 +97,7 @@
         reply(from, message.proposal, refused);
         return;
     }
-    if (pending_indexes_.contains({from, message.proposal}))
+    if (is_in_log(from, message.proposal))
     {
         // A copy of a proposal that is already in the log; the reply follows
         // once it is applied.
@@ -117,6 +117,31 @@
     }
 }
 
+// Whether an entry with this proposal is in the leader's log and not applied
+// yet. Entries of another leader may have replaced it, and it must be appended
+// again then.
+bool voter::is_in_log(instance_id from, std::uint64_t proposal)
+{
+    const auto found = pending_indexes_.find({from, proposal});
+    if (found == pending_indexes_.end())
+    {
+        return false;
+    }
+    const auto pending = pending_.find(found->second);
+    if (raft_.entries().term_at(pending->first) == pending->second.term)
+    {
+        return true;
+    }
+    forget(pending);
+    return false;
+}
+
+void voter::forget(pending_map::iterator pending)
+{
+    pending_indexes_.erase({pending->second.from, pending->second.proposal});
+    pending_.erase(pending);
+}
+
 void voter::append_proposal(instance_id from, const wire::propose_msg& message)
 {
     if (message.kind == wire::entry_kind::ticket && acceptance_check_)
@@ -139,6 +164,11 @@
         reply_not_leader(from, message.proposal);
         return;
     }
+    // Another leader has removed the entries that this one follows on.
+    while (!pending_.empty() && pending_.rbegin()->first >= *index)
+    {
+        forget(std::prev(pending_.end()));
+    }
     pending_[*index] = {raft_.term(), from, message.proposal};
     pending_indexes_[{from, message.proposal}] = *index;
 }
@@ -215,7 +245,7 @@
     {
         reply(deferred.from, proposal.proposal, *known);
     }
-    else if (!pending_indexes_.contains({deferred.from, proposal.proposal}))
+    else if (!is_in_log(deferred.from, proposal.proposal))
     {
         append_proposal(deferred.from, proposal);
     }
@@ -280,9 +310,7 @@
         while (!pending_.empty() &&
                pending_.begin()->first <= batch.snapshot->index)
         {
-            const pending_proposal& lost = pending_.begin()->second;
-            pending_indexes_.erase({lost.from, lost.proposal});
-            pending_.erase(pending_.begin());
+            forget(pending_.begin());
         }
     }
     for (const wire::log_entry_msg& entry : batch.entries)
--- a/src/process/replicated_state/voter.hpp
+++ b/src/process/replicated_state/voter.hpp
@@ -152,6 +152,7 @@
         instance_id from = 0;
         std::uint64_t proposal = 0;
     };
+    using pending_map = std::map<std::uint64_t, pending_proposal>;
 
     // A proposal or a read request that is answered once a quorum has confirmed
     // this leader.
@@ -169,6 +170,8 @@
 
     void receive_propose(instance_id from, const wire::propose_msg& message);
     void receive_read(instance_id from, const wire::read_request_msg& message);
+    bool is_in_log(instance_id from, std::uint64_t proposal);
+    void forget(pending_map::iterator pending);
     void append_proposal(instance_id from, const wire::propose_msg& message);
     std::vector<std::uint8_t>
     with_leader_time(const wire::propose_msg& message) const;
@@ -201,7 +204,7 @@
 
     // Appended proposals by log index, and their log indexes by sender and
     // proposal number.
-    std::map<std::uint64_t, pending_proposal> pending_;
+    pending_map pending_;
     std::map<std::pair<instance_id, std::uint64_t>, std::uint64_t>
         pending_indexes_;
     std::map<std::uint64_t, deferred_request> deferred_;
--- a/tests/process/replicated_state/voter_test.cpp
+++ b/tests/process/replicated_state/voter_test.cpp
@@ -292,6 +292,50 @@
     CHECK(group.take_observer_replies().empty());
 }
 
+// Guards against a leader that ignores a proposal for good because it had
+// appended it in an earlier term, and its entry was replaced since.
+TEST_CASE("a proposal is appended again after its log entry was replaced")
+{
+    constexpr std::uint64_t proposals = 20;
+    voter_cluster group{3, 8};
+    REQUIRE(group.file_ticket("ticket 1"));
+    const instance_id isolated = group.leader()->leader();
+    group.network().cut(isolated);
+    wire::propose_msg proposal;
+    proposal.kind = wire::entry_kind::ticket;
+    proposal.data = test::ticket_data(2, "repeated");
+    const auto propose = [&](std::uint64_t number)
+    {
+        proposal.proposal = number;
+        group.deliver(isolated, make_payload(proposal));
+    };
+    for (std::uint64_t number = 1; number <= proposals; ++number)
+    {
+        propose(number);
+    }
+    group.run(5 * steps_per_second);
+    group.network().heal(isolated);
+    group.run(steps_per_second);
+    // Others lead until the isolated voter does again, which adds fewer entries
+    // than were replaced.
+    for (int turn = 0; turn < 8 && group.leader()->leader() != isolated; ++turn)
+    {
+        const instance_id other = group.leader()->leader();
+        group.network().cut(other);
+        group.run(5 * steps_per_second);
+        group.network().heal(other);
+        group.run(steps_per_second);
+    }
+    REQUIRE(group.leader()->leader() == isolated);
+    REQUIRE(group.take_observer_replies().empty());
+    propose(proposals);
+    group.run(2 * steps_per_second);
+    const auto replies = group.take_observer_replies();
+    REQUIRE(replies.size() == 1);
+    CHECK(replies.front().proposal == proposals);
+    CHECK(group.find(isolated)->tickets().size() == 2);
+}
+
 // Guards against a group that does not adopt a voter list in which another
 // instance replaces a voter.
 TEST_CASE("a ticket replaces one voter by another instance")
