--- a/src/request/blame/blame_tracker.cpp
+++ b/src/request/blame/blame_tracker.cpp
@@ -1,6 +1,7 @@
 #include "request/blame/blame_tracker.hpp"
 
 #include "common/hashing.hpp"
+#include "request/blame/crash_time.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -11,16 +12,6 @@
 namespace
 {
 
-// Several instances detect the same crash within this time. Reports about one
-// backend server that are closer together count as the same crash, unless both
-// come from this instance, which tells its own crashes apart exactly.
-constexpr unix_millis same_crash_window_ms = 2000;
-
-unix_millis to_unix_millis(std::chrono::milliseconds time)
-{
-    return static_cast<unix_millis>(time.count());
-}
-
 unix_millis time_difference(unix_millis left, unix_millis right)
 {
     return left > right ? left - right : right - left;
--- a/src/request/blame/part_crash_tracker.cpp
+++ b/src/request/blame/part_crash_tracker.cpp
@@ -1,5 +1,7 @@
 #include "request/blame/part_crash_tracker.hpp"
 
+#include "request/blame/crash_time.hpp"
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -10,19 +12,10 @@
 namespace
 {
 
-// Reports of several instances about one crash of a server differ by less than
-// this.
-constexpr unix_millis same_crash_window_ms = 2000;
-
 // Limit of the crashes by which a quarantine is explained to other instances.
 // Twice the crash limit leaves room for crashes that are not in a row.
 constexpr std::ptrdiff_t max_proof_crashes = 6;
 
-unix_millis to_unix_millis(std::chrono::milliseconds time)
-{
-    return static_cast<unix_millis>(time.count());
-}
-
 bool is_same_server_crash(const part_crash& left, const part_crash& right)
 {
     const auto [first, last] = std::minmax(left.crashed, right.crashed);
