Move the messages on crashes out of fleet_crash_tracker

The conversions stand in crash_messages.cpp now, and both reports to routers are made in one place. No change of behaviour.

--- a/src/process/fleet_process/fleet_crash_tracker.cpp
+++ b/src/process/fleet_process/fleet_crash_tracker.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
-#include <limits>
+#include <span>
 #include <utility>
 
 namespace hickorygap
@@ -30,103 +30,20 @@
 // router may miss the first reports.
 constexpr unix_millis cleared_report_time_ms = 15'000;
 
-std::uint32_t saturate_to_uint32(unix_millis value)
-{
-    return static_cast<std::uint32_t>(std::min<unix_millis>(
-        value, std::numeric_limits<std::uint32_t>::max()));
-}
-
-std::uint32_t milliseconds_ago(unix_millis time, unix_millis now)
-{
-    return saturate_to_uint32(now - std::min(now, time));
-}
-
-unix_millis time_before(unix_millis now, std::uint32_t ago_ms)
-{
-    return now - std::min<unix_millis>(now, ago_ms);
-}
-
 template <typename Entry>
-std::span<const Entry>
+std::vector<Entry>
 newest(std::span<const Entry> entries, std::size_t max_entries)
 {
-    return entries.last(std::min(entries.size(), max_entries));
-}
-
-void add_suspects(
-    wire::blame_report_msg& report, std::span<const suspect_notice> notices,
-    unix_millis now, std::size_t max_entries = max_entries_per_kind)
-{
-    for (const suspect_notice& notice : newest(notices, max_entries))
-    {
-        wire::crash_suspect_msg entry;
-        entry.fingerprint = notice.fingerprint;
-        entry.backend_server = notice.backend_server;
-        entry.ago_ms = milliseconds_ago(notice.crashed, now);
-        entry.midway = notice.midway;
-        report.suspects.push_back(
-            std::make_unique<wire::crash_suspect_msg>(entry));
-    }
+    const auto last = entries.last(std::min(entries.size(), max_entries));
+    return {last.begin(), last.end()};
 }
 
 // entries: the one that ends last first.
-void add_quarantines(
-    wire::blame_report_msg& report, std::span<const quarantine> entries,
-    unix_millis now, std::size_t max_entries = max_entries_per_kind)
-{
-    for (const quarantine& known :
-         entries.first(std::min(entries.size(), max_entries)))
-    {
-        wire::quarantine_left_msg entry;
-        entry.fingerprint = known.fingerprint;
-        entry.left_ms = saturate_to_uint32(known.until - now);
-        report.quarantines.push_back(
-            std::make_unique<wire::quarantine_left_msg>(entry));
-    }
-}
-
-void add_part_suspects(
-    wire::blame_report_msg& report, std::span<const part_crash> crashes,
-    unix_millis now, std::size_t max_entries = max_entries_per_kind)
-{
-    for (const part_crash& crash : newest(crashes, max_entries))
-    {
-        wire::part_suspect_msg entry;
-        entry.fingerprint = crash.fingerprint;
-        entry.backend_server = crash.backend_server;
-        entry.sent_ago_ms = milliseconds_ago(crash.sent, now);
-        entry.ago_ms = milliseconds_ago(crash.crashed, now);
-        entry.parts = crash.parts;
-        report.part_suspects.push_back(
-            std::make_unique<wire::part_suspect_msg>(entry));
-    }
-}
-
-void add_answers(
-    wire::blame_report_msg& report, std::span<const answered_part> answers,
-    unix_millis now, std::size_t max_entries = max_entries_per_kind)
-{
-    for (const answered_part& answer : newest(answers, max_entries))
-    {
-        wire::part_answered_msg entry;
-        entry.part = answer.part;
-        entry.ago_ms = milliseconds_ago(answer.began, now);
-        report.parts_answered.push_back(
-            std::make_unique<wire::part_answered_msg>(entry));
-    }
-}
-
-// nullopt when there is nothing to report.
-std::optional<wire::blame_report_msg>
-unless_empty(wire::blame_report_msg report)
+std::vector<quarantine>
+longest(std::vector<quarantine> entries, std::size_t max_entries)
 {
-    if (report.suspects.empty() && report.quarantines.empty() &&
-        report.part_suspects.empty() && report.parts_answered.empty() &&
-        report.trials.empty())
-    {
-        return std::nullopt;
-    }
-    return report;
+    entries.resize(std::min(entries.size(), max_entries));
+    return entries;
 }
 
 // Appends, and removes the oldest entry when there is no room.
@@ -228,54 +145,48 @@
 std::optional<wire::blame_report_msg>
 fleet_crash_tracker::take_report(time_point now)
 {
-    const unix_millis time = tracker_time(now);
-    wire::blame_report_msg report;
-    add_suspects(report, tracker_.take_suspect_reports(), time);
-    const auto crashes = std::exchange(new_part_crashes_, {});
-    add_part_suspects(report, crashes, time);
+    crash_report report;
+    report.suspects = newest<suspect_notice>(
+        tracker_.take_suspect_reports(), max_entries_per_kind);
+    report.part_crashes = std::exchange(new_part_crashes_, {});
     auto answers = std::exchange(new_answers_, {});
-    for (const part_crash& crash : crashes)
+    for (const part_crash& crash : report.part_crashes)
     {
         // Other routers may have reported earlier crashes with these parts.
         std::ranges::copy(
             parts_.answers_to(crash.parts), std::back_inserter(answers));
     }
-    add_answers(report, answers, time);
-    return unless_empty(std::move(report));
+    report.answers = newest<answered_part>(answers, max_entries_per_kind);
+    return encode_report(report, tracker_time(now));
 }
 
 std::optional<wire::blame_report_msg>
 fleet_crash_tracker::full_report(time_point now) const
 {
     const unix_millis time = tracker_time(now);
-    wire::blame_report_msg report;
-    add_suspects(report, tracker_.suspects(time), time);
-    add_quarantines(report, tracker_.quarantines(time), time);
-    add_part_suspects(report, parts_.crashes(), time);
-    add_answers(report, cleared_, time);
-    return unless_empty(std::move(report));
+    crash_report report;
+    report.suspects =
+        newest<suspect_notice>(tracker_.suspects(time), max_entries_per_kind);
+    report.quarantines =
+        longest(tracker_.quarantines(time), max_entries_per_kind);
+    report.part_crashes = newest(parts_.crashes(), max_entries_per_kind);
+    report.answers = cleared_;
+    return encode_report(report, time);
 }
 
 std::optional<wire::blame_report_msg>
 fleet_crash_tracker::router_report(time_point now) const
 {
     const unix_millis time = tracker_time(now);
-    wire::blame_report_msg report;
-    add_suspects(
-        report, tracker_.repeated_crashes(time), time, max_broadcast_entries);
-    add_quarantines(
-        report, tracker_.quarantines(time), time, max_broadcast_entries);
-    for (const prompt_part_id part : parts_.quarantined())
-    {
-        add_part_suspects(report, parts_.proof_against(part), time);
-    }
-    std::vector<answered_part> cleared;
+    router_news news;
+    news.suspects = tracker_.repeated_crashes(time);
+    news.quarantines = tracker_.quarantines(time);
+    news.parts.assign(parts_.quarantined().begin(), parts_.quarantined().end());
     std::ranges::copy_if(
-        cleared_, std::back_inserter(cleared),
+        cleared_, std::back_inserter(news.cleared),
         [&](const answered_part& answer)
         { return answer.began + cleared_report_time_ms > time; });
-    add_answers(report, cleared, time, max_broadcast_entries);
-    return unless_empty(std::move(report));
+    return make_broadcast(std::move(news), time);
 }
 
 std::optional<wire::blame_report_msg>
@@ -285,31 +196,44 @@
     const auto changed = std::exchange(changed_requests_, {});
     const auto is_unchanged = [&](const auto& entry)
     { return std::ranges::find(changed, entry.fingerprint) == changed.end(); };
-    wire::blame_report_msg news;
-    auto suspects = tracker_.repeated_crashes(time);
-    std::erase_if(suspects, is_unchanged);
-    add_suspects(news, suspects, time, max_broadcast_entries);
-    auto quarantines = tracker_.quarantines(time);
-    std::erase_if(quarantines, is_unchanged);
-    add_quarantines(news, quarantines, time, max_broadcast_entries);
-    for (const prompt_part_id part : std::exchange(changed_parts_, {}))
+    router_news news;
+    news.suspects = tracker_.repeated_crashes(time);
+    std::erase_if(news.suspects, is_unchanged);
+    news.quarantines = tracker_.quarantines(time);
+    std::erase_if(news.quarantines, is_unchanged);
+    news.parts = std::exchange(changed_parts_, {});
+    news.cleared = std::exchange(newly_cleared_, {});
+    return make_broadcast(std::move(news), time);
+}
+
+std::optional<wire::blame_report_msg>
+fleet_crash_tracker::make_broadcast(router_news news, unix_millis now) const
+{
+    crash_report report;
+    report.suspects =
+        newest<suspect_notice>(news.suspects, max_broadcast_entries);
+    report.quarantines =
+        longest(std::move(news.quarantines), max_broadcast_entries);
+    for (const prompt_part_id part : news.parts)
     {
         if (parts_.is_quarantined(part))
         {
-            add_part_suspects(news, parts_.proof_against(part), time);
+            std::ranges::move(
+                parts_.proof_against(part),
+                std::back_inserter(report.part_crashes));
         }
     }
-    add_answers(
-        news, std::exchange(newly_cleared_, {}), time, max_broadcast_entries);
-    return unless_empty(std::move(news));
+    report.answers = newest<answered_part>(news.cleared, max_broadcast_entries);
+    return encode_report(report, now);
 }
 
 std::optional<wire::blame_report_msg>
 fleet_crash_tracker::take_trials(time_point now)
 {
-    wire::blame_report_msg report;
-    report.trials = parts_.take_due_trials(tracker_time(now));
-    return unless_empty(std::move(report));
+    const unix_millis time = tracker_time(now);
+    crash_report report;
+    report.trials = parts_.take_due_trials(time);
+    return encode_report(report, time);
 }
 
 bool fleet_crash_tracker::is_suspect(
@@ -319,10 +243,11 @@
 }
 
 bool fleet_crash_tracker::receive(
-    const wire::blame_report_msg& report, time_point now)
+    const wire::blame_report_msg& message, time_point now)
 {
     const unix_millis time = tracker_time(now);
-    const std::uint64_t news_before = router_news_;
+    const std::uint64_t news_before = router_changes_;
+    const crash_report report = decode_report(message, time);
     merge_requests(report, time);
     merge_parts(report, time);
     for (const prompt_part_id part : report.trials)
@@ -331,27 +256,22 @@
             "part_trial_permitted part={:x}", part);
         parts_.permit_trial(part, time);
     }
-    return router_news_ > news_before;
+    return router_changes_ > news_before;
 }
 
 void fleet_crash_tracker::on_request_news(request_fingerprint fingerprint)
 {
-    ++router_news_;
+    ++router_changes_;
     push_unique(changed_requests_, fingerprint);
 }
 
 void fleet_crash_tracker::merge_requests(
-    const wire::blame_report_msg& report, unix_millis now)
+    const crash_report& report, unix_millis now)
 {
-    for (const auto& entry : report.suspects)
+    for (const suspect_notice& notice : report.suspects)
     {
-        const request_fingerprint fingerprint = entry->fingerprint;
+        const request_fingerprint fingerprint = notice.fingerprint;
         const bool was_known = tracker_.is_quarantined(fingerprint, now);
-        suspect_notice notice;
-        notice.fingerprint = fingerprint;
-        notice.backend_server = entry->backend_server;
-        notice.crashed = time_before(now, entry->ago_ms);
-        notice.midway = entry->midway;
         if (tracker_.merge(notice, now) && tracker_.crashes(fingerprint) > 1)
         {
             on_request_news(fingerprint);
@@ -361,33 +281,28 @@
             log_quarantine(fingerprint, "fleet");
         }
     }
-    for (const auto& entry : report.quarantines)
+    for (const quarantine& known : report.quarantines)
     {
-        const unix_millis until = now + entry->left_ms;
-        if (tracker_.quarantined_until(entry->fingerprint) +
+        if (tracker_.quarantined_until(known.fingerprint) +
                 quarantine_tolerance_ms <
-            until)
+            known.until)
         {
-            tracker_.merge(quarantine{entry->fingerprint, until}, now);
-            log_quarantine(entry->fingerprint, "fleet");
-            on_request_news(entry->fingerprint);
+            tracker_.merge(known, now);
+            log_quarantine(known.fingerprint, "fleet");
+            on_request_news(known.fingerprint);
         }
     }
 }
 
 void fleet_crash_tracker::merge_parts(
-    const wire::blame_report_msg& report, unix_millis now)
+    const crash_report& report, unix_millis now)
 {
-    for (const auto& entry : report.parts_answered)
+    for (const answered_part& answer : report.answers)
     {
-        add_answer({entry->part, time_before(now, entry->ago_ms)});
+        add_answer(answer);
     }
-    for (const auto& entry : report.part_suspects)
+    for (const part_crash& crash : report.part_crashes)
     {
-        const part_crash crash{
-            entry->fingerprint, entry->backend_server,
-            time_before(now, entry->sent_ago_ms),
-            time_before(now, entry->ago_ms), entry->parts};
         // The sender does not know of these answers.
         for (const answered_part& answer : parts_.answers_to(crash.parts))
         {
@@ -415,7 +330,7 @@
     {
         if (parts_.is_quarantined(part))
         {
-            ++router_news_;
+            ++router_changes_;
             push_unique(changed_parts_, part);
         }
     }
@@ -440,7 +355,7 @@
     if (is_cleared && was_quarantined)
     {
         // Routers know only of quarantined parts.
-        ++router_news_;
+        ++router_changes_;
         push_bounded(newly_cleared_, answer);
     }
     if (was_quarantined && !parts_.is_quarantined(answer.part))
--- a/src/process/fleet_process/fleet_crash_tracker.hpp
+++ b/src/process/fleet_process/fleet_crash_tracker.hpp
@@ -3,6 +3,7 @@
 
 #include "common/time.hpp"
 #include "messages/codec.hpp"
+#include "process/fleet_process/crash_messages.hpp"
 #include "request/blame/blame_tracker.hpp"
 #include "request/blame/part_crash_tracker.hpp"
 
@@ -24,10 +25,10 @@
 };
 
 // Tracks, in one process of the fleet, the requests and the parts of prompts
-// that crash backend servers, and makes the reports that the processes exchange
-// about them. Routers report crashes to the leader, which counts those of all
-// routers and broadcasts what several crashes have in common. Each process
-// derives from that what must not be sent any more.
+// that crash backend servers, and chooses what the processes tell each other
+// about them, see crash_report. Routers report crashes to the leader, which
+// counts those of all routers and broadcasts what several crashes have in
+// common. Each process derives from that what must not be sent any more.
 //
 // Needed because a caller may retry such a request, or send others with the
 // same part, through any router: if each router counted only the crashes that
@@ -91,11 +92,24 @@
 
     // Merges a report of another process. True when it contains news for the
     // routers.
-    bool receive(const wire::blame_report_msg& report, time_point now);
+    bool receive(const wire::blame_report_msg& message, time_point now);
 
 private:
-    void merge_requests(const wire::blame_report_msg& report, unix_millis now);
-    void merge_parts(const wire::blame_report_msg& report, unix_millis now);
+    // What routers are told, before its limits.
+    struct router_news
+    {
+        std::vector<suspect_notice> suspects;
+        std::vector<quarantine> quarantines;
+
+        // Of these, routers get the proof against those in quarantine.
+        std::vector<prompt_part_id> parts;
+        std::vector<answered_part> cleared;
+    };
+
+    std::optional<wire::blame_report_msg>
+    make_broadcast(router_news news, unix_millis now) const;
+    void merge_requests(const crash_report& report, unix_millis now);
+    void merge_parts(const crash_report& report, unix_millis now);
     void add_part_crash(
         const part_crash& crash, unix_millis now, std::string_view source);
     bool add_answer(const answered_part& answer);
@@ -114,7 +128,7 @@
 
     // Number of changes that concern routers, and what changed since the last
     // take_router_news.
-    std::uint64_t router_news_ = 0;
+    std::uint64_t router_changes_ = 0;
     std::vector<request_fingerprint> changed_requests_;
     std::vector<prompt_part_id> changed_parts_;
     std::vector<answered_part> newly_cleared_;
