Send routers each crash once, whatever parts it is proof against

The broadcast of a quarantine repeated each crash for each part that was quarantined by it.

Cause: the proofs of the parts were joined without a look at what they share. A crash is now sent once with all its quarantined parts, from which the receiver derives the same quarantines.

--- a/src/process/fleet_process/fleet_crash_tracker.cpp
+++ b/src/process/fleet_process/fleet_crash_tracker.cpp
@@ -216,11 +216,18 @@
         longest(std::move(news.quarantines), max_broadcast_entries);
     for (const prompt_part_id part : news.parts)
     {
-        if (parts_.is_quarantined(part))
+        if (!parts_.is_quarantined(part))
+        {
+            continue;
+        }
+        for (part_crash& crash : parts_.proof_against(part))
         {
-            std::ranges::move(
-                parts_.proof_against(part),
-                std::back_inserter(report.part_crashes));
+            // One crash is proof against each of its quarantined parts.
+            if (std::ranges::find(report.part_crashes, crash) ==
+                report.part_crashes.end())
+            {
+                report.part_crashes.push_back(std::move(crash));
+            }
         }
     }
     report.answers = newest<answered_part>(news.cleared, max_broadcast_entries);
--- a/src/request/blame/part_crash_tracker.hpp
+++ b/src/request/blame/part_crash_tracker.hpp
@@ -59,6 +59,8 @@
     // Parts of the prompt that other requests can have and that have not been
     // answered since.
     std::vector<prompt_part_id> parts;
+
+    friend bool operator==(const part_crash&, const part_crash&) = default;
 };
 
 // Proof that a part does not crash servers.
--- a/tests/process/fleet_process/fleet_crash_tracker_test.cpp
+++ b/tests/process/fleet_process/fleet_crash_tracker_test.cpp
@@ -358,3 +358,29 @@
     CHECK_FALSE(
         other_router.quarantine_left(9, std::vector<prompt_part_id>{0xa}, now));
 }
+
+// Guards against proofs that repeat each crash for each part that is
+// quarantined by it: prompts often have several parts in common.
+TEST_CASE("routers get each crash once whatever parts it is proof against")
+{
+    constexpr std::size_t crashes = 3;
+    const std::vector<prompt_part_id> parts{0xa, 0xb, 0xc, 0xd};
+    fleet_crash_tracker router;
+    fleet_crash_tracker leader;
+    time_point now{1h};
+    for (request_fingerprint server = 1; server <= crashes; ++server)
+    {
+        now = now + 10s;
+        router.on_crash(
+            crash_of(server, server, now), {parts, now - 100ms}, now);
+    }
+    leader.receive(*router.take_report(now), now);
+    REQUIRE(leader.quarantined_parts() == parts.size());
+    const auto news = leader.take_router_news(now);
+    REQUIRE(news);
+    CHECK(news->part_suspects.size() == crashes);
+    CHECK(leader.router_report(now)->part_suspects.size() == crashes);
+    fleet_crash_tracker other_router;
+    other_router.receive(*news, now);
+    CHECK(other_router.quarantined_parts() == parts.size());
+}
