Pace the requests to servers that too many rejections push over

A backend server may say in its responses how many rejections a second it tolerates. The routers did not read the field: in a surge each of them sent requests that found no room, the server rejected more than it tolerated and failed, its requests were lost, and the load went on to the next server.

Such a server is now handled like one with a limit of requests: routers tell the leader, and each request to it needs a permit. The leader's rejection_pacer sets the rate from the requests in flight and those completed in the load reports, with a margin below the slots and without the queue. A router reports each rejection at once and avoids the server for 0.1 to 0.3 s; the leader pauses the server, for a second at half of the tolerated number. The state ends, and survives one response that lacks the field, as limits do. What gets no permit goes to another server or is refused at once. Without such servers no permit is asked for, and the loads are not used for anything more.

Ruled out: an even share of the free slots per router, and a count of rejections in the load reports; see docs/platform.md.

--- a/src/process/fleet_process/limit_messages.cpp
+++ b/src/process/fleet_process/limit_messages.cpp
@@ -11,7 +11,8 @@
     {
         result.emplace_back(
             limit.backend, limit.requests_per_second.value_or(0),
-            !limit.requests_per_second, limit.is_ending);
+            !limit.requests_per_second, limit.is_ending, limit.is_brittle,
+            limit.rejections);
     }
     return result;
 }
@@ -22,7 +23,12 @@
     std::vector<backend_limit> result;
     for (const wire::server_limit& limit : limits)
     {
-        backend_limit decoded{limit.backend(), {}, limit.is_ending()};
+        backend_limit decoded{
+            limit.backend(),
+            {},
+            limit.is_ending(),
+            limit.is_brittle(),
+            limit.rejections()};
         if (!limit.is_lifted())
         {
             decoded.requests_per_second = limit.requests_per_second();
--- a/src/process/gateway/exchange.cpp
+++ b/src/process/gateway/exchange.cpp
@@ -4,6 +4,7 @@
 #include "common/logging.hpp"
 #include "common/status_text.hpp"
 #include "request/blame/blame_tracker.hpp"
+#include "request/rate_limit/observed_limit.hpp"
 
 #include <fmt/format.h>
 #include <fmt/ranges.h>
@@ -324,7 +325,11 @@
         {
             limited.push_back(server->id);
         }
-        if (stream_version_ && server->software_version != *stream_version_)
+        const bool is_avoided =
+            server->id != permitted &&
+            limits.is_avoided(server->id, context_.loop().now());
+        if (is_avoided ||
+            (stream_version_ && server->software_version != *stream_version_))
         {
             excluded.push_back(server->id);
         }
@@ -915,16 +920,16 @@
             context_.loop().now() + *attempt_.response.declines_for);
     }
     // The limit of a server ends with the first response without one.
-    const bool is_unreadable = attempt_.response.names_request_limit &&
-                               !attempt_.response.request_limit;
-    const std::optional<double> limit = attempt_.response.request_limit;
-    if (server != nullptr && !is_unreadable &&
-        context_.permits().on_response({attempt_.backend, limit}))
+    const auto limit = observed_limit(attempt_.backend, attempt_.response);
+    if (server != nullptr && limit && context_.permits().on_response(*limit))
     {
         log(log_level::info, subsystem::routing,
-            "backend_limit_changed backend={} id={} requests_per_second={}",
+            "backend_limit_changed backend={} id={} {}={}",
             attempt_.backend_name, call_.attempt_id,
-            limit ? fmt::format("{:.3f}", *limit) : "none");
+            limit->is_brittle ? "rejections_tolerated" : "requests_per_second",
+            limit->requests_per_second
+                ? fmt::format("{:.3f}", *limit->requests_per_second)
+                : "none");
     }
 }
 
--- a/src/process/gateway/permit_client.cpp
+++ b/src/process/gateway/permit_client.cpp
@@ -37,12 +37,12 @@
 
 bool permit_client::on_response(const backend_limit& limit)
 {
-    if (!limits_.on_response(limit, loop_.now()))
+    const bool is_change = limits_.on_response(limit, loop_.now());
+    if (is_change || limit.rejections > 0)
     {
-        return false;
+        send(0, {});
     }
-    send(0, {});
-    return true;
+    return is_change;
 }
 
 // Sends what was observed, and the query if the number is not zero.
--- a/src/process/gateway/permit_client.hpp
+++ b/src/process/gateway/permit_client.hpp
@@ -32,7 +32,8 @@
     using send_function = std::function<bool(const wire::payloadUnion&)>;
     void set_send(send_function send);
 
-    // A response named this limit, or none. True when it is new.
+    // A response named this limit, or none. True when it is new. Rejections by
+    // a brittle server are reported at once.
     bool on_response(const backend_limit& limit);
 
     // Asks for a permit to send the request to one of the servers. The function
--- a/src/process/voter_node/router_feed.cpp
+++ b/src/process/voter_node/router_feed.cpp
@@ -429,7 +429,7 @@
         listed.push_back(
             {hash_name(backend.id), hash_name(backend.service),
              software_version_of(backend.service, backend.version),
-             backend.leaving});
+             backend.leaving, backend.slots});
     }
     const std::uint64_t version = limits_.version();
     limits_.keep_listed(listed, loop_.now());
@@ -634,6 +634,7 @@
     loads_.keep_only(links_.connected());
     const std::vector<backend_load> fleet = loads_.take_sum(loop_.now());
     health_.add(fleet, loop_.now());
+    limits_.on_loads(fleet, loop_.now());
     auto summary = load_codec_.encode(health_.conditions(fleet, loop_.now()));
     if (!summary)
     {
--- a/src/request/dialect/request_dialect.hpp
+++ b/src/request/dialect/request_dialect.hpp
@@ -114,6 +114,11 @@
     bool names_request_limit = false;
     std::optional<double> request_limit;
 
+    // The response says that the server fails when it has to reject more
+    // requests in a second than this; nullopt when the number can't be read.
+    bool names_rejections_tolerated = false;
+    std::optional<double> rejections_tolerated;
+
     // The body was modified after the server produced it.
     bool altered = false;
 
--- a/src/request/rate_limit/backend_limit.hpp
+++ b/src/request/rate_limit/backend_limit.hpp
@@ -19,13 +19,21 @@
     backend_server_id backend = 0;
 
     // Requests per second from all routers together; nullopt when the server
-    // no longer names a limit.
+    // no longer names a limit. For a brittle server, the requests per second
+    // that it can reject without failing.
     std::optional<double> requests_per_second;
 
     // The server no longer names this limit, and the leader permits more and
     // more requests until it drops the limit.
     bool is_ending = false;
 
+    // The server fails when it has to reject more requests; see
+    // rejection_pacer.
+    bool is_brittle = false;
+
+    // Requests that it has rejected since the last report of this router.
+    std::uint16_t rejections = 0;
+
     friend bool
     operator==(const backend_limit&, const backend_limit&) = default;
 };
@@ -104,6 +112,9 @@
     std::uint64_t service = 0;
     std::uint64_t software_version = 0;
     bool is_leaving = false;
+
+    // Requests that it processes at the same time.
+    std::uint32_t slots = 0;
 };
 
 // Rate at which a server with a limit is sent requests. A server that accepts
--- a/src/request/rate_limit/rate_limit_allocator.cpp
+++ b/src/request/rate_limit/rate_limit_allocator.cpp
@@ -132,21 +132,71 @@
     }
     fill(item, now);
     item.listed_at = now;
-    if (is_new || item.ended_at ||
-        item.requests_per_second != *limit.requests_per_second)
+    if (update(item, limit, now) || is_new)
+    {
+        item.changed_in = ++version_;
+        fill(item, now);
+    }
+    if (item.pacer && limit.rejections > 0)
+    {
+        item.tokens = 0;
+        item.pacer->on_rejected(limit.rejections, now);
+    }
+}
+
+// Returns whether the limit has changed.
+bool rate_limit_allocator::update(
+    bucket& item, const backend_limit& limit, time_point now)
+{
+    const bool is_change =
+        item.ended_at || item.pacer.has_value() != limit.is_brittle ||
+        item.requests_per_second != *limit.requests_per_second;
+    if (is_change)
     {
         item.earlier_limit =
-            item.ended_at
+            item.ended_at || item.pacer || limit.is_brittle
                 ? 0
                 : std::max(item.earlier_limit, item.requests_per_second);
-        item.requests_per_second = *limit.requests_per_second;
-        if (item.earlier_limit <= item.requests_per_second)
+    }
+    item.requests_per_second = *limit.requests_per_second;
+    if (item.earlier_limit <= item.requests_per_second)
+    {
+        item.earlier_limit = 0;
+    }
+    item.ended_at.reset();
+    if (!limit.is_brittle)
+    {
+        item.pacer.reset();
+    }
+    else if (item.pacer)
+    {
+        item.pacer->set_tolerated(*limit.requests_per_second);
+    }
+    else
+    {
+        item.pacer.emplace(*limit.requests_per_second, now);
+        item.pacer->set_slots(item.listed.slots);
+    }
+    return is_change;
+}
+
+void rate_limit_allocator::on_loads(
+    std::span<const backend_load> loads, time_point now)
+{
+    for (auto& [backend, item] : buckets_)
+    {
+        if (!item.pacer)
         {
-            item.earlier_limit = 0;
+            continue;
         }
-        item.ended_at.reset();
-        item.changed_in = ++version_;
+        const std::uint32_t id = short_backend_id(backend);
+        const auto found =
+            std::ranges::lower_bound(loads, id, {}, &backend_load::backend);
+        const backend_load load = found != loads.end() && found->backend == id
+                                      ? *found
+                                      : backend_load{};
         fill(item, now);
+        item.pacer->on_load(load.in_flight, load.outcomes - load.failures, now);
     }
 }
 
@@ -196,6 +246,10 @@
         {
             found->second.listed_at = now;
             found->second.listed = server;
+            if (found->second.pacer)
+            {
+                found->second.pacer->set_slots(server.slots);
+            }
         }
     }
     for (auto item = buckets_.begin(); item != buckets_.end();)
@@ -226,7 +280,8 @@
         if (item.changed_in > result.base_version)
         {
             result.limits.push_back(
-                {backend, item.requests_per_second, item.ended_at.has_value()});
+                {backend, item.requests_per_second, item.ended_at.has_value(),
+                 item.pacer.has_value()});
         }
     }
     return result;
@@ -235,12 +290,13 @@
 double
 rate_limit_allocator::permitted_rate_at(const bucket& item, time_point at)
 {
+    const double base =
+        item.pacer ? item.pacer->rate() : item.requests_per_second;
     if (!item.ended_at)
     {
-        return permitted_rate(item.requests_per_second);
+        return permitted_rate(base);
     }
-    const double rate =
-        permitted_rate_after_end(item.requests_per_second, at - *item.ended_at);
+    const double rate = permitted_rate_after_end(base, at - *item.ended_at);
     return item.earlier_limit > 0
                ? std::min(rate, permitted_rate(item.earlier_limit))
                : rate;
@@ -248,11 +304,16 @@
 
 void rate_limit_allocator::fill(bucket& item, time_point now)
 {
+    const time_point begin =
+        item.pacer ? std::max(item.filled_at, item.pacer->paused_until())
+                   : item.filled_at;
     const double age =
-        std::chrono::duration<double>(now - item.filled_at).count();
+        std::chrono::duration<double>(std::max(now - begin, duration{0}))
+            .count();
     const double rate = permitted_rate_at(item, item.filled_at);
-    item.tokens =
-        std::min(item.tokens + rate * age, std::max(1.0, rate * bucket_s));
+    const double capacity =
+        item.pacer ? item.pacer->burst() : std::max(1.0, rate * bucket_s);
+    item.tokens = std::min(item.tokens + rate * age, capacity);
     item.filled_at = now;
 }
 
--- a/src/request/rate_limit/rate_limit_allocator.hpp
+++ b/src/request/rate_limit/rate_limit_allocator.hpp
@@ -2,8 +2,10 @@
 #define HICKORYGAP_REQUEST_RATE_LIMIT_RATE_LIMIT_ALLOCATOR_HPP
 
 #include "common/time.hpp"
+#include "request/dispatch/backend_table.hpp"
 #include "request/rate_limit/backend_limit.hpp"
 #include "request/rate_limit/rank_admission.hpp"
+#include "request/rate_limit/rejection_pacer.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -30,6 +32,9 @@
 // smaller one. When it names none after that, the larger one may still hold, so
 // the limits end one after the other.
 //
+// A brittle server has a bucket too, which fills at the rate of its
+// rejection_pacer.
+//
 // Each query names the limits that its router knows of the servers concerned,
 // so that a leader that has missed a limit learns it before it permits
 // anything.
@@ -51,6 +56,10 @@
     // the list although its server still runs.
     void keep_listed(std::span<const listed_server> listed, time_point now);
 
+    // Takes the sum of the routers' load reports, in ascending order of the
+    // servers. Those without a load are missing.
+    void on_loads(std::span<const backend_load> loads, time_point now);
+
     // Changes since a version, or all limits if the version is not one of this
     // leader.
     limit_changes changes_since(std::uint64_t version) const;
@@ -75,6 +84,9 @@
         // no response has shown. Zero for none.
         double earlier_limit = 0;
 
+        // Only for a brittle server.
+        std::optional<rejection_pacer> pacer;
+
         // Tokens as of filled_at.
         double tokens = 0;
         time_point filled_at;
@@ -105,6 +117,8 @@
     bool has_same_term(std::uint64_t version) const;
     std::uint64_t last_change_of(backend_server_id backend) const;
     void observe(const backend_limit& limit, time_point now);
+    static bool
+    update(bucket& item, const backend_limit& limit, time_point now);
     void learn_from(const permit_query& query, time_point now);
     void remove(bucket_map::iterator item);
     bool competes(const permit_query& query, time_point now);
--- a/src/request/rate_limit/router_limits.cpp
+++ b/src/request/rate_limit/router_limits.cpp
@@ -1,6 +1,9 @@
 #include "request/rate_limit/router_limits.hpp"
 
+#include "common/random_duration.hpp"
+
 #include <algorithm>
+#include <limits>
 #include <random>
 #include <utility>
 
@@ -19,6 +22,11 @@
 // Time in which a report reaches the leader, and the change the routers.
 constexpr duration report_delay = std::chrono::seconds{1};
 
+// Time for which a router avoids a brittle server that has rejected a request,
+// and random time in addition, so that routers do not return together.
+constexpr duration min_avoidance = std::chrono::milliseconds{100};
+constexpr duration random_avoidance = std::chrono::milliseconds{200};
+
 } // namespace
 
 router_limits::router_limits(std::uint64_t seed)
@@ -44,17 +52,44 @@
     set_limit(
         named, limit.requests_per_second.value_or(named.requests_per_second),
         !limit.requests_per_second, now);
+    named.is_brittle =
+        limit.requests_per_second ? limit.is_brittle : named.is_brittle;
+    if (limit.rejections > 0)
+    {
+        named.avoided_until =
+            now + min_avoidance + random_duration(random_, random_avoidance);
+    }
     const server previous = std::exchange(servers_[limit.backend], named);
-    if (!is_new && previous.ending_since == named.ending_since &&
-        previous.requests_per_second == named.requests_per_second)
+    const bool is_change =
+        is_new || previous.ending_since != named.ending_since ||
+        previous.is_brittle != named.is_brittle ||
+        previous.requests_per_second != named.requests_per_second;
+    if (is_change || limit.rejections > 0)
     {
-        return false;
+        add_observed(limit);
+    }
+    return is_change;
+}
+
+// Replaces what was observed of the server before, but for its rejections.
+void router_limits::add_observed(const backend_limit& limit)
+{
+    backend_limit added = limit;
+    for (const backend_limit& item : observed_)
+    {
+        if (item.backend == limit.backend)
+        {
+            constexpr std::uint32_t max_rejections =
+                std::numeric_limits<std::uint16_t>::max();
+            added.rejections = static_cast<std::uint16_t>(std::min(
+                std::uint32_t{added.rejections} + item.rejections,
+                max_rejections));
+        }
     }
     std::erase_if(
         observed_, [&](const backend_limit& item)
         { return item.backend == limit.backend; });
-    observed_.push_back(limit);
-    return true;
+    observed_.push_back(added);
 }
 
 void router_limits::on_changes(const limit_changes& changes, time_point now)
@@ -71,9 +106,9 @@
         }
         if (limit.requests_per_second)
         {
-            set_limit(
-                servers_[limit.backend], *limit.requests_per_second,
-                limit.is_ending, now);
+            server& known = servers_[limit.backend];
+            set_limit(known, *limit.requests_per_second, limit.is_ending, now);
+            known.is_brittle = limit.is_brittle;
         }
         else
         {
@@ -100,6 +135,12 @@
     }
 }
 
+bool router_limits::is_avoided(backend_server_id backend, time_point now) const
+{
+    const auto found = servers_.find(backend);
+    return found != servers_.end() && now < found->second.avoided_until;
+}
+
 // The times of permits are a Poisson process, which has no memory.
 duration router_limits::time_to_permit(const server& known, time_point now)
 {
@@ -150,6 +191,7 @@
         {
             candidate.requests_per_second = found->second.requests_per_second;
             candidate.is_ending = found->second.ending_since.has_value();
+            candidate.is_brittle = found->second.is_brittle;
         }
     }
     query.observed = observed_;
--- a/src/request/rate_limit/router_limits.hpp
+++ b/src/request/rate_limit/router_limits.hpp
@@ -38,7 +38,7 @@
     }
 
     // A response named this limit, or none. True when that is news for the
-    // leader.
+    // leader. Rejections by a brittle server are always reported.
     bool on_response(const backend_limit& limit, time_point now);
 
     // Takes changes of the leader's limits. They have no effect on limits that
@@ -50,6 +50,10 @@
         return servers_.contains(backend);
     }
 
+    // Whether the server has just rejected a request of this router, and should
+    // get none.
+    bool is_avoided(backend_server_id backend, time_point now) const;
+
     // Whether this router gives itself a permit for the server now, which it
     // uses up. Only without a leader.
     bool take_own_permit(backend_server_id backend, time_point now);
@@ -71,6 +75,7 @@
     struct server
     {
         double requests_per_second = 0;
+        bool is_brittle = false;
 
         // Since when this router knows that the server no longer names the
         // limit; see rate_limit_allocator.
@@ -79,6 +84,9 @@
         // When a response of this router named the limit, if it was one.
         std::optional<time_point> observed_at;
 
+        // The server gets no requests from this router before this time.
+        time_point avoided_until;
+
         // When this router gives itself the next permit.
         std::optional<time_point> next_permit;
     };
@@ -86,6 +94,7 @@
     static void
     set_limit(server& known, double limit, bool is_ending, time_point now);
     duration time_to_permit(const server& known, time_point now);
+    void add_observed(const backend_limit& limit);
 
     random_engine random_;
     std::uint32_t routers_ = 1;
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -554,6 +554,32 @@
     CHECK(answer.request_limit == tested.limit);
 }
 
+// Guards against overlooking that a backend server is brittle, and against
+// taking an unreadable number for the end of that state.
+TEST_CASE("Server-Brittle of a response is decoded")
+{
+    struct row
+    {
+        std::string text;
+        bool is_brittle;
+        std::optional<double> tolerated;
+    };
+    const auto tested = GENERATE(
+        row{"", false, {}}, row{"12", true, 12.0}, row{" 2.5", true, 2.5},
+        row{"0", true, 0.0}, row{"-3", true, {}}, row{"nan", true, {}},
+        row{"1e3", true, {}}, row{"5,", true, {}});
+    CAPTURE(tested.text);
+    HTTPResponse response{HTTPResponse::HTTP_SERVICE_UNAVAILABLE};
+    if (!tested.text.empty())
+    {
+        response.set("Server-Brittle", tested.text);
+    }
+    const backend_response_info answer =
+        request_fields{}.decode_response(response);
+    CHECK(answer.names_rejections_tolerated == tested.is_brittle);
+    CHECK(answer.rejections_tolerated == tested.tolerated);
+}
+
 // Guards against an operator's request that is mapped to the wrong action.
 TEST_CASE("operator requests are mapped to actions")
 {
--- a/tests/process/fleet_process/limit_messages_test.cpp
+++ b/tests/process/fleet_process/limit_messages_test.cpp
@@ -10,7 +10,10 @@
 {
     const auto limit = GENERATE(
         as<std::optional<double>>{}, std::nullopt, 0.0, 0.2, 4.23456789, 1e9);
-    const std::vector<backend_limit> limits{{7, limit}};
+    const auto [is_brittle, rejections] = GENERATE(
+        table<bool, std::uint16_t>({{false, 0}, {true, 0}, {true, 65535}}));
+    const std::vector<backend_limit> limits{
+        {7, limit, false, is_brittle, rejections}};
     CHECK(decode_limits(encode_limits(limits)) == limits);
     const permit_query query = decode_query(
         encode_query({5, limits, {{8, 1.5}}, {{}, true, 11, 12, {13}, 2}}, 3));
--- a/tests/process/gateway/gateway_fixture.hpp
+++ b/tests/process/gateway/gateway_fixture.hpp
@@ -50,11 +50,22 @@
             ++owner_.ended_;
         }
 
+        // While the server is silent, the bytes wait until it goes on.
         void write(std::string_view bytes)
         {
+            if (owner_.is_silent_)
+            {
+                held_output_ += bytes;
+                return;
+            }
             stream_->write(bytes);
         }
 
+        void write_held_output()
+        {
+            stream_->write(std::exchange(held_output_, {}));
+        }
+
         void close()
         {
             stream_->close();
@@ -90,19 +101,21 @@
         Poco::Net::StreamSocket socket_;
         std::unique_ptr<stream_connection> stream_;
         request_reader reader_;
+        std::string held_output_;
     };
 
     using script = std::function<void(connection&, const received_request&)>;
 
     backend_double(event_loop& loop, std::uint16_t port, script on_request)
         : loop_{loop}
+        , port_{port}
         , script_{std::move(on_request)}
         , listener_{loop, [this](const Poco::Net::StreamSocket& socket) {
                         connections_.push_back(
                             std::make_unique<connection>(*this, socket));
                     }}
     {
-        is_open_ = listener_.open({"127.0.0.1", port}).ok();
+        is_open_ = listener_.open({"127.0.0.1", port_}).ok();
     }
 
     // Simulates a crash: closes all connections and the listening port.
@@ -120,6 +133,30 @@
         crashed_ = true;
     }
 
+    // Listens again after a crash; false when the port is taken.
+    bool restart()
+    {
+        crashed_ = !listener_.open({"127.0.0.1", port_}).ok();
+        return !crashed_;
+    }
+
+    // For this time the server accepts connections and reads requests, but
+    // writes nothing.
+    void fall_silent(duration time)
+    {
+        is_silent_ = true;
+        loop_.after(
+            time,
+            [this]
+            {
+                is_silent_ = false;
+                for (const auto& each : connections_)
+                {
+                    each->write_held_output();
+                }
+            });
+    }
+
     // Existing connections stay open.
     void refuse_connections()
     {
@@ -151,6 +188,7 @@
 
 private:
     event_loop& loop_;
+    std::uint16_t port_;
     script script_;
     listener listener_;
     std::vector<std::unique_ptr<connection>> connections_;
@@ -158,6 +196,7 @@
     int ended_ = 0;
     bool is_open_ = false;
     bool crashed_ = false;
+    bool is_silent_ = false;
 };
 
 // The request path of a router without links to the fleet: one port for callers
