Refuse a stream that voters were told with two versions

A caller could get the rest of a stream from another software version than its beginning. An attempt had broken after its router sent an event that never arrived, and the caller began again at another router while naming the earlier attempt. Both routers told the voters a version under that name, and the last message won, also one that came late from a router that had been cut off.

A request that has no event yet begins the stream under its own name, besides the one that it names.

--- a/src/process/gateway/exchange.cpp
+++ b/src/process/gateway/exchange.cpp
@@ -134,9 +134,7 @@
         give_up(dispatch_outcome::silent);
         return;
     }
-    stream_id_ = hash_name(
-        call_.resumed_attempt.empty() ? call_.attempt_id
-                                      : call_.resumed_attempt);
+    identify_stream();
     if (call_.resume_after && route_->kind == call_kind::streaming)
     {
         find_stream_version();
@@ -145,6 +143,23 @@
     begin_dispatch();
 }
 
+// A caller names the attempt that began the stream. One that has no event yet
+// begins the stream with this attempt; should it name an earlier one, the
+// stream can be taken up under both names.
+void exchange::identify_stream()
+{
+    if (call_.resumed_attempt.empty())
+    {
+        stream_ids_ = {hash_name(call_.attempt_id)};
+        return;
+    }
+    stream_ids_ = {hash_name(call_.resumed_attempt)};
+    if (!call_.resume_after)
+    {
+        stream_ids_.push_back(hash_name(call_.attempt_id));
+    }
+}
+
 void exchange::begin_dispatch()
 {
     context_.retry_budget(service_).on_request(context_.loop().now());
@@ -156,7 +171,7 @@
 void exchange::find_stream_version()
 {
     version_query_ = context_.streams().find(
-        stream_id_,
+        stream_ids_.front(),
         [this](std::optional<software_version_id> version)
         {
             version_query_ = 0;
@@ -1011,7 +1026,10 @@
     if (complete)
     {
         context_.blame().on_completed(fingerprint_);
-        context_.streams().on_complete(stream_id_);
+        for (const stream_id stream : stream_ids_)
+        {
+            context_.streams().on_complete(stream);
+        }
         relay_.finish_stream(reader.head());
         end_attempt(dispatch_outcome::answered);
         finish(HTTPResponse::HTTP_OK, request_outcome::answered);
@@ -1035,9 +1053,13 @@
 void exchange::record_stream_version()
 {
     stream_version_ = attempt_.backend_version;
-    if (route_->resumable)
+    if (!route_->resumable)
+    {
+        return;
+    }
+    for (const stream_id stream : stream_ids_)
     {
-        context_.streams().on_begun(stream_id_, *stream_version_);
+        context_.streams().on_begun(stream, *stream_version_);
     }
 }
 
--- a/src/process/gateway/exchange.hpp
+++ b/src/process/gateway/exchange.hpp
@@ -70,6 +70,7 @@
     bool find_route();
     void choose_service();
     void choose_service_of(software_version_id version);
+    void identify_stream();
     void find_stream_version();
     void begin_dispatch();
     dispatch_choice choose_backend(
@@ -163,9 +164,10 @@
     std::uint32_t permit_query_ = 0;
     std::uint32_t version_query_ = 0;
 
-    // The software version that began the stream, once an event has reached
-    // the caller.
-    stream_id stream_id_ = 0;
+    // The names under which the stream may be taken up; the first one is looked
+    // up. The software version that began it, once an event has reached the
+    // caller.
+    std::vector<stream_id> stream_ids_;
     std::optional<software_version_id> stream_version_;
 
     backend_attempt attempt_;
--- a/src/request/dispatch/stream_versions.cpp
+++ b/src/request/dispatch/stream_versions.cpp
@@ -24,7 +24,10 @@
 void stream_versions::add(
     stream_id stream, software_version_id version, time_point now)
 {
-    versions_[stream] = {version, now};
+    entry& item =
+        versions_.try_emplace(stream, entry{version, now}).first->second;
+    const bool is_expired = now - item.added_at > stream_retention_period;
+    item = {is_expired || item.version == version ? version : 0, now};
     order_.emplace_back(stream, now);
     while (order_.size() > max_streams ||
            now - order_.front().second > stream_retention_period)
@@ -63,7 +66,7 @@
 stream_versions::find(stream_id stream, time_point now) const
 {
     const auto found = versions_.find(stream);
-    if (found == versions_.end() ||
+    if (found == versions_.end() || found->second.version == 0 ||
         now - found->second.added_at > stream_retention_period)
     {
         return std::nullopt;
--- a/src/request/dispatch/stream_versions.hpp
+++ b/src/request/dispatch/stream_versions.hpp
@@ -40,17 +40,21 @@
 class stream_versions
 {
 public:
-    // A version that is added later replaces the one before.
+    // Renews the record of the version. A stream with records of two versions
+    // is not known any more, whatever is added later. Zero stands for two
+    // versions.
     void add(stream_id stream, software_version_id version, time_point now);
 
     // The stream will not be asked for any more.
     void remove(stream_id stream);
 
-    // Streams that are neither removed nor too old.
+    // Streams that are neither removed nor too old; the version is zero for
+    // those with records of two versions.
     std::vector<std::pair<stream_id, software_version_id>>
     list(time_point now) const;
 
-    // nullopt for a stream that is unknown or was added too long ago.
+    // nullopt for a stream that is unknown, was added too long ago, or has
+    // records of two versions.
     std::optional<software_version_id>
     find(stream_id stream, time_point now) const;
 
@@ -62,6 +66,7 @@
 private:
     struct entry
     {
+        // Zero when versions differed.
         software_version_id version = 0;
         time_point added_at;
     };
--- a/tests/process/gateway/stream_record_test.cpp
+++ b/tests/process/gateway/stream_record_test.cpp
@@ -124,3 +124,55 @@
         CHECK(held == software_version_of("reports", is_first ? "v1" : "v2"));
     }
 }
+
+// Guards against a caller who gets the rest of a stream from another version
+// than its beginning: it sent its request again after an attempt whose events
+// never reached it, and the routers of both attempts told the voters a version,
+// in either order. Such a stream is refused; under the name of the attempt that
+// began it, it goes on.
+TEST_CASE("a stream that two routers began at two versions is not known")
+{
+    const bool is_late = GENERATE(false, true);
+    CAPTURE(is_late);
+    route routed = gateway_fixture::make_route(call_kind::streaming, 2);
+    routed.resumable = true;
+    gateway_fixture fixture{routed};
+    const auto now = [&] { return fixture.context().loop().now(); };
+    const software_version_id other = software_version_of("reports", "v1");
+    stream_versions held_by_voters;
+    fixture.context().streams().set_send(
+        [&](const wire::payloadUnion& payload) -> std::size_t
+        {
+            for (const auto& item : payload.Asstreams_sent()->streams)
+            {
+                held_by_voters.add(item.stream(), item.version(), now());
+            }
+            return 1;
+        });
+    fixture.add_backend(
+        [](connection& to, const received_request& request)
+        {
+            to.write(
+                "HTTP/1.1 200 OK\r\nRequest-Id: " +
+                request.head->get("Request-Id") +
+                "\r\nReply-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                event_of("v2"));
+        },
+        "v2");
+    if (!is_late)
+    {
+        held_by_voters.add(hash_name("a1"), other, now());
+    }
+    const caller_double& caller = fixture.call(
+        gateway_fixture::request_text("Resumes: a1\r\n", "", "POST", "b1"));
+    REQUIRE(fixture.run_until(
+        [&] { return caller.received().find("id: 1") != std::string::npos; }));
+    if (is_late)
+    {
+        held_by_voters.add(hash_name("a1"), other, now());
+    }
+    CHECK(held_by_voters.find(hash_name("a1"), now()) == std::nullopt);
+    CHECK(
+        held_by_voters.find(hash_name("b1"), now()) ==
+        software_version_of("reports", "v2"));
+}
