Show that routers refuse streams whose version they can't find or use

Part of the operators' report on a router out of step during a release: could a router guess? A router that is cut off from its only voter, a caller that names no earlier attempt, and a server that has started again under its old id with another version in the list: each take-up gets 503, and no server gets the request.

Not covered: a server that starts again under its old id while the router's list still has its old version. Nothing that a server says tells its version, so only the age of the list could.

--- a/tests/process/route_fleet/route_fleet_fixture.hpp
+++ b/tests/process/route_fleet/route_fleet_fixture.hpp
@@ -85,6 +85,19 @@
         return *backends_.back();
     }
 
+    // The server of this position starts again under its id with other
+    // software; in the list from the next read by the leader on.
+    void change_version(std::size_t backend, std::string version)
+    {
+        versions_.at(backend) = std::move(version);
+    }
+
+    // Cuts all routers off from the only voter.
+    void stop_voter()
+    {
+        voter_.reset();
+    }
+
     // Waits until each router has the configuration and knows all servers.
     void await_readiness()
     {
--- a/tests/process/route_fleet/stream_version_test.cpp
+++ b/tests/process/route_fleet/stream_version_test.cpp
@@ -253,3 +253,56 @@
     CHECK_FALSE(holds_both_versions(first.received() + next.received()));
     CHECK(next.received().ends_with("0\r\n\r\n"));
 }
+
+// Guards against a guess by a router that can't ask for the version that began
+// a stream (cut off from the voters, or not told which attempt began it), and
+// against a server that has started again under its old id with another
+// version: the stream is refused, and no server gets it.
+TEST_CASE("a stream whose version can't be used or found is refused")
+{
+    enum class obstacle
+    {
+        cut_off,
+        attempt_not_named,
+        server_has_new_version
+    };
+    const obstacle tested = GENERATE(
+        obstacle::cut_off, obstacle::attempt_not_named,
+        obstacle::server_has_new_version);
+    CAPTURE(tested);
+    route_fleet fleet{routers, std::string{document}};
+    int resumed = 0;
+    fleet.add_backend(
+        [&](backend_double::connection& to, const received_request& got)
+        {
+            if (got.head->has("Last-Event-Id"))
+            {
+                ++resumed;
+            }
+            to.write(versioned_events("v1", got.head->get("Request-Id"), 0));
+        },
+        "v1");
+    fleet.await_readiness();
+    const caller_double& first = fleet.call(0, stream_request("s1", ""));
+    REQUIRE(run_until(
+        fleet.loop(),
+        [&] { return first.received().find("id: 2") != std::string::npos; }));
+    std::string next_request = resuming_request("s1");
+    switch (tested)
+    {
+    case obstacle::cut_off:
+        fleet.stop_voter();
+        break;
+    case obstacle::attempt_not_named:
+        next_request = stream_request("s1-again", "Last-Event-Id: 2\r\n");
+        break;
+    case obstacle::server_has_new_version:
+        fleet.change_version(0, "v2");
+        fleet.run_for(1500ms);
+        break;
+    }
+    const caller_double& next = fleet.call(1, next_request);
+    await_end(fleet, next);
+    CHECK(next.received().find(" 503 ") != std::string::npos);
+    CHECK(resumed == 0);
+}
