--- a/src/process/commands/command_line.cpp
+++ b/src/process/commands/command_line.cpp
@@ -290,10 +290,13 @@
         {
             return report_usage_error(
                 fmt::format(
-                    "{} takes {} argument(s) but got {}; see hickorygap "
+                    "{} takes {}{} argument(s) but got {}; see hickorygap "
                     "--help",
-                    fmt::join(candidate.name, " "), candidate.min_arguments,
-                    given),
+                    fmt::join(candidate.name, " "),
+                    candidate.max_arguments > candidate.min_arguments
+                        ? "at least "
+                        : "",
+                    candidate.min_arguments, given),
                 streams.error);
         }
         return candidate.run(options, streams);
--- a/tests/process/commands/commands_test.cpp
+++ b/tests/process/commands/commands_test.cpp
@@ -108,6 +108,7 @@
               "can't be read"},
              {{"status", "extra"}, "takes 0 argument(s) but got 1"},
              {{"ticket", "file"}, "takes 1 argument(s) but got 0"},
+             {{"explain", "id"}, "takes at least 2 argument(s) but got 1"},
              {{"ticket", "file", "/none"}, "/none can't be read"},
              {{"ticket", "show", "x"}, "needs the number"},
              {{"serve"}, "needs --settings"}}));
