Ignore changes of limits from a leader that was replaced

Cause: router_limits applied changes whatever their version. It now ignores those of an earlier term. Ruled out: a comparison of whole versions.

--- a/src/request/rate_limit/backend_limit.hpp
+++ b/src/request/rate_limit/backend_limit.hpp
@@ -38,6 +38,14 @@
     operator==(const backend_limit&, const backend_limit&) = default;
 };
 
+// A version of the limits: term of the leader, and changes in this term.
+inline constexpr int limits_term_shift = 32;
+
+inline std::uint64_t term_of_limits(std::uint64_t version)
+{
+    return version >> limits_term_shift;
+}
+
 // Changes of the limits that a leader distributes.
 struct limit_changes
 {
--- a/src/request/rate_limit/rate_limit_allocator.cpp
+++ b/src/request/rate_limit/rate_limit_allocator.cpp
@@ -13,9 +13,6 @@
 // Capacity of a bucket: the requests of this time, and at least one.
 constexpr double bucket_s = 0.5;
 
-// A version: term of the leader, and changes in this term.
-constexpr int term_shift = 32;
-
 constexpr duration unlisted_retention = std::chrono::seconds{20};
 
 // A router that misses a removal learns it from the answer to its next query.
@@ -24,13 +21,13 @@
 } // namespace
 
 rate_limit_allocator::rate_limit_allocator(std::uint64_t term)
-    : version_{term << term_shift}
+    : version_{term << limits_term_shift}
 {
 }
 
 bool rate_limit_allocator::has_same_term(std::uint64_t version) const
 {
-    return version >> term_shift == version_ >> term_shift;
+    return term_of_limits(version) == term_of_limits(version_);
 }
 
 permit_answer
--- a/src/request/rate_limit/router_limits.cpp
+++ b/src/request/rate_limit/router_limits.cpp
@@ -94,6 +94,11 @@
 
 void router_limits::on_changes(const limit_changes& changes, time_point now)
 {
+    if (term_of_limits(changes.version) < term_of_limits(version_))
+    {
+        // From a leader that has been replaced, over a slow link.
+        return;
+    }
     for (const backend_limit& limit : changes.limits)
     {
         const auto found = servers_.find(limit.backend);
--- a/src/request/rate_limit/router_limits.hpp
+++ b/src/request/rate_limit/router_limits.hpp
@@ -42,7 +42,8 @@
     bool on_response(const backend_limit& limit, time_point now);
 
     // Takes changes of the leader's limits. They have no effect on limits that
-    // responses have named just now, of which the leader may not have known.
+    // responses have named just now, of which the leader may not have known,
+    // and none at all if this router has heard of a newer version.
     void on_changes(const limit_changes& changes, time_point now);
 
     bool is_limited(backend_server_id backend) const
--- a/tests/request/rate_limit/rate_limit_test.cpp
+++ b/tests/request/rate_limit/rate_limit_test.cpp
@@ -289,6 +289,21 @@
     CHECK(leader.size() == 2);
 }
 
+// Guards against routers that forget a limit because a message of the leader
+// before arrives late.
+TEST_CASE("a router takes no changes from a leader that was replaced")
+{
+    rate_limit_allocator before{1};
+    rate_limit_allocator leader{2};
+    before.answer({0, {}, {{1, 2.0}}}, {0s});
+    before.answer({0, {}, {{1, {}}}}, {0s});
+    before.answer({0, {}, {}}, {3s});
+    router_limits router{1};
+    router.on_changes(leader.answer({0, {}, {{1, 2.0}}}, {5s}).changes, {5s});
+    router.on_changes(before.changes_since(0), {7s});
+    CHECK(router.is_limited(1));
+}
+
 // Guards against answers that repeat all limits: at 195 routers and 82 servers
 // with limits they filled the link of the leader.
 TEST_CASE("an answer holds only what the router does not know")
