--- a/tests/process/route_fleet/route_fleet_fixture.hpp
+++ b/tests/process/route_fleet/route_fleet_fixture.hpp
@@ -52,7 +52,7 @@
             list_address_ = {"127.0.0.1", next_port()};
         } while (!list_server_.open(list_address_).ok());
         start_voter();
-        submit_document();
+        submit_document(document_);
         for (std::size_t i = 0; i < routers; ++i)
         {
             add_router();
@@ -118,6 +118,32 @@
         }
     }
 
+    // Commits a configuration; its version must be higher than the last one.
+    void submit_document(const std::string& document)
+    {
+        std::string answer;
+        for (int attempt = 0; attempt < 50; ++attempt)
+        {
+            caller_double caller{loop_, operators_port_};
+            caller.send(fmt::format(
+                "PUT /config HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n"
+                "{}",
+                document.size(), document));
+            run_until(
+                loop_, [&] { return !caller.received().empty(); },
+                std::chrono::seconds{3});
+            answer = caller.received();
+            if (answer.find("200 OK") != std::string::npos)
+            {
+                return;
+            }
+            run_for(std::chrono::milliseconds{100});
+        }
+        FAIL(
+            "voter did not accept the configuration; last response: "
+            << answer);
+    }
+
     caller_double& call(std::size_t router, const std::string& request)
     {
         callers_.push_back(
@@ -200,31 +226,6 @@
         } while (!voter_->open().ok());
     }
 
-    void submit_document()
-    {
-        std::string answer;
-        for (int attempt = 0; attempt < 50; ++attempt)
-        {
-            caller_double caller{loop_, operators_port_};
-            caller.send(fmt::format(
-                "PUT /config HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n"
-                "{}",
-                document_.size(), document_));
-            run_until(
-                loop_, [&] { return !caller.received().empty(); },
-                std::chrono::seconds{3});
-            answer = caller.received();
-            if (answer.find("200 OK") != std::string::npos)
-            {
-                return;
-            }
-            run_for(std::chrono::milliseconds{100});
-        }
-        FAIL(
-            "voter did not accept the configuration; last response: "
-            << answer);
-    }
-
     void add_router()
     {
         constexpr std::size_t first_host = 2;
