--- a/tests/process/voter_node/voter_node_test.cpp
+++ b/tests/process/voter_node/voter_node_test.cpp
@@ -157,7 +157,7 @@
     void report_limit(backend_server_id server)
     {
         wire::permit_request_msg report;
-        report.observed = {{server, 2.0, false, false}};
+        report.observed.emplace_back(server, 2.0, false, false, false, 0);
         send(report);
     }
     bool is_ready() const
