Don't write an error response into a stream

Cause: relay_whole_response did not ask whether the stream had begun. Such a response now ends the attempt; the held attempt, another server or the end of the connection follow.

--- a/src/process/gateway/exchange.cpp
+++ b/src/process/gateway/exchange.cpp
@@ -963,6 +963,14 @@
         attempt_.answer_began = now;
         settle_answer();
     }
+    if (relay_.has_started())
+    {
+        // An error can't be told in the middle of a stream.
+        may_have_run_ = true;
+        end_attempt(outcome);
+        retry(dispatch_outcome::server_error);
+        return;
+    }
     if (failed && is_repeatable() && may_retry(history()) && take_retry())
     {
         may_have_run_ = true;
--- a/tests/process/gateway/silent_server_test.cpp
+++ b/tests/process/gateway/silent_server_test.cpp
@@ -237,3 +237,38 @@
     CHECK(caller.received().starts_with("HTTP/1.1 200"));
     CHECK(second_sends <= 1);
 }
+
+// Guards against a second response head in the middle of a stream: the server
+// that is to go on with it responds with an error.
+TEST_CASE("an error of a second server is not written into a stream")
+{
+    const auto* status = GENERATE("404 Not Found", "500 Internal Server Error");
+    const bool first_goes_on = GENERATE(false, true);
+    CAPTURE(status, first_goes_on);
+    gateway_fixture fixture{patient_route(call_kind::streaming)};
+    std::size_t second_sends = 0;
+    add_backends(
+        fixture, second_server::takes_over,
+        [&](connection& to, const received_request& /*request*/)
+        {
+            to.write(stream_head + events(1, 2));
+            if (!first_goes_on)
+            {
+                to.reset();
+                return;
+            }
+            fixture.context().loop().after(
+                1500ms, [&to] { to.write(events(3, 4) + end_of_stream); });
+        },
+        second_sends, plain_response(status, sealed));
+    const caller_double& caller = fixture.call(gateway_fixture::request_text());
+    const auto has_ended = [&]
+    { return caller.ended() || caller.received().ends_with(end_of_stream); };
+    for (int i = 0; i < 3 && !has_ended(); ++i)
+    {
+        fixture.run_until(has_ended);
+    }
+    CHECK(second_sends == 1);
+    CHECK(caller.received().find("HTTP/1.1", 1) == std::string::npos);
+    CHECK(caller.ended() != first_goes_on);
+}
