Don't blame requests for crashes that a cut-off router can't see

A crash is now recorded only by a router that has not lost the service, and a server that declines is up.

--- a/src/process/gateway/backend_connection.cpp
+++ b/src/process/gateway/backend_connection.cpp
@@ -145,7 +145,7 @@
         }
     }
     pool_.remove(*this);
-    end_probe(false);
+    end_probe(is_declined_);
     if (receiver != nullptr)
     {
         receiver->on_connection_lost(end);
--- a/src/process/gateway/crash_monitor.cpp
+++ b/src/process/gateway/crash_monitor.cpp
@@ -1,5 +1,6 @@
 #include "process/gateway/crash_monitor.hpp"
 
+#include "common/hashing.hpp"
 #include "common/logging.hpp"
 
 #include <algorithm>
@@ -80,8 +81,13 @@
     const std::vector<broken_attempt> attempts = std::move(found->second);
     unchecked_.erase(found);
     // A server at its connection limit refuses new connections and keeps the
-    // existing ones.
-    if (accepts_connections || pool_.has_established(backend))
+    // existing ones. A router that reaches no server of a service can't tell
+    // that one of them has crashed.
+    const backend_record* record = pool_.table().find(backend);
+    const bool is_lost =
+        record != nullptr &&
+        pool_.paths().is_lost(hash_name(record->listed.service));
+    if (accepts_connections || is_lost || pool_.has_established(backend))
     {
         return;
     }
