Let tunnels bear peers that do not read for some time

A link ends when its peer acknowledges no data for 1.5 s, and a window that stays full counts as that. Tunnels bear 10 s.

The host gives up on a server after 100 ms instead of 120, so that its answer arrives before the other router gives up on the host, and reads from the link again when the server ends, so that it sees the end of the link.

--- a/src/connection/link/link_connection.hpp
+++ b/src/connection/link/link_connection.hpp
@@ -57,6 +57,13 @@
     encode_frame(instance_id self, const wire::payloadUnion& payload);
     void send_frame(std::string_view frame);
 
+    // Replaces the limit of 1.5 s after which a peer that acknowledges no data
+    // counts as unreachable.
+    void set_acknowledgement_timeout(duration limit)
+    {
+        connection_->set_acknowledgement_timeout(limit);
+    }
+
     // Pauses or resumes reading, see byte_channel.
     void set_reading(bool reading)
     {
--- a/src/process/gateway/tunnel_connection.cpp
+++ b/src/process/gateway/tunnel_connection.cpp
@@ -19,7 +19,12 @@
     std::unique_ptr<tunnel_connection> tunnel{
         new tunnel_connection{backend, observer}};
     tunnel->link_ = link_connection::dial(loop, host, self, *tunnel);
-    return tunnel->link_ == nullptr ? nullptr : std::move(tunnel);
+    if (tunnel->link_ == nullptr)
+    {
+        return nullptr;
+    }
+    tunnel->link_->set_acknowledgement_timeout(tunnel_acknowledgement_timeout);
+    return tunnel;
 }
 
 void tunnel_connection::announce(
--- a/src/process/gateway/tunnel_connection.hpp
+++ b/src/process/gateway/tunnel_connection.hpp
@@ -12,6 +12,12 @@
 namespace hickorygap
 {
 
+// A tunnel whose peer acknowledges no data for this long has failed. Longer
+// than for other links, because a full window counts as well: a server or a
+// caller may not read for some time.
+inline constexpr duration tunnel_acknowledgement_timeout =
+    std::chrono::seconds{10};
+
 // A connection to a backend server that another router, the host, has to it,
 // for one request. The host passes on bytes and decides nothing but whether the
 // server accepts requests from it: choice of the server, retries, limits and
--- a/src/process/gateway/tunnel_service.cpp
+++ b/src/process/gateway/tunnel_service.cpp
@@ -3,6 +3,7 @@
 #include "common/logging.hpp"
 #include "common/status_text.hpp"
 #include "process/fleet_settings/fleet_settings.hpp"
+#include "process/gateway/tunnel_connection.hpp"
 
 #include <string>
 #include <utility>
@@ -14,7 +15,7 @@
 {
 
 // Shorter than the time for which the other router waits for the tunnel.
-constexpr duration connect_timeout = std::chrono::milliseconds{120};
+constexpr duration connect_timeout = std::chrono::milliseconds{100};
 
 // Reading from one side pauses while more bytes than this wait for the other.
 constexpr std::size_t max_pending_bytes = std::size_t{128} * 1024;
@@ -109,6 +110,7 @@
     void on_end(connection_end end) override
     {
         close();
+        link_.set_reading(true);
         if (end == connection_end::refused)
         {
             owner_.directory_.on_unreachable(backend_);
@@ -204,6 +206,7 @@
         refuse(link, refusal_because(wire::tunnel_refusal::unreachable));
         return;
     }
+    link.set_acknowledgement_timeout(tunnel_acknowledgement_timeout);
     tunnels_.emplace(&link, std::move(added));
 }
 
