--- a/src/process/gateway/caller_session.cpp
+++ b/src/process/gateway/caller_session.cpp
@@ -24,6 +24,10 @@
 // Time limit for a request body after its head, for callers that stop midway.
 constexpr duration body_timeout = std::chrono::seconds{30};
 
+// A connection with bytes that were not read yet is not idle. They are read in
+// the next iteration of the event loop.
+constexpr duration unread_input_delay = std::chrono::milliseconds{10};
+
 // During shutdown, a new connection may wait this long for its first request;
 // callers send it immediately after they connect.
 constexpr duration first_request_timeout = std::chrono::milliseconds{800};
@@ -86,6 +90,11 @@
                                ? std::max(idle_timeout_, limits().idle_timeout)
                            : reader_.has_head() ? body_timeout
                                                 : limits().header_timeout;
+    if (!request_started_ && connection_->has_unread_input())
+    {
+        start_timer(unread_input_delay);
+        return;
+    }
     const duration waited = context_.loop().now() - waiting_since_;
     if (waited < limit)
     {
