Hold an attempt until a server that responds has the request

A server of last resort is no replacement. The response of a held server counts if it belongs to the request and is no failure. An attempt that was not sent yet is not held, and another server is looked for every 0.5 s.

--- a/src/process/gateway/exchange.cpp
+++ b/src/process/gateway/exchange.cpp
@@ -41,6 +41,10 @@
 // stream must not go on at one server while another works on it for longer.
 constexpr duration max_attempt_overlap = std::chrono::milliseconds{300};
 
+// Interval at which another server is looked for again when none has taken the
+// request of a held attempt.
+constexpr duration held_retry_interval = std::chrono::milliseconds{500};
+
 // Interval at which it is checked again whether the second server is connected.
 constexpr duration overlap_check_interval = std::chrono::milliseconds{50};
 
@@ -433,7 +437,10 @@
 
 void exchange::send_to(const dispatch_choice& choice)
 {
-    if (choice.backend == nullptr)
+    // A server that makes no progress is no replacement for another one.
+    const bool is_useless =
+        held_attempt_ && choice.reason == dispatch_reason::last_resort;
+    if (choice.backend == nullptr || is_useless)
     {
         give_up(dispatch_outcome::rejected);
         return;
@@ -610,6 +617,12 @@
     {
         return;
     }
+    if (!attempt_.connection->is_connected())
+    {
+        // The request has not been sent.
+        restart_attempt_timer(queue_check_interval);
+        return;
+    }
     const backend_record* server = context_.table().find(attempt_.backend);
     if (server != nullptr && is_queueing(*server, context_.loop().now()))
     {
@@ -655,7 +668,7 @@
     held_send_is_due_ = false;
     if (sends_ < route_->max_attempts)
     {
-        restart_attempt_timer(queue_check_interval);
+        restart_attempt_timer(held_retry_interval);
     }
 }
 
@@ -730,11 +743,18 @@
     {
         return false;
     }
-    if (!held_attempt_->head_read &&
-        reader.head().getStatus() >= first_redirect)
+    if (!held_attempt_->head_read)
     {
-        release_held_attempt(dispatch_outcome::rejected);
-        return false;
+        const backend_response_info info =
+            context_.dialect().decode_response(reader.head());
+        const bool failed = info.not_run || info.wrong_server ||
+                            info.attempt_id != call_.attempt_id ||
+                            reader.head().getStatus() >= first_server_error;
+        if (failed)
+        {
+            release_held_attempt(dispatch_outcome::rejected);
+        }
+        return !failed;
     }
     return !held_attempt_->relays_events ||
            reader.current() == response_reader::state::complete ||
--- a/tests/process/gateway/silent_server_test.cpp
+++ b/tests/process/gateway/silent_server_test.cpp
@@ -272,3 +272,50 @@
     CHECK(caller.received().find("HTTP/1.1", 1) == std::string::npos);
     CHECK(caller.ended() != first_goes_on);
 }
+
+// Guards against a request that loses a server which would go on to one that is
+// silent as well, and against the loss of an error that the first one sends.
+TEST_CASE("a held attempt ends only for a server that responds")
+{
+    gateway_fixture fixture{patient_route(call_kind::streaming)};
+    std::size_t second_sends = 0;
+    add_backends(
+        fixture, second_server::silent,
+        [&](connection& to, const received_request& /*request*/)
+        {
+            fixture.context().loop().after(
+                200ms,
+                [&to] { to.write(plain_response("404 Not Found", sealed)); });
+        },
+        second_sends, "");
+    const caller_double& caller = fixture.call(gateway_fixture::request_text());
+    REQUIRE(fixture.run_until([&] { return !caller.received().empty(); }));
+    CHECK(second_sends == 1);
+    CHECK(caller.received().starts_with("HTTP/1.1 404"));
+}
+
+// Guards against attempts that go on without a caller.
+TEST_CASE("both attempts end when the caller leaves")
+{
+    gateway_fixture fixture{patient_route(call_kind::streaming)};
+    std::size_t second_sends = 0;
+    std::vector<backend_double*> servers;
+    const auto script = [&](connection& to, const received_request& /*request*/)
+    {
+        if (++second_sends == 1)
+        {
+            to.write(stream_head + events(1, 1));
+        }
+    };
+    servers.push_back(&fixture.add_backend(script));
+    servers.push_back(&fixture.add_backend(script));
+    caller_double& caller = fixture.call(gateway_fixture::request_text());
+    for (int i = 0; i < 3 && second_sends < 2; ++i)
+    {
+        fixture.run_until([&] { return second_sends == 2; });
+    }
+    REQUIRE(second_sends == 2);
+    caller.leave();
+    CHECK(fixture.run_until(
+        [&] { return servers[0]->ended() + servers[1]->ended() == 2; }));
+}
