Don't take a caller that reads slowly for a silent server

While a caller does not read, the router reads nothing from the server either.

The stall is measured only while the router reads.

--- a/src/process/gateway/backend_attempt.hpp
+++ b/src/process/gateway/backend_attempt.hpp
@@ -31,6 +31,9 @@
     bool relays_events = false;
     bool awaits_rejection_end = false;
 
+    // Nothing is read until the caller has read what was sent to it.
+    bool is_paused = false;
+
     // The server has made no progress for the permitted time.
     bool is_stalled = false;
 
--- a/src/process/gateway/exchange.cpp
+++ b/src/process/gateway/exchange.cpp
@@ -617,9 +617,9 @@
     {
         return;
     }
-    if (!attempt_.connection->is_connected())
+    if (attempt_.is_paused || !attempt_.connection->is_connected())
     {
-        // The request has not been sent.
+        // The caller does not read, or the request has not been sent.
         restart_attempt_timer(queue_check_interval);
         return;
     }
@@ -816,6 +816,10 @@
 {
     if (attempt_.connection != nullptr)
     {
+        if (std::exchange(attempt_.is_paused, false))
+        {
+            attempt_.progress_at = context_.loop().now();
+        }
         attempt_.connection->set_reading(true);
     }
 }
@@ -1070,6 +1074,7 @@
     }
     else if (caller_.pending() > max_pending_bytes)
     {
+        attempt_.is_paused = true;
         attempt_.connection->set_reading(false);
     }
 }
--- a/tests/process/gateway/silent_server_test.cpp
+++ b/tests/process/gateway/silent_server_test.cpp
@@ -319,3 +319,33 @@
     CHECK(fixture.run_until(
         [&] { return servers[0]->ended() + servers[1]->ended() == 2; }));
 }
+
+// Guards against a caller that reads slowly and is taken for a silent server.
+TEST_CASE("a stream whose caller does not read stays at its server")
+{
+    gateway_fixture fixture{patient_route(call_kind::streaming)};
+    std::size_t sends = 0;
+    const auto script = [&](connection& to, const received_request& /*request*/)
+    {
+        ++sends;
+        std::string text = stream_head;
+        for (int id = 1; id <= 150; ++id)
+        {
+            const std::string event = fmt::format(
+                "id: {}\ndata: {}\n\n", id, std::string(100'000, 'x'));
+            text += fmt::format("{:x}\r\n{}\r\n", event.size(), event);
+        }
+        to.write(text + end_of_stream);
+    };
+    fixture.add_backend(script);
+    fixture.add_backend(script);
+    caller_double& caller = fixture.call(gateway_fixture::request_text());
+    REQUIRE(fixture.run_until([&] { return !caller.received().empty(); }));
+    caller.set_reading(false);
+    fixture.run_for(1800ms);
+    caller.set_reading(true);
+    CHECK(fixture.run_until(
+        [&] { return caller.received().ends_with(end_of_stream); }));
+    CHECK(sends == 1);
+    CHECK(caller.received().find("id: 150") != std::string::npos);
+}
--- a/tests/support/loopback.hpp
+++ b/tests/support/loopback.hpp
@@ -58,6 +58,10 @@
     {
         stream_->write(bytes);
     }
+    void set_reading(bool reading)
+    {
+        stream_->set_reading(reading);
+    }
     void leave()
     {
         stream_->close();
