--- a/src/connection/h1/message_framing.cpp
+++ b/src/connection/h1/message_framing.cpp
@@ -273,8 +273,13 @@
         decode_length(input, output);
         break;
     case body_kind::chunked:
-        decode_chunked(input, output);
+    {
+        // Chunks may be single bytes, so the input is shortened only once.
+        std::string_view rest{input};
+        decode_chunked(rest, output);
+        input.erase(0, input.size() - rest.size());
         break;
+    }
     case body_kind::until_close:
         output.append(input);
         input.clear();
@@ -310,10 +315,10 @@
 
 // Moves one line without its CRLF out of the input. False while the line is
 // incomplete, or when it is malformed.
-bool body_decoder::read_line(std::string& input, std::string& line)
+bool body_decoder::read_line(std::string_view& input, std::string_view& line)
 {
     const std::size_t end = input.find("\r\n");
-    if (end == std::string::npos)
+    if (end == std::string_view::npos)
     {
         if (input.size() > max_chunk_line_bytes)
         {
@@ -322,7 +327,7 @@
         return false;
     }
     line = input.substr(0, end);
-    input.erase(0, end + 2);
+    input.remove_prefix(end + 2);
     // A lone line feed is refused, because other HTTP implementations may treat
     // it as the end of the line.
     if (!std::ranges::all_of(line, is_field_character))
@@ -333,9 +338,9 @@
     return true;
 }
 
-void body_decoder::decode_chunked(std::string& input, std::string& output)
+void body_decoder::decode_chunked(std::string_view& input, std::string& output)
 {
-    std::string line;
+    std::string_view line;
     while (state_ == state::incomplete)
     {
         switch (part_)
@@ -346,8 +351,7 @@
             {
                 return;
             }
-            const std::string_view digits =
-                std::string_view{line}.substr(0, line.find(';'));
+            const std::string_view digits = line.substr(0, line.find(';'));
             constexpr int hexadecimal = 16;
             constexpr std::size_t max_digits = 15;
             const auto [end, error] = std::from_chars(
@@ -366,8 +370,8 @@
         {
             const std::size_t count = static_cast<std::size_t>(
                 std::min<std::uint64_t>(remaining_, input.size()));
-            output.append(input, 0, count);
-            input.erase(0, count);
+            output.append(input.substr(0, count));
+            input.remove_prefix(count);
             remaining_ -= count;
             if (remaining_ != 0)
             {
@@ -386,7 +390,7 @@
                 state_ = state::broken;
                 return;
             }
-            input.erase(0, 2);
+            input.remove_prefix(2);
             part_ = chunk_part::size_line;
             break;
         case chunk_part::trailer:
--- a/src/connection/h1/message_framing.hpp
+++ b/src/connection/h1/message_framing.hpp
@@ -109,8 +109,8 @@
     };
 
     void decode_length(std::string& input, std::string& output);
-    void decode_chunked(std::string& input, std::string& output);
-    bool read_line(std::string& input, std::string& line);
+    void decode_chunked(std::string_view& input, std::string& output);
+    bool read_line(std::string_view& input, std::string_view& line);
 
     body_framing framing_;
     state state_ = state::complete;
--- a/src/connection/h1/request_reader.cpp
+++ b/src/connection/h1/request_reader.cpp
@@ -26,10 +26,12 @@
     if (!head_)
     {
         // Empty lines before a request line are ignored, RFC 9112 section 2.2.
-        while (input.starts_with("\r\n"))
+        std::size_t blank = 0;
+        while (std::string_view{input}.substr(blank).starts_with("\r\n"))
         {
-            input.erase(0, 2);
+            blank += 2;
         }
+        input.erase(0, blank);
         const auto end = find_head_end(input);
         if (end.value_or(input.size()) > limits.header_bytes)
         {
--- a/tests/connection/h1/message_framing_test.cpp
+++ b/tests/connection/h1/message_framing_test.cpp
@@ -225,3 +225,28 @@
     // Processor time, so that a busy machine does not fail the test.
     CHECK((std::clock() - start) / CLOCKS_PER_SEC < 1);
 }
+
+// Guards against shortening the input once for each blank line before a request
+// or for each chunk of its body, which lets one caller hold up all others.
+TEST_CASE("reading a request takes time in proportion to its length")
+{
+    const auto [head, repeated, end] =
+        GENERATE(table<std::string, std::string, std::string>({
+            {"", "\r\n", "GET / HTTP/1.1\r\nHost: a\r\n\r\n"},
+            {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n",
+             "1\r\nx\r\n", "0\r\n\r\n"},
+        }));
+    constexpr std::size_t count = 300000;
+    std::string input = head;
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        input += repeated;
+    }
+    input += end;
+    request_reader reader;
+    const std::clock_t start = std::clock();
+    CHECK(reader.read(input, {}) == request_reader::state::complete);
+    CHECK((std::clock() - start) / CLOCKS_PER_SEC < 1);
+    CHECK(input.empty());
+    CHECK(reader.take().body == (head.empty() ? "" : std::string(count, 'x')));
+}
