Verify batches of decision records before a query reads them

A query of the decision records ended the process when a file held a frame with a valid checksum whose content is no batch: queries read the content in place and, unlike the scan at the start and verify(), without checking it. They now check it by the function that decoding uses and pass over such a frame; verify() reports it as before.

Ruled out: the other readers of files and of messages between instances decode with the check; a union without a value and an unknown message type are taken for no message.

--- a/src/messages/codec.hpp
+++ b/src/messages/codec.hpp
@@ -68,14 +68,25 @@
         builder.GetBufferPointer() + builder.GetSize()};
 }
 
+// Verifies such a table and returns it without unpacking it; nullptr when the
+// bytes are not a valid table of this type. It is valid as long as the bytes.
+template <typename Table>
+const Table* verified_table(std::span<const std::uint8_t> data)
+{
+    flatbuffers::Verifier verifier{data.data(), data.size()};
+    return verifier.VerifyBuffer<Table>(nullptr)
+               ? flatbuffers::GetRoot<Table>(data.data())
+               : nullptr;
+}
+
 // Verifies and decodes such a table. Error: invalid_request when the bytes are
 // not a valid table of this type.
 template <typename Table>
 absl::StatusOr<typename Table::NativeTableType>
 decode_table(std::span<const std::uint8_t> data)
 {
-    flatbuffers::Verifier verifier{data.data(), data.size()};
-    if (!verifier.VerifyBuffer<Table>(nullptr))
+    const Table* table = verified_table<Table>(data);
+    if (table == nullptr)
     {
         return make_error(
             error_kind::invalid_request,
@@ -83,7 +94,7 @@
             "instances run the same release");
     }
     typename Table::NativeTableType object;
-    flatbuffers::GetRoot<Table>(data.data())->UnPackTo(&object);
+    table->UnPackTo(&object);
     return object;
 }
 
--- a/src/process/decision_record/decision_store.cpp
+++ b/src/process/decision_record/decision_store.cpp
@@ -100,9 +100,9 @@
     const decision_query& query, std::span<const std::uint8_t> content,
     decision_list& list)
 {
-    const auto* batch =
-        flatbuffers::GetRoot<wire::decision_batch>(content.data());
-    if (batch->records() == nullptr)
+    // verify() reports batches that can't be decoded.
+    const auto* batch = verified_table<wire::decision_batch>(content);
+    if (batch == nullptr || batch->records() == nullptr)
     {
         return;
     }
--- a/tests/process/decision_record/decision_store_test.cpp
+++ b/tests/process/decision_record/decision_store_test.cpp
@@ -336,6 +336,29 @@
     CHECK(store->verify()->gaps.empty());
 }
 
+// Guards against a query that ends the process, or loses the records after it,
+// because a frame with a valid checksum holds something other than a batch.
+TEST_CASE("a query passes over a frame that is no batch")
+{
+    const temporary_folder folder;
+    const auto chain = make_chain(3, 9, 2);
+    REQUIRE(open_store(folder)->append(chain[0]).ok());
+    {
+        std::ofstream file{
+            folder.files(".records").front(), std::ios::binary | std::ios::app};
+        const auto frame = make_frame(std::vector<std::uint8_t>(64, 0xFE));
+        file.write(
+            reinterpret_cast<const char*>(frame.data()),
+            static_cast<std::streamsize>(frame.size()));
+    }
+    const auto store = open_store(folder);
+    REQUIRE(store->append(chain[1]).ok());
+    const auto found = store->query({});
+    REQUIRE(found.ok());
+    CHECK(found->decisions.size() == 6);
+    CHECK(store->verify()->corruptions.size() == 1);
+}
+
 // Guards against storing a batch that was altered, or whose preceding digest is
 // not the digest of the batch before it.
 TEST_CASE("batches that do not match their hash chain are refused")
