--- a/src/process/gateway/exchange.cpp
+++ b/src/process/gateway/exchange.cpp
@@ -438,9 +438,9 @@
 void exchange::send_to(const dispatch_choice& choice)
 {
     // A server that makes no progress is no replacement for another one.
-    const bool is_useless =
+    const bool is_unresponsive =
         held_attempt_ && choice.reason == dispatch_reason::last_resort;
-    if (choice.backend == nullptr || is_useless)
+    if (choice.backend == nullptr || is_unresponsive)
     {
         give_up(dispatch_outcome::rejected);
         return;
