Record crashes of several servers while their service seems lost

A request that crashes servers crashed five of them where three are allowed: after two crashes the routers took the service for lost and recorded no more crashes, since "Don't blame requests for crashes that a cut-off router can't see".

Only a router that is cut off, as another router has shown by connecting to a server, records no crashes now.

--- a/src/process/gateway/crash_monitor.cpp
+++ b/src/process/gateway/crash_monitor.cpp
@@ -81,13 +81,13 @@
     const std::vector<broken_attempt> attempts = std::move(found->second);
     unchecked_.erase(found);
     // A server at its connection limit refuses new connections and keeps the
-    // existing ones. A router that reaches no server of a service can't tell
-    // that one of them has crashed.
+    // existing ones. A router that is cut off can't tell that a server has
+    // crashed.
     const backend_record* record = pool_.table().find(backend);
-    const bool is_lost =
+    const bool is_cut_off =
         record != nullptr &&
-        pool_.paths().is_lost(hash_name(record->listed.service));
-    if (accepts_connections || is_lost || pool_.has_established(backend))
+        pool_.paths().is_cut_off(hash_name(record->listed.service));
+    if (accepts_connections || is_cut_off || pool_.has_established(backend))
     {
         return;
     }
