--- a/review/stand_ins/harness.hpp
+++ b/review/stand_ins/harness.hpp
@@ -262,6 +262,11 @@
         }
     }
 
+    int descriptor() const
+    {
+        return descriptor_;
+    }
+
     bool ended() const
     {
         return ended_;
@@ -830,6 +835,80 @@
     double link_megabits = 1000;
     int grace_s = 8;
     double retry_slack = 56;
+
+    // Routers reach the voters and each other through proxies, see
+    // fleet::cut_off. Each router then has an internal port of its own, which
+    // is how a proxy knows whose connection it passes on.
+    bool proxied = false;
+};
+
+// Passes connections on to another address. While it is cut, it resets what is
+// open and refuses what is new.
+class proxy
+{
+public:
+    proxy(address own, address target)
+        : own_{std::move(own)}
+        , target_{std::move(target)}
+    {
+    }
+
+    bool open()
+    {
+        auto next = std::make_shared<server>();
+        const bool is_open = next->open(
+            own_, [target = target_](const std::shared_ptr<connection>& peer)
+            { pass_on(*peer, target); });
+        current_ = std::move(next);
+        return is_open;
+    }
+
+    void cut()
+    {
+        if (current_)
+        {
+            current_->crash();
+            // Its thread may still use it.
+            retired_.push_back(std::move(current_));
+        }
+    }
+
+private:
+    static void pass_on(connection& peer, const address& target)
+    {
+        const auto other = connection::dial(target);
+        if (other == nullptr)
+        {
+            peer.reset();
+            return;
+        }
+        while (true)
+        {
+            pollfd wait[2] = {
+                {peer.descriptor(), POLLIN, 0}, {other->descriptor(), POLLIN, 0}};
+            if (::poll(wait, 2, -1) <= 0)
+            {
+                return;
+            }
+            for (int i = 0; i < 2; ++i)
+            {
+                connection& from = i == 0 ? peer : *other;
+                connection& to = i == 0 ? *other : peer;
+                if (wait[i].revents != 0 &&
+                    (!from.receive(0) || !to.send(std::exchange(from.input, {}))))
+                {
+                    peer.reset();
+                    other->reset();
+                    return;
+                }
+            }
+        }
+    }
+
+    address own_;
+    address target_;
+    std::shared_ptr<server> current_;
+    std::vector<std::shared_ptr<server>> retired_;
 };
 
 // The project's processes, each at a loopback address of its own, with the
@@ -913,6 +992,7 @@
     void start()
     {
         const char* binary = std::getenv("HICKORYGAP");
+        open_proxies();
         for (int i = 0; i < options_.voters; ++i)
         {
             add(text("voter-%d", i), "vote", settings(true, i), binary);
@@ -927,6 +1007,22 @@
         }
     }
 
+    // Cuts the router off from all voters, or ends the cut.
+    void cut_off(int router, bool is_cut)
+    {
+        for (const auto& each : to_voters_[router])
+        {
+            if (is_cut)
+            {
+                each->cut();
+            }
+            else
+            {
+                each->open();
+            }
+        }
+    }
+
     // Files the configuration until a voter acknowledges it. False when none
     // does in time.
     bool file(const std::string& configuration, std::int64_t timeout_ms = 20000)
@@ -1028,6 +1124,45 @@
         return result;
     }
 
+    int router_port(int router) const
+    {
+        return options_.proxied ? internal_port + 1 + router : internal_port;
+    }
+
+    void open_proxies()
+    {
+        for (int i = 0; options_.proxied && i < options_.routers; ++i)
+        {
+            for (int voter = 0; voter < options_.voters; ++voter)
+            {
+                open_proxy(
+                    to_voters_[i], {voter_host(voter), router_port(i)},
+                    {voter_host(voter), internal_port});
+            }
+            for (int other = 0; other < options_.routers; ++other)
+            {
+                if (other != i)
+                {
+                    open_proxy(
+                        to_routers_[i], {router_host(other), router_port(i)},
+                        {router_host(other), router_port(other)});
+                }
+            }
+        }
+    }
+
+    static void open_proxy(
+        std::vector<std::unique_ptr<proxy>>& proxies, const address& own,
+        const address& target)
+    {
+        proxies.push_back(std::make_unique<proxy>(own, target));
+        if (!proxies.back()->open())
+        {
+            std::fprintf(stderr, "no proxy at %s\n", own.str().c_str());
+            std::exit(not_run);
+        }
+    }
+
     // Finds a network 127.N.0.0 in which all ports that are used are free.
     void find_free_network()
     {
@@ -1089,7 +1224,8 @@
         result += text(
             "  \"peers\": {\"port\": %d, \"seeds\": [%s], "
             "\"link_megabits_per_second\": %.1f },\n",
-            internal_port, seeds.c_str(), is_voter ? 6.0 : 1000.0);
+            is_voter ? internal_port : router_port(number), seeds.c_str(),
+            is_voter ? 6.0 : 1000.0);
         result += text(
             "  \"storage\": {\"folder\": \"%s\", \"bootstrap\": true, "
             "\"lost_disks\": 2 },\n",
@@ -1124,6 +1260,8 @@
     int network_ = 0;
     std::string folder_;
     std::map<std::string, std::unique_ptr<process>> processes_;
+    std::map<int, std::vector<std::unique_ptr<proxy>>> to_voters_;
+    std::map<int, std::vector<std::unique_ptr<proxy>>> to_routers_;
 };
 
 // Whether the case is played with its disruption.
