--- a/review/stand_ins/harness.hpp
+++ b/review/stand_ins/harness.hpp
@@ -166,11 +166,18 @@
     connection& operator=(const connection&) = delete;
 
     // nullptr when the connection is refused or not established in time.
+    // `receive_buffer`: bytes that wait in the socket at most; 0 for the default.
     static std::unique_ptr<connection>
-    dial(const address& where, int timeout_ms = 1000)
+    dial(const address& where, int timeout_ms = 1000, int receive_buffer = 0)
     {
         const int descriptor =
             ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+        if (receive_buffer > 0)
+        {
+            setsockopt(
+                descriptor, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+                sizeof receive_buffer);
+        }
         const sockaddr_in target = socket_address(where);
         const int started = ::connect(
             descriptor, reinterpret_cast<const sockaddr*>(&target),
@@ -241,9 +248,12 @@
                (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
     }
 
-    void shut_down()
+    // Resets the connection, also while another thread uses it.
+    void abort()
     {
-        ::shutdown(descriptor_, SHUT_RDWR);
+        sockaddr none{};
+        none.sa_family = AF_UNSPEC;
+        ::connect(descriptor_, &none, sizeof none);
     }
 
     void reset()
@@ -506,7 +516,7 @@
         {
             if (const auto peer = known.lock())
             {
-                peer->shut_down();
+                peer->abort();
             }
         }
         open_.clear();
