--- a/review/stand_ins/harness.hpp
+++ b/review/stand_ins/harness.hpp
@@ -842,6 +842,9 @@
 {
     int voters = 5;
     int routers = 2;
+
+    // Voters beyond these that are not started at first, see fleet::add_voter.
+    int spare_voters = 0;
     double link_megabits = 1000;
     int grace_s = 8;
     double retry_slack = 56;
@@ -1003,20 +1006,51 @@
     {
         const char* binary = std::getenv("HICKORYGAP");
         open_proxies();
-        for (int i = 0; i < options_.voters; ++i)
+        for (int i = 0; i < options_.voters + options_.spare_voters; ++i)
         {
-            add(text("voter-%d", i), "vote", settings(true, i), binary);
+            const bool is_spare = i >= options_.voters;
+            add(text("voter-%d", i), "vote", settings(true, i, !is_spare),
+                binary);
         }
         for (int i = 0; i < options_.routers; ++i)
         {
-            add(text("router-%d", i), "route", settings(false, i), binary);
+            add(text("router-%d", i), "route", settings(false, i, true), binary);
+        }
+        for (int i = 0; i < options_.voters; ++i)
+        {
+            voter(i).start();
         }
-        for (auto& [name, item] : processes_)
+        for (int i = 0; i < options_.routers; ++i)
         {
-            item->start();
+            router(i).start();
         }
     }
 
+    // Starts a spare voter, as a new machine with an empty disk.
+    void add_voter(int number)
+    {
+        voter(number).start();
+    }
+
+    // Starts a voter that has ended again, with an empty disk.
+    void start_without_disk(int number)
+    {
+        const std::string name = text("voter-%d", number);
+        std::error_code error;
+        std::filesystem::remove_all(
+            text("%s/core-%d", folder_.c_str(), number), error);
+        write_settings(name, settings(true, number, false));
+        voter(number).start();
+    }
+
+    // Reads the configuration at a voter. The answer has no head when none comes.
+    message read_configuration(int voter) const
+    {
+        return call(
+            {voter_host(voter), control_port},
+            "GET /config HTTP/1.1\r\nHost: control\r\n\r\n", 1000);
+    }
+
     // Cuts the router off from all voters, or ends the cut.
     void cut_off(int router, bool is_cut)
     {
@@ -1180,7 +1214,7 @@
         {
             network_ = 20 + (::getpid() + attempt * 7) % 200;
             bool free = is_free(list_address());
-            for (int i = 0; i < options_.voters; ++i)
+            for (int i = 0; i < options_.voters + options_.spare_voters; ++i)
             {
                 free = free && is_free({voter_host(i), control_port}) &&
                        is_free({voter_host(i), internal_port}) &&
@@ -1203,7 +1237,7 @@
     }
 
     // The template of the deploy file, filled in as the platform does.
-    std::string settings(bool is_voter, int number) const
+    std::string settings(bool is_voter, int number, bool bootstrap) const
     {
         const std::string host =
             is_voter ? voter_host(number) : router_host(number);
@@ -1237,10 +1271,11 @@
             is_voter ? internal_port : router_port(number), seeds.c_str(),
             is_voter ? 6.0 : 1000.0);
         result += text(
-            "  \"storage\": {\"folder\": \"%s\", \"bootstrap\": true, "
+            "  \"storage\": {\"folder\": \"%s\", \"bootstrap\": %s, "
             "\"lost_disks\": 2 },\n",
             is_voter ? text("%s/%s", folder_.c_str(), name.c_str()).c_str()
-                     : "");
+                     : "",
+            bootstrap ? "true" : "false");
         result += text(
             "  \"backend_list\": {\"address\": \"%s\", "
             "\"calls_per_second\": 44.0 },\n",
@@ -1254,12 +1289,21 @@
         return result;
     }
 
+    // Returns the path of the file.
+    std::string
+    write_settings(const std::string& name, const std::string& settings) const
+    {
+        const std::string file =
+            text("%s/%s.json", folder_.c_str(), name.c_str());
+        std::ofstream{file} << settings;
+        return file;
+    }
+
     void add(
         const std::string& name, const std::string& command,
         const std::string& settings, const char* binary)
     {
-        const std::string file = text("%s/%s.json", folder_.c_str(), name.c_str());
-        std::ofstream{file} << settings;
+        const std::string file = write_settings(name, settings);
         processes_[name] = std::make_unique<process>(
             name,
             std::vector<std::string>{binary, command, "--settings", file},
