--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,5 +1,5 @@
-// A caller sends a request without a Host field, while other callers wait for
-// their answers on kept connections of the same router.
+// A caller hides a second request in the value of a header field of its own
+// request. Checks what the backend servers run.
 
 #include "../stand_ins/harness.hpp"
 
@@ -8,14 +8,11 @@
 namespace
 {
 
-constexpr const char* host = "booking.example";
-constexpr const char* key = "n2ctnfzs989anu6wsjnb";
-constexpr int callers = 12;
-
-// RULES.md: "more than three times".
-constexpr int most_lost = 3;
-
-constexpr int work_ms = 600;
+constexpr std::string_view host = "booking.example";
+constexpr std::string_view caller_key = "n2ctnfzs989anu6wsjnb";
+constexpr std::string_view other_key = "anfqasnmgkcuyj8pjbvk";
+constexpr std::string_view caller_tenant = "hule930";
+constexpr std::string_view other_tenant = "vima417";
 
 std::string configuration()
 {
@@ -31,71 +28,87 @@
         "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
         "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
         "\"tenants\":{\"columns\":[\"name\",\"api_keys\",\"priority\"],"
-        "\"rows\":[[\"hule930\",[\"%s\"],1]]}}",
-        host, key);
+        "\"rows\":[[\"%s\",[\"%s\"],1],[\"%s\",[\"%s\"],1]]}}",
+        std::string{host}.c_str(), std::string{caller_tenant}.c_str(),
+        std::string{caller_key}.c_str(), std::string{other_tenant}.c_str(),
+        std::string{other_key}.c_str());
 }
 
-std::string request_text(const std::string& id, int work)
+struct run
 {
-    const std::string body = std::to_string(work);
-    return text(
-               "POST /book/visit HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\n"
-               "Deadline-Ms: 3000\r\nAuthorization: Bearer %s\r\n"
-               "Content-Length: %zu\r\n\r\n",
-               host, id.c_str(), key, body.size()) +
-           body;
-}
+    std::string id;
+    std::string tenant;
+    std::string target;
+};
 
+// What the booking service has run.
 std::mutex runs_mutex;
-std::set<std::string> begun;
+std::vector<run> runs;
 
 bool serve(const std::string& server, const message& request, connection& peer)
 {
     const std::string id = request.field("Request-Id");
-    record().line(text("server=%s runs id=%s", server.c_str(), id.c_str()));
+    const std::string tenant = request.field("Tenant");
+    record().line(text(
+        "server=%s ran id=%s tenant=%s target=%s body=\"%s\"", server.c_str(),
+        id.c_str(), tenant.c_str(), request.word(1).c_str(),
+        printable(request.body).c_str()));
     {
         const std::lock_guard lock{runs_mutex};
-        begun.insert(id);
+        runs.push_back({id, tenant, request.word(1)});
     }
-    sleep_ms(std::atoi(request.body.c_str()));
     return send_success(peer, id, "booked " + id);
 }
 
-struct outcome
+std::string base64(std::string_view bytes)
 {
-    bool answered_first = false;
-    bool closed_without_answer = false;
-    int status = 0;
-};
-
-outcome call_twice(const address& front, int number)
-{
-    outcome result;
-    const auto peer = connection::dial(front);
-    if (peer == nullptr)
+    constexpr std::string_view digits = "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+                                        "abcdefghijklmnopqrstuvwxyz"
+                                        "0123456789+/";
+    std::string result;
+    for (std::size_t i = 0; i < bytes.size(); i += 3)
     {
-        return result;
+        unsigned group = 0;
+        for (std::size_t j = 0; j < 3; ++j)
+        {
+            group = group << 8U |
+                    (i + j < bytes.size()
+                         ? static_cast<unsigned char>(bytes[i + j])
+                         : 0U);
+        }
+        for (std::size_t j = 0; j < 4; ++j)
+        {
+            result += i + j > bytes.size() ? '=' : digits[group >> (18 - 6 * j) & 63];
+        }
     }
-    const std::string first = text("caller-%d-first", number);
-    record().line(text("sent id=%s", first.c_str()));
-    peer->send(request_text(first, 5));
-    const message early = read_message(*peer, now_ms() + 3000, true);
-    record().line(text("answered id=%s status=%d", first.c_str(), early.status()));
-    result.answered_first = early.complete && early.status() == 200;
-    const std::string second = text("caller-%d-second", number);
-    record().line(text("sent id=%s on the same connection", second.c_str()));
-    peer->send(request_text(second, work_ms));
-    const message late = read_message(*peer, now_ms() + 3500, true);
-    result.status = late.has_head ? late.status() : 0;
-    const std::lock_guard lock{runs_mutex};
-    result.closed_without_answer =
-        !late.has_head && peer->ended() && begun.contains(second);
-    record().line(text(
-        "%s id=%s status=%d", late.complete ? "answered" : "connection_closed",
-        second.c_str(), result.status));
     return result;
 }
 
+// The request that is hidden: a booking in the name of the other tenant. What
+// the router writes behind it is the start of a third message, which no server
+// can read.
+std::string hidden_request(const std::string& id)
+{
+    return text(
+        "x\r\nContent-Length: 0\r\n\r\n"
+        "POST /book/visit HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\n"
+        "Tenant: %s\r\nContent-Length: 0\r\n\r\nrest: ",
+        std::string{host}.c_str(), id.c_str(),
+        std::string{other_tenant}.c_str());
+}
+
+std::string request_text(const std::string& id, const std::string& note)
+{
+    const std::string body = "visit " + id;
+    return text(
+               "POST /book/visit HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\n"
+               "Deadline-Ms: 3000\r\nAuthorization: Bearer %s\r\nNote: %s\r\n"
+               "Content-Length: %zu\r\n\r\n",
+               std::string{host}.c_str(), id.c_str(),
+               std::string{caller_key}.c_str(), note.c_str(), body.size()) +
+           body;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -128,54 +141,49 @@
     {
         finish(std::move(processes), not_run, "the fleet isn't ready");
     }
-    // Longer than stable_window_ms, so that all machines are in touch.
-    sleep_ms(4000);
-    std::vector<outcome> outcomes(callers);
-    std::vector<std::thread> threads;
-    for (int i = 0; i < callers; ++i)
+    std::set<std::string> sent;
+    int unanswered = 0;
+    for (int i = 0; i < 40; ++i)
     {
-        threads.emplace_back(
-            [&, i] { outcomes[i] = call_twice(processes->front(0), i); });
+        const std::string id = text("caller-%d", i);
+        // Every fourth request carries a note that isn't plain text.
+        const bool hides = has_trouble() && i % 4 == 3;
+        const std::string note =
+            hides ? "=?utf-8?B?" +
+                        base64(hidden_request(text("hidden-%d", i))) + "?="
+                  : "ring twice";
+        sent.insert(id);
+        record().line(text(
+            "sent id=%s router=%d hides=%d", id.c_str(), i % 2, hides));
+        const message answer =
+            fleet::call(processes->front(i % 2), request_text(id, note), 4000);
+        record().line(text(
+            "answered id=%s status=%d body=\"%s\"", id.c_str(),
+            answer.has_head ? answer.status() : 0,
+            printable(answer.body).c_str()));
+        unanswered += answer.complete ? 0 : 1;
+        sleep_ms(20);
     }
-    sleep_ms(300);
-    const std::string named = has_trouble() ? "" : "Host: nowhere.example\r\n";
-    record().line(text(
-        "sent id=odd-1 %s", has_trouble() ? "without a Host field"
-                                          : "for a host without routes"));
-    const message odd = fleet::call(
-        processes->front(0),
-        text(
-            "GET /book/visit HTTP/1.1\r\n%sRequest-Id: odd-1\r\n"
-            "Deadline-Ms: 3000\r\n\r\n",
-            named.c_str()),
-        2000);
-    record().line(
-        text("answered id=odd-1 status=%d", odd.has_head ? odd.status() : 0));
-    for (std::thread& each : threads)
-    {
-        each.join();
-    }
-    int status = 0;
-    const bool ended = processes->router(0).has_ended(&status);
-    int lost = 0;
-    int served = 0;
-    int first = 0;
-    for (const outcome& each : outcomes)
+    sleep_ms(500);
+    int not_sent = 0;
+    int wrong_tenant = 0;
+    int total = 0;
+    const std::lock_guard lock{runs_mutex};
+    for (const run& each : runs)
     {
-        lost += each.closed_without_answer ? 1 : 0;
-        served += each.status == 200 ? 1 : 0;
-        first += each.answered_first ? 1 : 0;
+        ++total;
+        not_sent += sent.contains(each.id) ? 0 : 1;
+        wrong_tenant += each.tenant == caller_tenant ? 0 : 1;
     }
     const std::string summary = text(
-        "callers=%d served_first=%d served_second=%d "
-        "closed_without_answer=%d router_ended=%d signal=%d",
-        callers, first, served, lost, ended,
-        ended && WIFSIGNALED(status) ? WTERMSIG(status) : 0);
-    if (first < callers)
+        "sent=%zu unanswered=%d runs=%d runs_that_nobody_sent=%d "
+        "runs_for_another_tenant=%d",
+        sent.size(), unanswered, total, not_sent, wrong_tenant);
+    if (total == 0)
     {
         finish(std::move(processes), not_run, summary);
     }
     finish(
         std::move(processes),
-        lost > most_lost ? rule_broken : rule_held, summary);
+        not_sent + wrong_tenant > 0 ? rule_broken : rule_held, summary);
 }
--- a/review/6/run.sh
+++ /dev/null
@@ -1,4 +0,0 @@
-#!/usr/bin/env bash
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
-# TROUBLE=0 leaves the disruption out.
-exec "$(dirname "$0")/../stand_ins/run-case.sh" "$(dirname "$0")"
