--- a/src/process/routing_store/routing_voter.cpp
+++ b/src/process/routing_store/routing_voter.cpp
@@ -49,6 +49,7 @@
     , writer_{std::move(storage), options_.storage_retry_interval}
     , raft_{options_.raft, std::move(stored), now}
     , now_{now}
+    , leader_known_at_{now}
 {
 }
 
@@ -56,6 +57,7 @@
 {
     now_ = now;
     raft_.tick(now);
+    check_membership();
     propose_queued();
     std::erase_if(
         joining_, [&](const auto& item)
@@ -90,6 +92,13 @@
         receive_read_reply(*reply);
         return;
     }
+    if (message_in<wire::vote_request_msg>(payload) != nullptr &&
+        raft_.is_leader())
+    {
+        // Removed voters of releases before join_targets do not ask to join
+        // again, only for votes.
+        joining_[from] = now_;
+    }
     raft_.receive(from, payload, now);
 }
 
@@ -196,6 +205,38 @@
     outgoing_.push_back(make_outgoing(from, std::move(notice)));
 }
 
+std::vector<instance_id>
+routing_voter::join_targets(std::span<const instance_id> seeds) const
+{
+    std::vector<instance_id> targets{seeds.begin(), seeds.end()};
+    if (const voter_list* list = raft_.configuration())
+    {
+        std::ranges::copy(list->instances(), std::back_inserter(targets));
+    }
+    std::ranges::copy(advertised_voters_, std::back_inserter(targets));
+    std::ranges::sort(targets);
+    targets.erase(std::unique(targets.begin(), targets.end()), targets.end());
+    std::erase(targets, options_.raft.self);
+    return targets;
+}
+
+// The leader sends nothing to an instance that it has removed, so a voter that
+// was silent meanwhile can't tell its removal from the loss of the leader.
+void routing_voter::check_membership()
+{
+    if (raft_.leader() != 0)
+    {
+        leader_known_at_ = now_;
+    }
+    const bool leaderless = now_ - leader_known_at_ > options_.rejoin_after;
+    if (std::exchange(may_be_removed_, leaderless) != leaderless)
+    {
+        log(log_level::info, subsystem::consensus,
+            "membership_doubted leaderless={} term={}", leaderless,
+            raft_.term());
+    }
+}
+
 // Reads of other voters.
 
 void routing_voter::receive_read(
--- a/src/process/routing_store/routing_voter.hpp
+++ b/src/process/routing_store/routing_voter.hpp
@@ -36,6 +36,10 @@
     // after this time without a request.
     duration join_expiry = std::chrono::seconds{3};
 
+    // A voter that knows no leader for this time asks to join again: it may
+    // have been removed without receiving the entry that says so.
+    duration rejoin_after = std::chrono::seconds{2};
+
     // Number of entries applied between two snapshots.
     std::uint64_t entries_per_snapshot = 64;
 
@@ -113,18 +117,17 @@
         return raft_;
     }
 
-    // True while this instance is not a voter; the caller then sends group_join
-    // messages to voters.
+    // True while this instance is not a voter, or may have been removed; the
+    // caller then sends group_join messages to join_targets.
     bool wants_to_join() const
     {
-        return !raft_.is_voter();
+        return !raft_.is_voter() || may_be_removed_;
     }
 
-    // Voters as named in the last reply to a group_join message.
-    std::span<const instance_id> advertised_voters() const
-    {
-        return advertised_voters_;
-    }
+    // The seeds, the voters in this instance's log, and those named in the last
+    // reply to a group_join message; without this instance, in order.
+    std::vector<instance_id>
+    join_targets(std::span<const instance_id> seeds) const;
 
 private:
     routing_voter(
@@ -136,6 +139,7 @@
     void
     complete_filings(std::span<const std::uint64_t> numbers, bool confirmed);
     void receive_join(instance_id from);
+    void check_membership();
     void receive_read(instance_id from, const wire::read_request_msg& request);
     void receive_read_reply(const wire::read_reply_msg& reply);
     void reply_to_read(instance_id to, std::uint64_t read, bool confirmed);
@@ -192,6 +196,11 @@
     // Instances that requested to join, with the time of their last request.
     std::map<instance_id, time_point> joining_;
     std::vector<instance_id> advertised_voters_;
+
+    // When this instance last knew a leader, and whether that is longer ago
+    // than rejoin_after.
+    time_point leader_known_at_;
+    bool may_be_removed_ = false;
     std::vector<store_outcome> completed_filings_;
     std::vector<store_outcome> completed_reads_;
     absl::Status state_status_;
--- a/src/process/voter_node/voter_node.cpp
+++ b/src/process/voter_node/voter_node.cpp
@@ -6,8 +6,6 @@
 #include "common/status_text.hpp"
 #include "process/consensus/file_log_storage.hpp"
 
-#include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace hickorygap
@@ -220,24 +218,14 @@
         return;
     }
     next_join_request_ = loop_.now() + join_interval;
-    std::vector<instance_id> targets;
+    std::vector<instance_id> seeds;
     for (const std::string& seed : settings_.peers.seeds)
     {
-        targets.push_back(instance_at(seed));
+        seeds.push_back(instance_at(seed));
     }
-    if (const voter_list* list = voter_->raft().configuration())
+    for (const instance_id target : voter_->join_targets(seeds))
     {
-        std::ranges::copy(list->instances(), std::back_inserter(targets));
-    }
-    std::ranges::copy(voter_->advertised_voters(), std::back_inserter(targets));
-    std::ranges::sort(targets);
-    targets.erase(std::unique(targets.begin(), targets.end()), targets.end());
-    for (const instance_id target : targets)
-    {
-        if (target != self_)
-        {
-            links_.send(target, make_payload(wire::group_join_msg{}));
-        }
+        links_.send(target, make_payload(wire::group_join_msg{}));
     }
 }
 
--- a/tests/process/routing_store/routing_cluster.hpp
+++ b/tests/process/routing_store/routing_cluster.hpp
@@ -7,10 +7,12 @@
 
 #include <fmt/format.h>
 
+#include <array>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace hickorygap::test
@@ -74,6 +76,23 @@
         members_[id].disk.reset();
     }
 
+    // Stops an instance without closing its connections; it continues with the
+    // messages that have arrived meanwhile.
+    void freeze(instance_id id)
+    {
+        members_[id].frozen = true;
+    }
+
+    void thaw(instance_id id)
+    {
+        member& self = members_[id];
+        self.frozen = false;
+        for (const auto& item : std::exchange(self.held_messages, {}))
+        {
+            self.voter->receive(item.from, item.payload, now_);
+        }
+    }
+
     // Advances the simulated time of all running instances by 20 ms.
     void step()
     {
@@ -81,25 +100,26 @@
         for (const auto& item : network_.take_due(now_))
         {
             member& to = members_[item.to];
-            if (to.voter)
+            if (to.frozen)
+            {
+                to.held_messages.push_back(item);
+            }
+            else if (to.voter)
             {
                 to.voter->receive(item.from, item.payload, now_);
             }
         }
         for (auto& [id, self] : members_)
         {
-            if (!self.voter)
+            if (!self.voter || self.frozen)
             {
                 continue;
             }
             self.voter->tick(now_);
             if (self.voter->wants_to_join())
             {
-                std::set<instance_id> targets{1, 2, 3};
-                targets.insert(
-                    self.voter->advertised_voters().begin(),
-                    self.voter->advertised_voters().end());
-                for (const instance_id target : targets)
+                constexpr std::array<instance_id, 3> seeds{1, 2, 3};
+                for (const instance_id target : self.voter->join_targets(seeds))
                 {
                     network_.send(
                         id, make_outgoing(target, wire::group_join_msg{}),
@@ -275,6 +295,8 @@
     {
         std::shared_ptr<memory_disk> disk;
         std::unique_ptr<routing_voter> voter;
+        bool frozen = false;
+        std::vector<faulty_network::delivery> held_messages;
 
         // Versions by the number of their filing, and the acknowledged version
         // at the start of each read by its number.
--- a/tests/process/routing_store/routing_voter_test.cpp
+++ b/tests/process/routing_store/routing_voter_test.cpp
@@ -4,6 +4,10 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <iterator>
+#include <map>
+#include <utility>
+#include <vector>
 
 using namespace hickorygap;
 using namespace hickorygap::test;
@@ -32,6 +36,45 @@
     REQUIRE(cluster.active_voters() == 5);
 }
 
+// How a voter stops replying. A stalled disk blocks its process, as a freeze
+// does.
+enum class silence
+{
+    frozen,
+    cut_off,
+    deaf,
+    full_disk
+};
+
+void set_silent(routing_cluster& cluster, instance_id id, silence kind)
+{
+    switch (kind)
+    {
+    case silence::frozen:
+        cluster.freeze(id);
+        break;
+    case silence::cut_off:
+        cluster.network().cut(id);
+        break;
+    case silence::deaf:
+        cluster.network().block_incoming(id);
+        break;
+    case silence::full_disk:
+        cluster.disk(id).full = true;
+        break;
+    }
+}
+
+void end_silence(routing_cluster& cluster, instance_id id, silence kind)
+{
+    if (kind == silence::frozen)
+    {
+        cluster.thaw(id);
+    }
+    cluster.network().heal(id);
+    cluster.disk(id).full = false;
+}
+
 } // namespace
 
 // Guards against a configuration that is acknowledged while the group has fewer
@@ -261,6 +304,154 @@
     CHECK(cluster.file_and_wait());
 }
 
+// Failure: a voter is silent while another machine is replaced, so that the
+// leader removes the silent one; then two disks are lost. Guards against a
+// voter that never learns of its removal and never joins again, which leaves
+// the group without the disks that it needs for the loss of two (review/1).
+TEST_CASE("a voter that was silent during a replacement votes again")
+{
+    struct replacement
+    {
+        silence kind;
+        bool silent_leads;
+        bool successor_is_first;
+    };
+    const auto [kind, silent_leads, successor_is_first] =
+        GENERATE(values<replacement>(
+            {{silence::frozen, false, false},
+             {silence::frozen, false, true},
+             {silence::frozen, true, false},
+             {silence::cut_off, false, false},
+             {silence::cut_off, true, true},
+             {silence::deaf, false, false},
+             {silence::full_disk, false, false},
+             {silence::full_disk, true, true}}));
+    CAPTURE(static_cast<int>(kind), silent_leads, successor_is_first);
+    constexpr int second_steps = 50;
+    for (std::uint64_t seed = 1; seed <= 5; ++seed)
+    {
+        CAPTURE(seed);
+        routing_cluster cluster{seed, production_timing()};
+        start_five_voters(cluster);
+        instance_id successor = 5;
+        // Twice over: the second silent voter may be one that joined again.
+        for (int round = 0; round < 2; ++round)
+        {
+            CAPTURE(round);
+            REQUIRE(cluster.leader());
+            const std::set<instance_id> before = cluster.voters();
+            std::vector<instance_id> followers{before.begin(), before.end()};
+            const instance_id leader = *cluster.leader();
+            std::erase(followers, leader);
+            const instance_id silent = silent_leads ? leader : followers[0];
+            const instance_id replaced = followers[1 + seed % 3];
+            ++successor;
+            set_silent(cluster, silent, kind);
+            cluster.run(3 * second_steps);
+            if (successor_is_first)
+            {
+                cluster.start(successor);
+                cluster.run(second_steps);
+                cluster.lose_disk(replaced);
+            }
+            else
+            {
+                cluster.lose_disk(replaced);
+                cluster.run(second_steps);
+                cluster.start(successor);
+            }
+            cluster.run(4 * second_steps);
+            end_silence(cluster, silent, kind);
+            cluster.run(12 * second_steps);
+            std::set<instance_id> expected = before;
+            expected.erase(replaced);
+            expected.insert(successor);
+            CHECK(cluster.voters() == expected);
+            CHECK(cluster.active_voters() == 5);
+            REQUIRE(cluster.file_and_wait());
+        }
+        const std::set<instance_id> voters = cluster.voters();
+        for (const instance_id id :
+             {*std::next(voters.begin(), 1), *std::next(voters.begin(), 3)})
+        {
+            cluster.lose_disk(id);
+            cluster.start(id);
+        }
+        cluster.run(6 * second_steps);
+        REQUIRE(cluster.leader());
+        CHECK(cluster.version_at(*cluster.leader()) >= cluster.acknowledged());
+        CHECK(cluster.active_voters() == 5);
+    }
+}
+
+// Failure: voters fall silent and machines are replaced in any order, at most
+// two missing at a time. Guards against a group that lacks a running instance
+// after all have recovered (review/1, with overlapping faults).
+TEST_CASE("all running instances vote after any silences and replacements")
+{
+    const bool holds = rc::check(
+        [](std::uint64_t seed, std::vector<std::uint8_t> actions)
+        {
+            routing_cluster cluster{seed, production_timing()};
+            cluster.start_all(5);
+            cluster.run(200);
+            std::vector<instance_id> running{1, 2, 3, 4, 5};
+            std::map<instance_id, silence> silent;
+            const auto recover = [&]
+            {
+                for (const auto& [id, kind] : std::exchange(silent, {}))
+                {
+                    end_silence(cluster, id, kind);
+                }
+                cluster.run(600);
+            };
+            for (const std::uint8_t action : actions)
+            {
+                const instance_id id = running[action % running.size()];
+                const int kind = action / 5 % 10;
+                if (kind < 4 && silent.size() < 2 && !silent.contains(id))
+                {
+                    silent[id] = static_cast<silence>(kind);
+                    set_silent(cluster, id, silent[id]);
+                }
+                else if (kind < 7 && silent.contains(id))
+                {
+                    end_silence(cluster, id, silent.extract(id).mapped());
+                }
+                else if (
+                    kind < 9 && id != 1 && silent.size() < 2 &&
+                    !silent.contains(id))
+                {
+                    cluster.lose_disk(id);
+                    std::erase(running, id);
+                    running.push_back(running.back() + 1);
+                    cluster.start(running.back());
+                    cluster.run(300);
+                }
+                else if (kind == 9)
+                {
+                    recover();
+                }
+                cluster.run(100);
+                // Time for the group to complete a replacement.
+                if (running.back() % 2 == 1)
+                {
+                    recover();
+                }
+            }
+            recover();
+            RC_ASSERT(
+                cluster.voters() ==
+                std::set<instance_id>(running.begin(), running.end()));
+            RC_ASSERT(cluster.active_voters() == running.size());
+            RC_ASSERT(cluster.file_and_wait());
+            RC_ASSERT(
+                cluster.version_at(*cluster.leader()) >=
+                cluster.acknowledged());
+        });
+    CHECK(holds);
+}
+
 // Load: a burst of configurations. Guards against replicating each of them to
 // all voters, which saturates their links until heartbeats are late and voters
 // start an election.
