--- a/src/connection/h1/http_endpoint.cpp
+++ b/src/connection/h1/http_endpoint.cpp
@@ -94,7 +94,7 @@
         }
         awaiting_response_ = true;
         received_request request = reader_.take();
-        close_after_response_ = !request.head->getKeepAlive();
+        close_after_response_ = !keeps_open(*request.head);
         owner_.on_request_(
             std::move(request),
             [weak = weak_from_this()](const http_response& answer)
--- a/src/connection/h1/message_framing.cpp
+++ b/src/connection/h1/message_framing.cpp
@@ -2,15 +2,12 @@
 
 #include "common/text.hpp"
 
-#include <Poco/Exception.h>
-#include <Poco/MemoryStream.h>
 #include <Poco/Net/MessageHeader.h>
 #include <Poco/String.h>
 
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <vector>
 
 namespace hickorygap
 {
@@ -27,6 +24,7 @@
 // Most decimal digits of a Content-Length; more could overflow 64 bits.
 constexpr std::size_t max_length_digits = 18;
 
+constexpr std::string_view line_end = "\r\n";
 constexpr std::string_view content_length_name = "Content-Length";
 constexpr std::string_view transfer_encoding_name = "Transfer-Encoding";
 
@@ -81,21 +79,33 @@
     return false;
 }
 
-template <typename Message>
-bool parse_with_poco(std::string_view head, Message& message)
+// Splits the first line, without its CRLF, off the text.
+std::string_view take_line(std::string_view& text)
 {
-    try
-    {
-        Poco::MemoryInputStream stream{
-            head.data(), static_cast<std::streamsize>(head.size())};
-        message.read(stream);
-        return message.getVersion() == Poco::Net::HTTPMessage::HTTP_1_1 ||
-               message.getVersion() == Poco::Net::HTTPMessage::HTTP_1_0;
-    }
-    catch (const Poco::Exception&)
+    const std::size_t end = std::min(text.find(line_end), text.size());
+    const std::string_view line = text.substr(0, end);
+    text.remove_prefix(std::min(end + line_end.size(), text.size()));
+    return line;
+}
+
+bool is_supported_version(std::string_view version)
+{
+    return version == Poco::Net::HTTPMessage::HTTP_1_1 ||
+           version == Poco::Net::HTTPMessage::HTTP_1_0;
+}
+
+// Adds the fields of a well-formed header block with the bytes of their values
+// as they are. Poco's own reader would decode encoded words (RFC 2047), and a
+// decoded value may contain line ends.
+void add_fields(std::string_view lines, Poco::Net::MessageHeader& header)
+{
+    for (std::string_view line = take_line(lines); !line.empty();
+         line = take_line(lines))
     {
-        // The calling code responds with the status for a malformed message.
-        return false;
+        const std::size_t colon = line.find(':');
+        header.add(
+            std::string{line.substr(0, colon)},
+            std::string{strip(line.substr(colon + 1))});
     }
 }
 
@@ -164,6 +174,37 @@
         { return equals_ignoring_case(field, name); });
 }
 
+std::vector<std::string_view>
+connection_options(const Poco::Net::MessageHeader& header)
+{
+    std::vector<std::string_view> options;
+    for (const auto& [name, value] : header)
+    {
+        if (equals_ignoring_case(name, Poco::Net::HTTPMessage::CONNECTION))
+        {
+            for (const std::string_view option : split(value, ','))
+            {
+                options.push_back(strip(option));
+            }
+        }
+    }
+    return options;
+}
+
+bool keeps_open(const Poco::Net::HTTPMessage& message)
+{
+    const auto options = connection_options(message);
+    const auto has = [&](std::string_view option)
+    {
+        return std::ranges::any_of(
+            options, [&](std::string_view listed)
+            { return equals_ignoring_case(listed, option); });
+    };
+    return !has(Poco::Net::HTTPMessage::CONNECTION_CLOSE) &&
+           (message.getVersion() == Poco::Net::HTTPMessage::HTTP_1_1 ||
+            has(Poco::Net::HTTPMessage::CONNECTION_KEEP_ALIVE));
+}
+
 std::optional<std::size_t> find_head_end(std::string_view input)
 {
     constexpr std::string_view end_of_head = "\r\n\r\n";
@@ -177,17 +218,14 @@
 
 bool is_well_formed_head(std::string_view head)
 {
-    constexpr std::string_view line_end = "\r\n";
     bool first = true;
     while (!head.empty())
     {
-        const std::size_t end = head.find(line_end);
-        if (end == std::string_view::npos)
+        if (head.find(line_end) == std::string_view::npos)
         {
             return false;
         }
-        const std::string_view line = head.substr(0, end);
-        head.remove_prefix(end + line_end.size());
+        const std::string_view line = take_line(head);
         if (line.empty())
         {
             return !first && head.empty();
@@ -206,17 +244,53 @@
 
 bool parse_head(std::string_view head, Poco::Net::HTTPRequest& request)
 {
-    // A request line has exactly two spaces, one on each side of the target.
-    const std::string_view line = head.substr(0, head.find('\r'));
-    return std::ranges::count(line, ' ') == 2 &&
-           line.find('\t') == std::string_view::npos &&
-           parse_with_poco(head, request);
+    if (!is_well_formed_head(head))
+    {
+        return false;
+    }
+    const std::string_view line = take_line(head);
+    const auto words = split(line, ' ');
+    constexpr std::size_t word_count = 3;
+    if (words.size() != word_count || words[0].empty() || words[1].empty() ||
+        !std::ranges::all_of(words[0], is_token_character) ||
+        line.find('\t') != std::string_view::npos ||
+        !is_supported_version(words[2]))
+    {
+        return false;
+    }
+    request.setMethod(std::string{words[0]});
+    request.setURI(std::string{words[1]});
+    request.setVersion(std::string{words[2]});
+    add_fields(head, request);
+    return true;
 }
 
 bool parse_head(std::string_view head, Poco::Net::HTTPResponse& response)
 {
-    return !contains_second_status_line(head) &&
-           parse_with_poco(head, response);
+    if (!is_well_formed_head(head) || contains_second_status_line(head))
+    {
+        return false;
+    }
+    // The reason may be empty, with or without the space before it.
+    const std::string_view line = take_line(head);
+    const std::size_t version_end = std::min(line.find(' '), line.size());
+    const std::string_view rest = strip(line.substr(version_end));
+    const std::string_view digits = rest.substr(0, rest.find(' '));
+    constexpr std::size_t status_digits = 3;
+    constexpr int first_status = 100;
+    int status = 0;
+    if (!is_supported_version(line.substr(0, version_end)) ||
+        digits.size() != status_digits || !parse_number(digits, status) ||
+        status < first_status)
+    {
+        return false;
+    }
+    response.setVersion(std::string{line.substr(0, version_end)});
+    response.setStatusAndReason(
+        static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status),
+        std::string{strip(rest.substr(digits.size()))});
+    add_fields(head, response);
+    return true;
 }
 
 std::optional<body_framing>
@@ -228,7 +302,7 @@
 std::optional<body_framing>
 read_request_head(std::string_view head, Poco::Net::HTTPRequest& request)
 {
-    if (!is_well_formed_head(head) || !parse_head(head, request))
+    if (!parse_head(head, request))
     {
         return std::nullopt;
     }
--- a/src/connection/h1/message_framing.hpp
+++ b/src/connection/h1/message_framing.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace hickorygap
 {
@@ -17,6 +18,10 @@
 // 10.2.3.
 inline constexpr std::string_view retry_after_field = "Retry-After";
 
+// Longest accepted head of a response, in bytes; larger than any that the
+// backend servers send.
+inline constexpr std::size_t max_response_head_bytes = std::size_t{64} * 1024;
+
 // How the end of a message body is determined.
 enum class body_kind
 {
@@ -46,9 +51,11 @@
 // other HTTP implementations might parse differently.
 bool is_well_formed_head(std::string_view head);
 
-// Parses a header block that is_well_formed_head accepts. False when the start
-// line isn't one of HTTP/1.0 or HTTP/1.1, a field exceeds the parser's limits,
-// or a response's header block contains the status line of another response.
+// Parses a header block into an empty message. The values of the fields have
+// the bytes that were received, without the blanks around them. False when
+// is_well_formed_head refuses the block, the start line isn't one of HTTP/1.0
+// or HTTP/1.1, or a response's header block contains the status line of another
+// response.
 bool parse_head(std::string_view head, Poco::Net::HTTPRequest& request);
 bool parse_head(std::string_view head, Poco::Net::HTTPResponse& response);
 
@@ -56,6 +63,15 @@
 // message, so that a proxy must not forward it.
 bool is_connection_field(std::string_view name);
 
+// The options of all Connection fields of a message, in order. The views refer
+// to the message.
+std::vector<std::string_view>
+connection_options(const Poco::Net::MessageHeader& header);
+
+// Whether the sender of the message keeps its connection open, RFC 9112 section
+// 9.3.
+bool keeps_open(const Poco::Net::HTTPMessage& message);
+
 // Framing of a request's body; nullopt when it is ambiguous: more than one
 // length, a length together with an encoding, or any encoding other than a
 // single `chunked`.
--- a/src/connection/h1/response_reader.cpp
+++ b/src/connection/h1/response_reader.cpp
@@ -6,10 +6,6 @@
 namespace
 {
 
-// Longest accepted response header; larger than any that the backend servers
-// send.
-constexpr std::size_t max_response_head_bytes = std::size_t{64} * 1024;
-
 constexpr int first_final_status = 200;
 
 // Limit on 1xx responses before the final response, so that a faulty server
@@ -38,7 +34,7 @@
         }
         const std::string_view head{input.data(), *end};
         head_.clear();
-        if (!is_well_formed_head(head) || !parse_head(head, head_))
+        if (!parse_head(head, head_))
         {
             state_ = state::broken;
             return state_;
@@ -98,7 +94,7 @@
 
 bool response_reader::keeps_connection() const
 {
-    return framing_.kind != body_kind::until_close && head_.getKeepAlive();
+    return framing_.kind != body_kind::until_close && keeps_open(head_);
 }
 
 } // namespace hickorygap
--- a/src/connection/http/accepted_socket.cpp
+++ b/src/connection/http/accepted_socket.cpp
@@ -100,8 +100,8 @@
     {
         return false;
     }
-    Poco::Net::HTTPRequest parsed;
-    const auto framing = read_request_head({buffered_.data(), *end}, parsed);
+    head_.clear();
+    const auto framing = read_request_head({buffered_.data(), *end}, head_);
     if (!framing)
     {
         return false;
--- a/src/connection/http/accepted_socket.hpp
+++ b/src/connection/http/accepted_socket.hpp
@@ -44,6 +44,13 @@
     // that no other request may follow on this connection.
     bool start_request();
 
+    // The head of the request that was started. Its fields have the bytes that
+    // arrived, unlike those of Poco's request.
+    const Poco::Net::HTTPRequest& head() const
+    {
+        return head_;
+    }
+
     // Whether the input read since start_request holds one complete request
     // with a valid body, possibly followed by further bytes.
     bool is_request_consumed() const;
@@ -97,6 +104,7 @@
     // Poco treats a malformed chunk as the end of the body. The bytes that it
     // reads are decoded a second time here to detect this.
     std::size_t header_remaining_ = 0;
+    Poco::Net::HTTPRequest head_;
     body_decoder body_;
     std::string undecoded_;
     body_decoder::state body_state_ = body_decoder::state::incomplete;
--- a/src/connection/http/backend_exchange.cpp
+++ b/src/connection/http/backend_exchange.cpp
@@ -1,10 +1,12 @@
 #include "connection/http/backend_exchange.hpp"
 
+#include "connection/h1/message_framing.hpp"
 #include "version/configuration/rank_names.hpp"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/NetException.h>
 #include <Poco/NumberParser.h>
 #include <fmt/format.h>
 
@@ -20,6 +22,30 @@
 // Limit on each write of request bytes to a backend server.
 constexpr duration send_timeout = std::chrono::seconds{10};
 
+// A response whose fields have the bytes that were received. Poco's own reader
+// decodes them.
+class received_response final : public Poco::Net::HTTPResponse
+{
+public:
+    // Throws Poco::Net::MessageException when the head is malformed or too
+    // long.
+    void read(std::istream& stream) override
+    {
+        std::string head;
+        for (int character = stream.get();
+             character != std::istream::traits_type::eof() &&
+             head.size() <= max_response_head_bytes;
+             character = stream.get())
+        {
+            head.push_back(static_cast<char>(character));
+        }
+        if (head.size() > max_response_head_bytes || !parse_head(head, *this))
+        {
+            throw Poco::Net::MessageException{"malformed response head"};
+        }
+    }
+};
+
 Poco::Net::HTTPRequest
 make_http_request(const backend_request& outgoing, const std::string& authority)
 {
@@ -126,7 +152,7 @@
         outgoing.body.data(),
         static_cast<std::streamsize>(outgoing.body.size()));
     out.flush();
-    Poco::Net::HTTPResponse response;
+    received_response response;
     stream_ = &session_->receiveResponse(response);
     response_head_ = parse_response_head(response);
     return true;
--- a/src/connection/http/http_server.cpp
+++ b/src/connection/http/http_server.cpp
@@ -114,6 +114,16 @@
     return body.eof() && !body.bad();
 }
 
+// Replaces the fields that Poco has decoded by those that were received.
+void restore_fields(Poco::Net::HTTPServerRequest& request)
+{
+    request.clear();
+    for (const auto& [name, value] : accepted_socket::of(request)->head())
+    {
+        request.add(name, value);
+    }
+}
+
 // Whether the header defines the length of the body, or the method has no
 // body. accepted_socket checks that the definition is unambiguous.
 bool has_defined_length(const Poco::Net::HTTPServerRequest& request)
@@ -647,6 +657,7 @@
                            {}});
             return false;
         }
+        restore_fields(request);
         response.setVersion(request.getVersion());
         // After a refusal, a caller that sent "Expect: 100-continue" may send
         // its body or the next request. The two can't be distinguished, so the
--- a/src/process/gateway/caller_session.cpp
+++ b/src/process/gateway/caller_session.cpp
@@ -2,6 +2,7 @@
 
 #include "common/logging.hpp"
 #include "connection/h1/http_endpoint.hpp"
+#include "connection/h1/message_framing.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -189,7 +190,7 @@
     }
     request_started_ = false;
     received_request request = reader_.take();
-    last_request_ = !request.head->getKeepAlive();
+    last_request_ = !keeps_open(*request.head);
     has_served_ = true;
     exchange_ = std::make_unique<exchange>(context_, *this, std::move(request));
     exchange_->start();
--- a/tests/connection/h1/message_framing_test.cpp
+++ b/tests/connection/h1/message_framing_test.cpp
@@ -7,6 +7,7 @@
 #include <ctime>
 #include <string>
 #include <tuple>
+#include <vector>
 
 using namespace hickorygap;
 using Poco::Net::HTTPResponse;
@@ -63,6 +64,13 @@
              HTTPResponse::HTTP_BAD_REQUEST},
             {"GET /a b HTTP/1.1\r\n\r\n", HTTPResponse::HTTP_BAD_REQUEST},
             {"GET / HTTP/2.0\r\n\r\n", HTTPResponse::HTTP_BAD_REQUEST},
+            {"GET  HTTP/1.1\r\n\r\n", HTTPResponse::HTTP_BAD_REQUEST},
+            {"G@T / HTTP/1.1\r\n\r\n", HTTPResponse::HTTP_BAD_REQUEST},
+            {"POST / HTTP/1.1\r\nContent-Length: =?utf-8?Q?3?=\r\n\r\nabc",
+             HTTPResponse::HTTP_BAD_REQUEST},
+            {"POST / HTTP/1.1\r\nTransfer-Encoding: =?utf-8?Q?chunked?=\r\n"
+             "\r\n0\r\n\r\n",
+             HTTPResponse::HTTP_BAD_REQUEST},
             {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
              "0;x\n\r\n\r\n",
              HTTPResponse::HTTP_BAD_REQUEST},
@@ -86,6 +94,58 @@
     CHECK(reader.read(more, {}) == request_reader::state::failed);
 }
 
+// Guards against a field value that a library decodes or joins between the
+// check of its bytes and their forwarding: a decoded value can contain line
+// ends, and thereby a second request or response (review/2).
+TEST_CASE("fields have the bytes that arrived")
+{
+    const std::string value = GENERATE(
+        as<std::string>{}, "=?utf-8?B?eA0KQ29udGVudC1MZW5ndGg6IDANCg0K?=",
+        "=?utf-8?Q?a=0D=0AT:=20b?=", "=?iso-8859-1?Q?=A1?= =?utf-8?Q?b?=",
+        "\"=?utf-8?B?eA==?=\"", "a\tb  c", "%0D%0A\\r\\n", "\xC3\xA9\xA1", "",
+        std::string(9000, 'x'));
+    CAPTURE(value);
+    const std::string fields = "Note:" + value + "\r\nnote: \t2 \r\n\r\n";
+    request_reader requests;
+    std::string input = "GET /a HTTP/1.1\r\n" + fields;
+    REQUIRE(requests.read(input, {}) == request_reader::state::complete);
+    const received_request request = requests.take();
+    response_reader responses{"GET"};
+    input = "HTTP/1.1 204 " + value + "\r\n" + fields;
+    REQUIRE(responses.read(input) == response_reader::state::complete);
+    CHECK(responses.head().getReason() == value);
+    const auto values = [](const Poco::Net::MessageHeader& header)
+    {
+        std::vector<std::string> result;
+        for (const auto& [name, text] : header)
+        {
+            result.push_back(text);
+        }
+        return result;
+    };
+    const std::vector<std::string> expected{value, "2"};
+    CHECK(values(*request.head) == expected);
+    CHECK(values(responses.head()) == expected);
+}
+
+// Guards against a connection that is reused although its peer closes it.
+TEST_CASE("the options of all Connection fields count")
+{
+    const auto [head, stays] = GENERATE(table<std::string, bool>({
+        {"HTTP/1.1 204 \r\n\r\n", true},
+        {"HTTP/1.1 204 \r\nConnection: a\r\nconnection: b, Close\r\n\r\n",
+         false},
+        {"HTTP/1.1 204\r\nConnection: keep-alive, x\r\n\r\n", true},
+        {"HTTP/1.0 204 \r\n\r\n", false},
+        {"HTTP/1.0 204 \r\nConnection: Keep-Alive\r\n\r\n", true},
+    }));
+    CAPTURE(head);
+    response_reader reader{"GET"};
+    std::string input = head;
+    REQUIRE(reader.read(input) == response_reader::state::complete);
+    CHECK(reader.keeps_connection() == stays);
+}
+
 // Guards against a body that depends on how TCP splits the bytes, and against
 // losing the first bytes of the next request.
 TEST_CASE("consecutive requests are read completely")
--- a/tests/connection/http/repeatable_relay_test.cpp
+++ b/tests/connection/http/repeatable_relay_test.cpp
@@ -88,6 +88,36 @@
         std::vector{outcome::failed_after_start, outcome::completed});
 }
 
+// Guards against a Content-Type that hides a second message, for the server or
+// for the caller (review/2).
+TEST_CASE("a Content-Type that a library could decode is relayed as it is")
+{
+    // "x\r\nContent-Length: 0\r\n\r\n"
+    const std::string type = "=?utf-8?B?eA0KQ29udGVudC1MZW5ndGg6IDANCg0K?=";
+    std::string received;
+    relay_fixture fixture;
+    fixture.add_scripted(
+        "calc-1", "calculator",
+        [&](exchange& incoming)
+        {
+            received = incoming.text;
+            incoming.send(
+                "HTTP/1.1 200 OK\r\nX-Attempt: " + incoming.attempt() +
+                "\r\nContent-Type: " + type +
+                "\r\nContent-Length: 4\r\n\r\ndone");
+        });
+    fixture.start();
+
+    const raw_response response = fixture.send_request(
+        calculator_request("Content-Type: " + type + "\r\n"));
+
+    CHECK(response.status == 200);
+    CHECK(response.headers.at("content-type") == type);
+    CHECK(response.body == "done");
+    REQUIRE(fixture.all_grants_returned());
+    CHECK(received.find("Content-Type: " + type + "\r\n") != std::string::npos);
+}
+
 // Guards against exhausted memory and against a caller that waits without limit
 // when a backend server sends header fields without end.
 TEST_CASE("an endless response header is cut off")
--- a/tests/process/gateway/exchange_test.cpp
+++ b/tests/process/gateway/exchange_test.cpp
@@ -271,6 +271,32 @@
     CHECK(caller.received().find("HTTP/1.1", 1) == std::string::npos);
 }
 
+// Guards against a field that hides a second message, for the server or for the
+// caller (review/2).
+TEST_CASE("a field that a library could decode is passed on as it is")
+{
+    // "x\r\nContent-Length: 0\r\n\r\n"
+    const std::string note =
+        "Note: =?utf-8?B?eA0KQ29udGVudC1MZW5ndGg6IDANCg0K?=\r\n";
+    gateway_fixture fixture{
+        gateway_fixture::make_route(call_kind::non_repeatable)};
+    backend_double& backend = fixture.add_backend(
+        [&](connection& to, const received_request&)
+        { to.write(make_response("200 OK", "done", sealed + note)); });
+    const caller_double& caller =
+        fixture.call(gateway_fixture::request_text(note, "visit"));
+    REQUIRE(fixture.run_until([&] { return is_answered(caller); }));
+    fixture.run_for(20ms);
+    REQUIRE(backend.requests().size() == 1);
+    const received_request& request = backend.requests().front();
+    CHECK(note == "Note: " + request.head->get("Note") + "\r\n");
+    CHECK(request.head->get("Tenant") == "diarroi");
+    CHECK(request.body == "visit");
+    CHECK(status_of(caller) == "200");
+    CHECK(caller.received().find(note) != std::string::npos);
+    CHECK(caller.received().ends_with("done"));
+}
+
 // Guards against work that continues for a caller that has disconnected.
 TEST_CASE("work for a caller stops when it disconnects")
 {
