--- a/src/process/gateway/fleet_follower.cpp
+++ b/src/process/gateway/fleet_follower.cpp
@@ -30,6 +30,11 @@
 constexpr duration voter_timeout = std::chrono::milliseconds{2500};
 constexpr duration relayed_voter_timeout = std::chrono::seconds{5};
 
+// A voter that was not heard within the interval of two notices may not get
+// what is sent to it.
+constexpr duration voter_reach_limit = std::chrono::milliseconds{1200};
+constexpr duration relayed_voter_reach_limit = std::chrono::milliseconds{4200};
+
 constexpr duration connect_timeout = std::chrono::seconds{1};
 constexpr duration redial_interval = std::chrono::milliseconds{400};
 
@@ -73,10 +78,19 @@
     , random_{random_seed()}
     , relay_{loop, self_, port_, *this}
     , load_codec_{backends_}
+    , stream_store_{
+          loop,
+          [this](const wire::streams_sent_msg& streams)
+          { return send_to_voters(make_payload(streams)) > 0; },
+          [this](const wire::streams_sent_msg& streams)
+          { observer_.on_streams_inherited(streams); }}
     , relay_service_{loop, settings, backends_, load_codec_}
+    , stream_backups_{
+          loop, self_, port_, [this] { return observer_.open_streams(); }}
     , list_reader_{loop, list_format, settings.backend_list.address}
     , leader_heard_at_{loop.now()}
 {
+    relay_service_.set_stream_backups(stream_store_);
     set_seeds(settings.peers.seeds);
 }
 
@@ -230,9 +244,34 @@
             relay->send(make_payload(status()));
         }
     }
+    stream_backups_.check(reaches_voters());
     read_list_if_leaderless();
 }
 
+// Whether the majority of the voters was heard within the interval of two
+// notices.
+bool fleet_follower::reaches_voters() const
+{
+    const duration limit =
+        uses_relay() ? relayed_voter_reach_limit : voter_reach_limit;
+    const auto heard = std::ranges::count_if(
+        named_voters_,
+        [&](instance_id voter)
+        {
+            const auto found = voters_.find(voter);
+            return found != voters_.end() && found->second.link &&
+                   found->second.link->is_ready() &&
+                   loop_.now() - found->second.link->last_input() <= limit;
+        });
+    return static_cast<std::size_t>(heard) * 2 > named_voters_.size();
+}
+
+void fleet_follower::send_streams(const wire::streams_sent_msg& streams)
+{
+    send_to_voters(make_payload(streams));
+    stream_backups_.send(streams);
+}
+
 void fleet_follower::dial(instance_id voter, voter_link& item)
 {
     const time_point now = loop_.now();
@@ -397,6 +436,8 @@
         leader_heard_at_ = loop_.now();
         leader_ = link.peer();
         update_voters(notice.voters);
+        named_voters_ = notice.voters;
+        stream_backups_.set_candidates(notice.tunnel_hosts);
         set_relay(notice.relay);
         observer_.on_tunnel_hosts(notice.tunnel_hosts);
         report_all_blame(link);
--- a/src/process/gateway/fleet_follower.hpp
+++ b/src/process/gateway/fleet_follower.hpp
@@ -8,6 +8,8 @@
 #include "process/fleet_settings/fleet_settings.hpp"
 #include "process/gateway/relay_link.hpp"
 #include "process/gateway/relay_service.hpp"
+#include "process/gateway/stream_backup_links.hpp"
+#include "process/gateway/stream_backup_store.hpp"
 #include "request/dispatch/backend_table.hpp"
 
 #include <cstdint>
@@ -57,6 +59,11 @@
     // Streams of which a voter that has just been linked may not know.
     virtual std::optional<wire::streams_sent_msg> open_streams() const = 0;
 
+    // Streams of another router that has ended, of which no voter could be
+    // told.
+    virtual void
+    on_streams_inherited(const wire::streams_sent_msg& streams) = 0;
+
     // A voter's answer to a query for the software version of a stream.
     virtual void on_stream_answer(const wire::stream_answer_msg& answer) = 0;
 
@@ -109,6 +116,9 @@
     // Sends a message to all linked voters; returns their number.
     std::size_t send_to_voters(const wire::payloadUnion& payload);
 
+    // Tells all linked voters and the backup routers of new streams.
+    void send_streams(const wire::streams_sent_msg& streams);
+
     // Time since the last message from a leader, direct or through the relay.
     duration leader_silence() const;
 
@@ -136,6 +146,7 @@
     void on_routing(link_connection& link, const wire::routing_push_msg& push);
     void
     on_backends(link_connection& link, const wire::backends_push_msg& push);
+    bool reaches_voters() const;
     void link_to(std::span<const instance_id> voters);
     void update_voters(std::span<const instance_id> voters);
     void
@@ -182,7 +193,12 @@
     relay_link relay_;
     backend_list_replica backends_;
     load_codec load_codec_;
+    stream_backup_store stream_store_;
     relay_service relay_service_;
+    stream_backup_links stream_backups_;
+
+    // The voters that the leader has named last.
+    std::vector<instance_id> named_voters_;
 
     // Newest configuration version that a voter has reported as committed.
     configuration_version committed_version_ = 0;
--- a/src/process/gateway/gateway.cpp
+++ b/src/process/gateway/gateway.cpp
@@ -59,8 +59,11 @@
     context_.pool().set_on_paths_changed([this]
                                          { follower_.announce_state(); });
     context_.crashes().set_on_news([this] { follower_.report_blame(); });
-    context_.streams().set_send([this](const wire::payloadUnion& payload)
-                                { return follower_.send_to_voters(payload); });
+    context_.streams().set_send(
+        [this](const wire::streams_sent_msg& streams)
+        { follower_.send_streams(streams); },
+        [this](const wire::stream_query_msg& query)
+        { return follower_.send_to_voters(make_payload(query)); });
     context_.permits().set_send([this](const wire::payloadUnion& payload)
                                 { return follower_.send_to_leader(payload); });
 }
@@ -231,6 +234,11 @@
     return context_.streams().open_streams();
 }
 
+void gateway::on_streams_inherited(const wire::streams_sent_msg& streams)
+{
+    context_.streams().inherit(streams);
+}
+
 void gateway::on_stream_answer(const wire::stream_answer_msg& answer)
 {
     context_.streams().on_answer(answer);
--- a/src/process/gateway/gateway.hpp
+++ b/src/process/gateway/gateway.hpp
@@ -64,6 +64,7 @@
     void on_blame(const wire::blame_report_msg& report) override;
     void on_permit_grant(const wire::permit_grant_msg& grant) override;
     std::optional<wire::streams_sent_msg> open_streams() const override;
+    void on_streams_inherited(const wire::streams_sent_msg& streams) override;
     void on_stream_answer(const wire::stream_answer_msg& answer) override;
     void on_router_count(std::uint32_t routers) override;
     std::vector<service_id> lost_services() const override;
--- a/src/process/gateway/open_queries.cpp
+++ b/src/process/gateway/open_queries.cpp
@@ -39,22 +39,6 @@
            *found->second.deadline < loop_.now();
 }
 
-void open_queries::set_recipients(std::uint32_t number, std::size_t voters)
-{
-    queries_.at(number).open_answers = voters;
-}
-
-void open_queries::on_answer(
-    std::uint32_t number, std::optional<std::uint64_t> identifier)
-{
-    const auto found = queries_.find(number);
-    if (found != queries_.end() &&
-        (identifier || --found->second.open_answers == 0))
-    {
-        finish(number, identifier);
-    }
-}
-
 void open_queries::finish(
     std::uint32_t number, std::optional<std::uint64_t> result)
 {
--- a/src/process/gateway/open_queries.hpp
+++ b/src/process/gateway/open_queries.hpp
@@ -3,7 +3,6 @@
 
 #include "connection/event/event_loop.hpp"
 
-#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -28,8 +27,8 @@
     // Returns the number of the new query, which is not zero.
     std::uint32_t add(result_function on_result);
 
-    // Sets what happens if the query is still open after this time; called once
-    // for each query.
+    // Sets what happens if the query is still open after this time. May be
+    // called again when that has happened.
     void set_timeout(
         std::uint32_t number, duration time, std::function<void()> on_timeout);
 
@@ -37,14 +36,6 @@
     // yet: the process was paused.
     bool is_overdue(std::uint32_t number) const;
 
-    // The voters that were asked, one by default.
-    void set_recipients(std::uint32_t number, std::size_t voters);
-
-    // A voter has answered. An identifier ends the query, and so does the
-    // negative answer of the last voter. No effect on a query that is not open.
-    void
-    on_answer(std::uint32_t number, std::optional<std::uint64_t> identifier);
-
     // Ends an open query with this result. No effect on other numbers.
     void finish(std::uint32_t number, std::optional<std::uint64_t> result);
 
@@ -55,7 +46,6 @@
     struct query
     {
         result_function on_result;
-        std::size_t open_answers = 1;
         timer_id timer = 0;
         std::optional<time_point> deadline;
     };
--- a/src/process/gateway/permit_client.cpp
+++ b/src/process/gateway/permit_client.cpp
@@ -158,7 +158,7 @@
         return;
     }
     timed_out_ = false;
-    queries_.on_answer(
+    queries_.finish(
         grant.number,
         grant.backend == 0 ? std::nullopt : std::optional{grant.backend});
 }
--- a/src/process/gateway/relay_service.cpp
+++ b/src/process/gateway/relay_service.cpp
@@ -29,6 +29,8 @@
           backends}
     , codec_{codec}
 {
+    links_.set_on_incoming_end([this](link_connection& link)
+                               { on_link_end(link); });
 }
 
 relay_service::~relay_service()
@@ -39,12 +41,27 @@
 void relay_service::set_tunnels(tunnel_service& tunnels)
 {
     tunnels_ = &tunnels;
-    links_.set_on_incoming_end([&tunnels](link_connection& link)
-                               { tunnels.on_link_end(link); });
     links_.set_on_incoming_drained([&tunnels](link_connection& link)
                                    { tunnels.on_link_drained(link); });
 }
 
+void relay_service::set_stream_backups(stream_backup_store& backups)
+{
+    stream_backups_ = &backups;
+}
+
+void relay_service::on_link_end(link_connection& link)
+{
+    if (tunnels_ != nullptr)
+    {
+        tunnels_->on_link_end(link);
+    }
+    if (stream_backups_ != nullptr)
+    {
+        stream_backups_->on_link_end(&link);
+    }
+}
+
 absl::Status relay_service::open()
 {
     absl::Status status = links_.open(host_);
@@ -87,6 +104,13 @@
             loads_.set(from, *std::move(loads), loop_.now());
         }
     }
+    else if (const auto* streams = message_in<wire::streams_sent_msg>(payload))
+    {
+        if (stream_backups_ != nullptr)
+        {
+            stream_backups_->receive(&link, *streams);
+        }
+    }
     else if (tunnels_ != nullptr)
     {
         tunnels_->receive(payload, link);
--- a/src/process/gateway/relay_service.hpp
+++ b/src/process/gateway/relay_service.hpp
@@ -5,6 +5,7 @@
 #include "process/fleet_process/load_exchange.hpp"
 #include "process/fleet_process/peer_links.hpp"
 #include "process/fleet_settings/fleet_settings.hpp"
+#include "process/gateway/stream_backup_store.hpp"
 #include "process/gateway/tunnel_service.hpp"
 
 #include <absl/status/status.h>
@@ -32,6 +33,9 @@
     // service.
     void set_tunnels(tunnel_service& tunnels);
 
+    // Keeps streams of other routers. The store must outlive the service.
+    void set_stream_backups(stream_backup_store& backups);
+
     // Error: unreachable, when the port can't be bound.
     absl::Status open();
 
@@ -51,6 +55,7 @@
     }
 
 private:
+    void on_link_end(link_connection& link);
     void on_message(
         instance_id from, const wire::payloadUnion& payload,
         link_connection& link);
@@ -65,6 +70,7 @@
     load_codec& codec_;
     load_aggregator loads_;
     tunnel_service* tunnels_ = nullptr;
+    stream_backup_store* stream_backups_ = nullptr;
     timer_id heartbeat_timer_ = 0;
 };
 
--- a/src/process/gateway/stream_version_client.cpp
+++ b/src/process/gateway/stream_version_client.cpp
@@ -8,8 +8,10 @@
 namespace
 {
 
-// Time in which voters answer. Some may be lost, and their links still stand.
-constexpr duration answer_timeout = std::chrono::milliseconds{300};
+// Voters are asked again in this interval, and this often in all: a router that
+// took the stream over from one that has ended tells them within that time.
+constexpr duration query_interval = std::chrono::milliseconds{100};
+constexpr int max_queries = 4;
 
 } // namespace
 
@@ -19,9 +21,11 @@
 {
 }
 
-void stream_version_client::set_send(send_function send)
+void stream_version_client::set_send(
+    streams_function send_streams, query_function send_query)
 {
-    send_ = std::move(send);
+    send_streams_ = std::move(send_streams);
+    send_query_ = std::move(send_query);
 }
 
 void stream_version_client::on_begun(
@@ -32,11 +36,11 @@
         return;
     }
     own_.add(stream, version, loop_.now());
-    if (send_)
+    if (send_streams_)
     {
         wire::streams_sent_msg message;
         message.streams.emplace_back(stream, version);
-        send_(make_payload(message));
+        send_streams_(message);
     }
 }
 
@@ -45,6 +49,14 @@
     own_.remove(stream);
 }
 
+void stream_version_client::inherit(const wire::streams_sent_msg& streams)
+{
+    for (const wire::stream_version& item : streams.streams)
+    {
+        own_.add(item.stream(), item.version(), loop_.now());
+    }
+}
+
 std::optional<wire::streams_sent_msg>
 stream_version_client::open_streams() const
 {
@@ -61,20 +73,43 @@
     stream_id stream, open_queries::result_function on_result)
 {
     const std::uint32_t number = queries_.add(std::move(on_result));
-    const auto known = own_.find(stream, loop_.now());
+    if (const auto known = own_.find(stream, loop_.now()))
+    {
+        queries_.set_timeout(
+            number, duration{0},
+            [this, number, known] { queries_.finish(number, known); });
+    }
+    else
+    {
+        ask(number, stream, max_queries);
+    }
+    return number;
+}
+
+void stream_version_client::ask(
+    std::uint32_t number, stream_id stream, int queries_left)
+{
     std::size_t voters = 0;
-    if (!known && send_)
+    if (send_query_)
     {
         wire::stream_query_msg message;
         message.number = number;
         message.stream = stream;
-        voters = send_(make_payload(message));
-        queries_.set_recipients(number, voters);
+        voters = send_query_(message);
     }
     queries_.set_timeout(
-        number, voters > 0 ? answer_timeout : duration{0},
-        [this, number, known] { queries_.finish(number, known); });
-    return number;
+        number, voters > 0 ? query_interval : duration{0},
+        [this, number, stream, queries_left = voters > 0 ? queries_left : 1]
+        {
+            // It may have been inherited meanwhile.
+            const auto known = own_.find(stream, loop_.now());
+            if (known || queries_left == 1)
+            {
+                queries_.finish(number, known);
+                return;
+            }
+            ask(number, stream, queries_left - 1);
+        });
 }
 
 void stream_version_client::cancel(std::uint32_t number)
@@ -82,13 +117,14 @@
     queries_.cancel(number);
 }
 
-// A voter that has just started does not know the stream, so only the last
-// negative answer counts.
+// A negative answer decides nothing: the voter may be told of the stream just
+// now.
 void stream_version_client::on_answer(const wire::stream_answer_msg& answer)
 {
-    queries_.on_answer(
-        answer.number,
-        answer.version == 0 ? std::nullopt : std::optional{answer.version});
+    if (answer.version != 0)
+    {
+        queries_.finish(answer.number, answer.version);
+    }
 }
 
 } // namespace hickorygap
--- a/src/process/gateway/stream_version_client.hpp
+++ b/src/process/gateway/stream_version_client.hpp
@@ -21,9 +21,13 @@
     // The loop must outlive the client.
     explicit stream_version_client(event_loop& loop);
 
-    // Sends a message to all linked voters; returns their number.
-    using send_function = std::function<std::size_t(const wire::payloadUnion&)>;
-    void set_send(send_function send);
+    // Sends new streams to all linked voters and to the backups.
+    using streams_function = std::function<void(const wire::streams_sent_msg&)>;
+
+    // Sends a query to all linked voters; returns their number.
+    using query_function =
+        std::function<std::size_t(const wire::stream_query_msg&)>;
+    void set_send(streams_function send_streams, query_function send_query);
 
     // The stream begins, or goes on here, with an event of a server of this
     // version. Must be called before the event is sent to the caller, so that
@@ -34,13 +38,17 @@
     // The stream has ended in order, so this router need not remember it.
     void on_complete(stream_id stream);
 
+    // Takes over streams of a router that has ended.
+    void inherit(const wire::streams_sent_msg& streams);
+
     // The streams that this router remembers, for a voter that has not heard of
     // them; nullopt if there are none.
     std::optional<wire::streams_sent_msg> open_streams() const;
 
     // Finds the version that began the stream. The function gets nullopt when
-    // nobody knows it; it is called after this returns. Returns the number of
-    // the query.
+    // nobody knows it after several queries, as another router may be telling
+    // the voters just now, and at once if no voter is linked. It is called
+    // after this returns. Returns the number of the query.
     std::uint32_t
     find(stream_id stream, open_queries::result_function on_result);
 
@@ -50,8 +58,11 @@
     void on_answer(const wire::stream_answer_msg& answer);
 
 private:
+    void ask(std::uint32_t number, stream_id stream, int queries_left);
+
     event_loop& loop_;
-    send_function send_;
+    streams_function send_streams_;
+    query_function send_query_;
     stream_versions own_;
     open_queries queries_;
 };
--- a/tests/process/gateway/fleet_follower_test.cpp
+++ b/tests/process/gateway/fleet_follower_test.cpp
@@ -9,6 +9,7 @@
 #include <catch2/catch.hpp>
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -71,6 +72,10 @@
         message.streams.emplace_back(streams, 1);
         return message;
     }
+    void on_streams_inherited(const wire::streams_sent_msg& message) override
+    {
+        inherited += message.streams.size();
+    }
     void on_stream_answer(const wire::stream_answer_msg& /*answer*/) override
     {
     }
@@ -91,6 +96,7 @@
 
     // Identifier of the only open stream.
     stream_id streams = 77;
+    std::size_t inherited = 0;
     std::uint32_t routers = 0;
     std::vector<configuration_version> versions;
     std::string last_document;
@@ -151,6 +157,10 @@
     }
     void on_message(link_connection& link, wire::envelope_msg message) override
     {
+        if (cut_off.contains(message.sender))
+        {
+            return;
+        }
         if (const auto* status =
                 message_in<wire::router_status_msg>(message.payload))
         {
@@ -188,6 +198,10 @@
                 message_in<wire::streams_sent_msg>(message.payload))
         {
             streams += sent->streams.size();
+            for (const wire::stream_version& item : sent->streams)
+            {
+                known_streams.insert(item.stream());
+            }
         }
     }
     void on_link_end(link_connection& /*link*/) override
@@ -195,6 +209,17 @@
         ++ended;
     }
 
+    void close_links(instance_id router)
+    {
+        for (const auto& link : links_)
+        {
+            if (link->peer() == router)
+            {
+                link->close();
+            }
+        }
+    }
+
     template <typename Message>
     void send(const Message& message)
     {
@@ -230,6 +255,10 @@
 
     // Open streams of routers received.
     std::size_t streams = 0;
+    std::set<stream_id> known_streams;
+
+    // Routers whose messages do not arrive.
+    std::set<instance_id> cut_off;
 
 private:
     event_loop& loop_;
@@ -506,3 +535,100 @@
     f.seed->send_to_first(summary_of(9));
     CHECK(f.wait([&] { return !member.fleet_load.empty(); }));
 }
+
+// Guards against streams that nobody can resume because their router was cut
+// off from the voters when they began, and has ended since (review/3). The cut
+// is noticed, or not yet; the connections to the voters hang, or are closed.
+TEST_CASE("voters hear of the streams of a router that was cut off and ended")
+{
+    struct row
+    {
+        bool reaches_seed;
+        bool reaches_other;
+        bool closes_links;
+        duration until_end;
+    };
+    const auto [reaches_seed, reaches_other, closes_links, until_end] =
+        GENERATE(values<row>(
+            {{true, true, false, 0ms},
+             {true, false, false, 0ms},
+             {true, false, false, 2s},
+             {false, false, false, 0ms},
+             {false, false, false, 2s},
+             {false, false, true, 0ms},
+             {false, false, true, 2s}}));
+    CAPTURE(reaches_seed, reaches_other, closes_links, until_end.count());
+    constexpr stream_id begun = 99;
+    const instance_id router = instance_at("127.0.0.1");
+    follower_fixture f;
+    f.seed->notice.leads = true;
+    f.seed->notice.tunnel_hosts = {router, instance_at("127.0.0.5")};
+    observer_double observer;
+    fleet_settings settings = f.settings;
+    settings.instance.host = "127.0.0.5";
+    fleet_follower backup{f.loop, settings, f.list, observer};
+    REQUIRE(backup.start().ok());
+    REQUIRE(f.follower->start().ok());
+    REQUIRE(
+        f.wait([&] { return f.seed->streams == 2 && f.other->streams == 2; }));
+    // Time for the link to the backup.
+    run_for(f.loop, 600ms);
+    for (const auto& [voter, is_reached] :
+         {std::pair{f.seed.get(), reaches_seed},
+          std::pair{f.other.get(), reaches_other}})
+    {
+        if (!is_reached)
+        {
+            voter->cut_off.insert(router);
+            if (closes_links)
+            {
+                voter->close_links(router);
+            }
+        }
+    }
+    wire::streams_sent_msg message;
+    message.streams.emplace_back(begun, 1);
+    f.observer.streams = begun;
+    f.follower->send_streams(message);
+    run_for(f.loop, until_end);
+    f.follower.reset();
+    CHECK(f.wait([&] { return f.seed->known_streams.contains(begun); }));
+    CHECK(f.wait([&] { return f.other->known_streams.contains(begun); }));
+}
+
+// Guards against a backup that keeps streams to itself: their router is frozen,
+// or the backup reached no voter either when the router ended.
+TEST_CASE("a backup passes on the streams of a router that falls silent")
+{
+    const bool reaches_voters = GENERATE(true, false);
+    const bool is_frozen = GENERATE(true, false);
+    CAPTURE(reaches_voters, is_frozen);
+    follower_fixture f;
+    REQUIRE(f.follower->start().ok());
+    REQUIRE(f.wait([&] { return f.seed->statuses > 0; }));
+    const auto link = link_connection::dial(
+        f.loop, {"127.0.0.1", f.settings.peers.port}, instance_at("127.0.0.6"),
+        *f.relay);
+    REQUIRE(f.wait([&] { return link->is_ready(); }));
+    if (!reaches_voters)
+    {
+        f.seed.reset();
+        f.other.reset();
+        run_for(f.loop, 100ms);
+    }
+    wire::streams_sent_msg message;
+    message.streams.emplace_back(99, 1);
+    message.is_backup = true;
+    link->send(make_payload(message));
+    run_for(f.loop, 100ms);
+    if (!is_frozen)
+    {
+        link->close();
+    }
+    const auto is_passed_on = [&]
+    {
+        return reaches_voters ? f.seed->known_streams.contains(99)
+                              : f.observer.inherited == 1;
+    };
+    CHECK(run_until(f.loop, is_passed_on, 4s));
+}
--- a/tests/process/gateway/stream_record_test.cpp
+++ b/tests/process/gateway/stream_record_test.cpp
@@ -80,20 +80,20 @@
     int asked = 0;
     stream_versions held_by_voters;
     fixture.context().streams().set_send(
-        [&](const wire::payloadUnion& payload) -> std::size_t
+        [&](const wire::streams_sent_msg& message)
         {
             if (loses_links && asked > 0)
             {
-                return 0;
+                return;
             }
-            for (const auto& item : payload.Asstreams_sent()->streams)
+            for (const auto& item : message.streams)
             {
                 held_by_voters.add(
                     item.stream(), item.version(),
                     fixture.context().loop().now());
             }
-            return 1;
-        });
+        },
+        {});
     for (const std::string version : {"v1", "v2"})
     {
         fixture.add_backend(
@@ -141,14 +141,14 @@
     const software_version_id other = software_version_of("reports", "v1");
     stream_versions held_by_voters;
     fixture.context().streams().set_send(
-        [&](const wire::payloadUnion& payload) -> std::size_t
+        [&](const wire::streams_sent_msg& message)
         {
-            for (const auto& item : payload.Asstreams_sent()->streams)
+            for (const auto& item : message.streams)
             {
                 held_by_voters.add(item.stream(), item.version(), now());
             }
-            return 1;
-        });
+        },
+        {});
     fixture.add_backend(
         [](connection& to, const received_request& request)
         {
