--- a/src/version/routing/routing_configuration.cpp
+++ b/src/version/routing/routing_configuration.cpp
@@ -98,6 +98,12 @@
 routing_configuration_builder::add_organisation(routed_organisation added)
 {
     result_->organisations_.push_back(std::move(added));
+    return require_key();
+}
+
+routing_configuration_builder& routing_configuration_builder::require_key()
+{
+    result_->requires_key_ = true;
     return *this;
 }
 
@@ -135,7 +141,7 @@
             rank = std::min(
                 rank, routing_configuration::rank_of(item, &organisation));
         }
-        if (item.open_to_all || result_->organisations_.empty())
+        if (item.open_to_all || !result_->requires_key_)
         {
             rank =
                 std::min(rank, routing_configuration::rank_of(item, nullptr));
@@ -241,6 +247,11 @@
     {
         for (const std::string& key : result_->organisations_[i].api_keys)
         {
+            if (key.empty())
+            {
+                // It would match requests without a key.
+                continue;
+            }
             const auto [item, added] =
                 result_->organisations_by_key_.emplace(key, i);
             if (!added && item->second != i)
--- a/src/version/routing/routing_configuration.hpp
+++ b/src/version/routing/routing_configuration.hpp
@@ -158,13 +158,15 @@
     // Returns nullptr when no service has the name.
     const routed_service* find_service(std::string_view name) const;
 
-    // Returns nullptr when no organisation has the API key.
+    // Returns nullptr when no organisation has the API key, and for an empty
+    // key.
     const routed_organisation* find_organisation(std::string_view key) const;
 
-    // Whether requests need an API key, unless their route is open_to_all.
+    // Whether requests need an API key, unless their route is open_to_all. It
+    // does not depend on the number of keys: without any, every key is unknown.
     bool requires_key() const
     {
-        return !organisations_.empty();
+        return requires_key_;
     }
 
 private:
@@ -175,6 +177,7 @@
     std::vector<route> routes_;
     std::vector<routed_service> services_;
     std::vector<routed_organisation> organisations_;
+    bool requires_key_ = false;
 
     // Indexes into routes_ by host, longest prefix first.
     name_map<std::vector<std::size_t>> routes_by_host_;
@@ -190,7 +193,12 @@
 
     routing_configuration_builder& add_route(route added);
     routing_configuration_builder& add_service(routed_service added);
+
+    // Also requires keys.
     routing_configuration_builder& add_organisation(routed_organisation added);
+
+    // Requires keys, whether or not an organisation is added.
+    routing_configuration_builder& require_key();
     routing_configuration_builder& set_limits(const caller_limits& limits);
 
     // Errors: ticket_invalid when a route refers to an unknown service, two
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -238,6 +238,31 @@
         std::string{refused.status().message()}, Catch::Contains("the table"));
 }
 
+// Guards against a configuration that takes the last key or tenant away and
+// thereby opens all routes to every key (review/4).
+TEST_CASE("a configuration with tenants requires a key whatever their number")
+{
+    const auto [tenants, requires_key] = GENERATE(table<std::string, bool>({
+        {"", false},
+        {R"(,"tenants":[])", true},
+        {R"(,"tenants":{"columns":["name","api_keys"],"rows":[]})", true},
+        {R"(,"tenants":{"columns":[],"rows":[]})", true},
+        {R"(,"tenants":null)", true},
+        {R"(,"tenants":[{"name":"t1"}])", true},
+        {R"(,"tenants":[{"name":"t1","api_keys":[]}])", true},
+        {R"(,"tenants":[{"name":"t1","api_keys":[""]}])", true},
+        {R"(,"tenants":[{"name":"t1","api_keys":["k1"]}])", true},
+    }));
+    CAPTURE(tenants);
+    const auto decoded = configuration_document{}.decode(
+        R"({"version":7,"routes":[],"services":[])" + tenants + "}");
+    INFO(std::string{decoded.status().message()});
+    REQUIRE(decoded.ok());
+    CHECK((*decoded)->requires_key() == requires_key);
+    CHECK((*decoded)->find_organisation("") == nullptr);
+    CHECK((*decoded)->find_organisation("k2") == nullptr);
+}
+
 // Guards against one malformed entry that makes the valid ones of the page be
 // discarded.
 TEST_CASE("malformed entries of the backend list are skipped and counted")
--- a/tests/process/gateway/exchange_test.cpp
+++ b/tests/process/gateway/exchange_test.cpp
@@ -271,6 +271,61 @@
     CHECK(caller.received().find("HTTP/1.1", 1) == std::string::npos);
 }
 
+// Guards against requests that run although the last organisation, key or route
+// was taken away (review/4).
+TEST_CASE("a configuration that holds nothing allows nothing")
+{
+    enum class left
+    {
+        no_organisation,
+        organisation_without_key,
+        organisation_with_empty_key,
+        no_route
+    };
+    const auto [kept, public_route, key, status] =
+        GENERATE(table<left, bool, std::string, std::string>({
+            {left::no_organisation, false, "key-1", "401"},
+            {left::no_organisation, false, "other", "401"},
+            {left::no_organisation, false, "", "401"},
+            {left::no_organisation, true, "other", "200"},
+            {left::organisation_without_key, false, "key-1", "401"},
+            {left::organisation_with_empty_key, false, "", "401"},
+            {left::no_route, false, "key-1", "404"},
+        }));
+    CAPTURE(kept, public_route, key);
+    route routed = gateway_fixture::make_route(call_kind::repeatable);
+    routed.open_to_all = public_route;
+    gateway_fixture fixture{routed};
+    backend_double& backend =
+        fixture.add_backend([](connection& to, const received_request&)
+                            { to.write(make_response("200 OK", "done")); });
+    routed_service service;
+    service.name = "reports";
+    service.max_connections = 100;
+    routing_configuration_builder builder{6};
+    builder.add_service(service).require_key();
+    if (kept != left::no_route)
+    {
+        builder.add_route(routed);
+    }
+    if (kept == left::organisation_without_key)
+    {
+        builder.add_organisation({"diarroi", {}, {}});
+    }
+    if (kept == left::organisation_with_empty_key)
+    {
+        builder.add_organisation({"diarroi", {""}, {}});
+    }
+    fixture.context().set_configuration(*builder.build());
+    const caller_double& caller = fixture.call(fmt::format(
+        "GET /a/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: a1\r\n"
+        "Authorization: Bearer {}\r\n\r\n",
+        key));
+    REQUIRE(fixture.run_until([&] { return is_answered(caller); }));
+    CHECK(status_of(caller) == status);
+    CHECK(backend.requests().size() == (status == "200" ? 1U : 0U));
+}
+
 // Guards against a field that hides a second message, for the server or for the
 // caller (review/2).
 TEST_CASE("a field that a library could decode is passed on as it is")
