Test answers that break off in a head, and errors in a running stream

Two reports from operators of similar systems: an error of the next server in the middle of a stream (or a stream that ends as if it were complete), and a 200 with an empty or short body after a head that was cut.

--- a/tests/connection/http/repeatable_relay_test.cpp
+++ b/tests/connection/http/repeatable_relay_test.cpp
@@ -118,6 +118,39 @@
     CHECK(received.find("Content-Type: " + type + "\r\n") != std::string::npos);
 }
 
+// Guards against a response with an empty or short body, framed as whole, whose
+// backend server stopped in the middle of its head.
+TEST_CASE("a response that is cut in its head is not relayed")
+{
+    const std::string end = GENERATE(
+        as<std::string>{}, "", "Content-Le", "Content-Length: 4",
+        "Content-Length: 4\r\n", "Content-Type: text/plain\r\n\r");
+    CAPTURE(end);
+    relay_fixture fixture;
+    fixture.add_scripted(
+        "calc-1", "calculator",
+        [&](exchange& incoming)
+        {
+            incoming.send(
+                "HTTP/1.1 200 OK\r\nX-Attempt: " + incoming.attempt() + "\r\n" +
+                end);
+        });
+    fixture.add_scripted(
+        "calc-2", "calculator",
+        [](exchange& incoming)
+        { incoming.answer(200, "fine", incoming.attempt()); });
+    fixture.start();
+
+    const raw_response response = fixture.send_request(calculator_request());
+
+    CHECK(response.status == 200);
+    CHECK(response.body == "fine");
+    REQUIRE(fixture.all_grants_returned());
+    CHECK(
+        fixture.outcomes() ==
+        std::vector{outcome::failed_after_start, outcome::completed});
+}
+
 // Guards against exhausted memory and against a caller that waits without limit
 // when a backend server sends header fields without end.
 TEST_CASE("an endless response header is cut off")
--- a/tests/process/gateway/exchange_test.cpp
+++ b/tests/process/gateway/exchange_test.cpp
@@ -85,6 +85,16 @@
             {"unsigned", make_response("200 OK", "x", "Request-Id: a1\r\n"),
              false},
             {"cut short", make_response("200 OK", "hello").substr(0, 70), true},
+            {"cut in its status line", "HTTP/1.1 200 O", true},
+            {"cut after its status line", "HTTP/1.1 200 OK\r\n", true},
+            {"cut in a field", "HTTP/1.1 200 OK\r\n" + sealed + "Content-Le",
+             true},
+            {"cut after a field", "HTTP/1.1 200 OK\r\n" + sealed, true},
+            {"cut in the end of its head",
+             "HTTP/1.1 200 OK\r\n" + sealed + "\r", true},
+            {"cut before its length",
+             "HTTP/1.1 200 OK\r\n" + sealed + "Transfer-Encoding: chunked\r\n",
+             true},
             {"malformed response", "garbage garbage\r\n\r\n", false},
             {"encoded",
              make_response(
@@ -271,6 +281,68 @@
     CHECK(caller.received().find("HTTP/1.1", 1) == std::string::npos);
 }
 
+// Guards against the text or the head of an error in the middle of a stream,
+// and against a stream that ends as if it were complete: it broke off, and the
+// next server answers with an error of any form.
+TEST_CASE("an error of the next server ends a stream as broken off")
+{
+    const auto [label, error, closes] =
+        GENERATE(table<std::string, std::string, bool>({
+            {"with a length", make_response("500 Error", "failed\n\n"), false},
+            {"in chunks",
+             "HTTP/1.1 500 Error\r\n" + sealed +
+                 "Transfer-Encoding: chunked\r\n\r\n" + chunk("failed\n\n") +
+                 "0\r\n\r\n",
+             false},
+            {"until the close",
+             "HTTP/1.1 500 Error\r\n" + sealed + "\r\nfailed\n\n", true},
+            {"without a body", make_response("500 Error", ""), false},
+            {"not found", make_response("404 Not Found", "failed\n\n"), false},
+            {"redirect", make_response("302 Found", "failed\n\n"), false},
+            {"rejection", rejection, false},
+            {"rejection after work", make_response("503 Busy", "failed\n\n"),
+             false},
+            {"unsigned success",
+             make_response("200 OK", "failed\n\n", "Request-Id: a1\r\n"),
+             false},
+            {"answer to another request",
+             make_response(
+                 "200 OK", "failed\n\n", "Request-Id: a2\r\nReply-Seal: s\r\n"),
+             false},
+            {"head that is cut", "HTTP/1.1 200 OK\r\n" + sealed, true},
+            {"body that is cut", stream_head + "1f\r\nid: 3\ndata: failed",
+             true},
+            {"no event", stream_head + chunk("failed") + "0\r\n\r\n", false},
+            {"no response", "failed\r\n\r\n", false},
+        }));
+    const bool breaks_in_event = GENERATE(false, true);
+    CAPTURE(label, breaks_in_event);
+    route routed = gateway_fixture::make_route(call_kind::streaming, 2);
+    routed.resumable = true;
+    gateway_fixture fixture{routed};
+    std::size_t asked = 0;
+    const auto script = [&](connection& to, const received_request&)
+    {
+        const bool is_first = ++asked == 1;
+        to.write(
+            is_first ? stream_head + chunk(event(1) + event(2)) +
+                           (breaks_in_event ? chunk("id: 3\ndata: fai") : "")
+                     : error);
+        if (is_first || closes)
+        {
+            to.close();
+        }
+    };
+    fixture.add_backend(script);
+    fixture.add_backend(script);
+    const caller_double& caller = fixture.call(gateway_fixture::request_text());
+    CHECK(fixture.run_until([&] { return caller.ended(); }));
+    CHECK(asked == 2);
+    CHECK(caller.received().find("HTTP/1.1", 1) == std::string::npos);
+    CHECK(caller.received().find("fai") == std::string::npos);
+    CHECK(caller.received().ends_with("data: piece 2\n\n\r\n"));
+}
+
 // Guards against requests that run although the last organisation, key or route
 // was taken away (review/4).
 TEST_CASE("a configuration that holds nothing allows nothing")
