Refuse requests that may outlast a planned shutdown

Reported by operators of similar systems: requests that came late in the grace time were passed on and cut at its end, also those that may not be repeated.

Cause: a connection whose request has begun stays open, and the request is passed on whenever it is complete, whatever time is left.

Ruled out: idle connections that are closed (a begun request is not idle).

Change: from 3 s after the signal on, a request that may last longer than the time for responses is answered 503, not run, with Retry-After 0: the port is closed, and the load balancer sends callers elsewhere.

--- a/src/process/gateway/exchange.cpp
+++ b/src/process/gateway/exchange.cpp
@@ -138,6 +138,14 @@
         give_up(dispatch_outcome::silent);
         return;
     }
+    if (context_.is_refused_until(arrived_ + time_limit()))
+    {
+        refuse(
+            HTTPResponse::HTTP_SERVICE_UNAVAILABLE, request_outcome::refused,
+            "this instance is shutting down; the request has not run",
+            duration{0});
+        return;
+    }
     identify_stream();
     if (call_.resume_after && route_->kind == call_kind::streaming)
     {
@@ -275,10 +283,16 @@
     {
         caller_deadline_ = arrived_ + *call_.caller_timeout;
     }
-    const duration limit = std::min(
-        call_.caller_timeout.value_or(route_->timeout), route_->timeout);
     deadline_timer_ = context_.loop().after(
-        arrived_ + limit - context_.loop().now(), [this] { on_deadline(); });
+        arrived_ + time_limit() - context_.loop().now(),
+        [this] { on_deadline(); });
+}
+
+// Longest time from the request's arrival to the end of its response.
+duration exchange::time_limit() const
+{
+    return std::min(
+        call_.caller_timeout.value_or(route_->timeout), route_->timeout);
 }
 
 // Whether the deadline of the caller has passed: the request may have waited
--- a/src/process/gateway/exchange.hpp
+++ b/src/process/gateway/exchange.hpp
@@ -122,6 +122,7 @@
     void finish(int status, request_outcome outcome);
     void report_end(int status, request_outcome outcome);
 
+    duration time_limit() const;
     std::optional<duration> time_left() const;
     bool is_repeatable() const;
     std::uint32_t rank() const;
--- a/src/process/gateway/gateway.cpp
+++ b/src/process/gateway/gateway.cpp
@@ -21,6 +21,10 @@
 // failed checks.
 constexpr duration balancer_lag = std::chrono::milliseconds{2600};
 
+// From this time after the signal on, requests are refused if they may outlast
+// the process. Those sent before get the rest of the time for shutting down.
+constexpr duration late_request_time = std::chrono::seconds{3};
+
 // Connections are closed this long before the platform kills the process.
 constexpr duration shutdown_margin = std::chrono::milliseconds{300};
 
@@ -357,6 +361,10 @@
         }
     }
     const duration limit = settings_.shutdown.limit - shutdown_margin;
+    if (waited >= late_request_time)
+    {
+        context_.refuse_beyond(draining_since_ + limit - final_response_margin);
+    }
     if (waited >= limit - final_response_margin)
     {
         for (auto& [id, session] : sessions_)
--- a/src/process/gateway/gateway_context.hpp
+++ b/src/process/gateway/gateway_context.hpp
@@ -50,6 +50,19 @@
     // the startup, and a short time later on.
     duration retry_after_not_ready() const;
 
+    // Requests that may last longer than until this time are refused from now
+    // on, because the process is shutting down and callers reach others.
+    void refuse_beyond(time_point last_response)
+    {
+        last_response_ = last_response;
+    }
+
+    // Whether a request that may last until this time must be refused.
+    bool is_refused_until(time_point end) const
+    {
+        return last_response_ && end > *last_response_;
+    }
+
     // This router's share of the fleet's retry budget for the service.
     retry_budget_share& retry_budget(std::string_view service);
 
@@ -177,6 +190,7 @@
     std::optional<time_point> fleet_load_at_;
     std::uint32_t routers_ = 1;
     time_point started_at_;
+    std::optional<time_point> last_response_;
 };
 
 } // namespace hickorygap
--- a/tests/process/gateway/gateway_test.cpp
+++ b/tests/process/gateway/gateway_test.cpp
@@ -182,6 +182,62 @@
     CHECK(callers.size() - accepted <= 20);
 }
 
+// Guards against requests that come late in a planned shutdown and are passed
+// on, though the process may exit before their response: their callers are told
+// that they have not run. Requests that end in time are served.
+TEST_CASE("a request that may outlast a planned shutdown is refused")
+{
+    const auto [fields, sent_after, status] =
+        GENERATE(table<std::string, duration, std::string>({
+            {"", 2300ms, "200"},
+            {"", 3500ms, "503"},
+            {"Deadline-Ms: 1000\r\n", 3500ms, "200"},
+            {"Deadline-Ms: 100000\r\n", 3500ms, "503"},
+            {"Deadline-Ms: 1000\r\n", 5000ms, "503"},
+        }));
+    CAPTURE(fields, sent_after.count());
+    router_fixture f;
+    int runs = 0;
+    backend_double backend{
+        f.loop, static_cast<std::uint16_t>(f.settings.callers.port + 2),
+        [&](backend_double::connection& to, const received_request& got)
+        {
+            ++runs;
+            to.write(fmt::format(
+                "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nReply-Seal: s\r\n"
+                "Content-Length: 4\r\n\r\nfine",
+                got.head->get("Request-Id")));
+        }};
+    REQUIRE(backend.opened());
+    REQUIRE(f.router->on_configuration(3, document));
+    const std::vector<listed_backend> list{
+        {"i-1",
+         "reports",
+         "domain-a",
+         {"127.0.0.1", static_cast<std::uint16_t>(f.settings.callers.port + 2)},
+         8,
+         false}};
+    f.router->on_backend_list(list);
+    f.router->on_router_count(1);
+    f.router->shut_down();
+    f.run_until([] { return false; }, 2200ms);
+    // The last bytes of the request are sent late.
+    caller_double caller{f.loop, f.settings.callers.port};
+    const std::string text = fmt::format(
+        "POST /a/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: a1\r\n{}"
+        "Content-Length: 5\r\n\r\nvisit",
+        fields);
+    caller.send(text.substr(0, text.size() - 1));
+    f.run_until([] { return false; }, sent_after - 2200ms);
+    caller.send(text.substr(text.size() - 1));
+    REQUIRE(f.run_until([&] { return caller.ended(); }, 2s));
+    CHECK(caller.received().substr(9, 3) == status);
+    CHECK(runs == (status == "200" ? 1 : 0));
+    CHECK(
+        (caller.received().find("Retry-After: 0.00") != std::string::npos) ==
+        (status == "503"));
+}
+
 // Guards against requests that are cut, or connections that are refused, before
 // the load balancer has noticed that the process is shutting down.
 TEST_CASE(
