Answer 400 to a request without a Host, and contain exceptions over input

Seen: one request without a Host field ended a router, and all callers that waited at it lost their answers (LOST).

Cause: Poco's getHost throws for a missing field, and nothing between the event loop and main caught it.

Ruled out: another malformation (the same request with a Host is served).

Change: a request with no Host or several is answered 400. An exception over the input of a connection, whoever is at its other end, is logged and ends that connection only.

--- a/src/connection/event/stream_connection.cpp
+++ b/src/connection/event/stream_connection.cpp
@@ -1,6 +1,7 @@
 #include "connection/event/stream_connection.hpp"
 
 #include "common/error.hpp"
+#include "common/logging.hpp"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
@@ -10,6 +11,8 @@
 
 #include <array>
 #include <cerrno>
+#include <exception>
+#include <typeinfo>
 #include <utility>
 
 namespace hickorygap
@@ -184,7 +187,7 @@
     {
         last_input_ = loop_.now();
         input_.append(buffer.data(), static_cast<std::size_t>(count));
-        observer_.on_input();
+        deliver_input();
     }
     else if (count == 0)
     {
@@ -196,6 +199,21 @@
     }
 }
 
+void stream_connection::deliver_input()
+{
+    try
+    {
+        observer_.on_input();
+    }
+    catch (const std::exception& error)
+    {
+        log(log_level::error, subsystem::network,
+            "input_not_handled type={} error=\"{}\"", typeid(error).name(),
+            error.what());
+        end(connection_end::reset);
+    }
+}
+
 void stream_connection::send_pending()
 {
     while (pending_output() > 0)
--- a/src/connection/event/stream_connection.hpp
+++ b/src/connection/event/stream_connection.hpp
@@ -69,6 +69,11 @@
     // Closes once all pending output has been sent.
     void close_after_output();
 
+    // Passes the buffered input to the observer. An exception that the observer
+    // lets out ends this connection only: whoever is at its other end must not
+    // be able to end the process.
+    void deliver_input();
+
     void on_ready(io_readiness readiness) override;
 
 private:
--- a/src/process/gateway/caller_session.cpp
+++ b/src/process/gateway/caller_session.cpp
@@ -255,8 +255,8 @@
     {
         // Deferred, so that pipelined requests do not recurse.
         context_.loop().cancel(next_request_timer_);
-        next_request_timer_ =
-            context_.loop().after(duration{0}, [this] { on_input(); });
+        next_request_timer_ = context_.loop().after(
+            duration{0}, [this] { connection_->deliver_input(); });
     }
 }
 
--- a/src/process/gateway/exchange.cpp
+++ b/src/process/gateway/exchange.cpp
@@ -3,6 +3,7 @@
 #include "common/hashing.hpp"
 #include "common/logging.hpp"
 #include "common/status_text.hpp"
+#include "common/text.hpp"
 #include "request/blame/blame_tracker.hpp"
 #include "request/rate_limit/observed_limit.hpp"
 
@@ -73,6 +74,25 @@
     return target.substr(0, target.find('?'));
 }
 
+// The value of the only Host field; nullopt if there is none or several.
+std::optional<std::string_view>
+only_host_of(const Poco::Net::HTTPRequest& request)
+{
+    std::optional<std::string_view> host;
+    for (const auto& [name, value] : request)
+    {
+        if (equals_ignoring_case(name, Poco::Net::HTTPRequest::HOST))
+        {
+            if (host)
+            {
+                return std::nullopt;
+            }
+            host = value;
+        }
+    }
+    return host;
+}
+
 // Identifiers of the parts that other requests can have too. The last part of a
 // prompt belongs to the request or its chat alone.
 std::vector<prompt_part_id> shared_parts_of(std::span<const prompt_part> prompt)
@@ -214,8 +234,15 @@
         refuse_not_ready("no configuration is known");
         return false;
     }
-    route_ = configuration_->find_route(
-        request_.head->getHost(), path_of(*request_.head));
+    const auto host = only_host_of(*request_.head);
+    if (!host)
+    {
+        refuse(
+            HTTPResponse::HTTP_BAD_REQUEST, request_outcome::invalid,
+            "the request needs one Host");
+        return false;
+    }
+    route_ = configuration_->find_route(*host, path_of(*request_.head));
     if (route_ == nullptr)
     {
         refuse(
--- a/tests/process/gateway/exchange_test.cpp
+++ b/tests/process/gateway/exchange_test.cpp
@@ -259,6 +259,18 @@
             {"no key",
              "GET /a/ HTTP/1.1\r\nHost: h.example\r\nRequest-Id: a1\r\n\r\n",
              "401"},
+            {"no host",
+             "GET /a/ HTTP/1.1\r\nRequest-Id: a1\r\n"
+             "Authorization: Bearer key-1\r\n\r\n",
+             "400"},
+            {"two hosts",
+             "GET /a/ HTTP/1.1\r\nHost: h.example\r\nHost: x.example\r\n"
+             "Request-Id: a1\r\nAuthorization: Bearer key-1\r\n\r\n",
+             "400"},
+            {"no host in HTTP/1.0",
+             "GET /a/ HTTP/1.0\r\nConnection: keep-alive\r\n"
+             "Request-Id: a1\r\nAuthorization: Bearer key-1\r\n\r\n",
+             "400"},
             {"no identifier",
              "GET /a/ HTTP/1.1\r\nHost: h.example\r\n"
              "Authorization: Bearer key-1\r\n\r\n",
