Send responses that are read late to their end

Seen: answers of 4.2 MB whose callers read late were cut 2.6 s after SIGTERM (LOST).

Cause: a connection counted as idle once its response was complete at the router, and was closed with bytes of it pending. The idle timeout did the same.

Ruled out: the end of the grace time (8 s).

Change: a connection with pending output is closed after that output, as long as its caller reads some of it within each 5 s.

--- a/src/process/gateway/caller_session.cpp
+++ b/src/process/gateway/caller_session.cpp
@@ -96,6 +96,11 @@
         start_timer(unread_input_delay);
         return;
     }
+    if (!request_started_ && has_output_progress())
+    {
+        start_timer(std::max(limit, output_timeout));
+        return;
+    }
     const duration waited = context_.loop().now() - waiting_since_;
     if (waited < limit)
     {
@@ -129,7 +134,8 @@
     if (!ended_ && exchange_ == nullptr && !request_started_ &&
         !may_get_first_request && !connection_->has_unread_input())
     {
-        connection_->close();
+        // The caller may still be reading the last response.
+        connection_->close_after_output();
         end_session();
     }
 }
@@ -274,15 +280,28 @@
         return;
     }
     context_.loop().cancel(timer_);
-    if (connection_->is_open())
-    {
-        // The rest of the last response is still being sent.
-        timer_ = context_.loop().after(output_timeout, [this] { on_end_(); });
-    }
-    else
+    checked_output_ = 0;
+    await_output();
+}
+
+// Ends the session when the rest of the last response has been sent, or the
+// caller no longer reads it.
+void caller_session::await_output()
+{
+    timer_ = 0;
+    if (!connection_->is_open() || !has_output_progress())
     {
         on_end_();
+        return;
     }
+    timer_ = context_.loop().after(output_timeout, [this] { await_output(); });
+}
+
+// Whether the caller has read some of the pending output since the last call.
+bool caller_session::has_output_progress()
+{
+    const std::size_t pending = connection_->pending_output();
+    return std::exchange(checked_output_, pending) != pending && pending > 0;
 }
 
 } // namespace hickorygap
--- a/src/process/gateway/caller_session.hpp
+++ b/src/process/gateway/caller_session.hpp
@@ -56,6 +56,8 @@
     void on_timeout();
     const caller_limits& limits() const;
     void end_session();
+    void await_output();
+    bool has_output_progress();
 
     gateway_context& context_;
     std::function<void()> on_end_;
@@ -70,6 +72,9 @@
     // it, although a newer configuration may have a shorter one.
     duration idle_timeout_{0};
     bool request_started_ = false;
+
+    // Pending output at the last check, in bytes.
+    std::size_t checked_output_ = 0;
     bool closing_ = false;
     bool last_request_ = false;
     bool has_served_ = false;
--- a/tests/process/gateway/gateway_test.cpp
+++ b/tests/process/gateway/gateway_test.cpp
@@ -182,6 +182,68 @@
     CHECK(callers.size() - accepted <= 20);
 }
 
+// Guards against a response that is cut because its caller reads it late: the
+// connection counts as idle once the response is complete here, and is closed
+// in a planned shutdown or after the idle timeout.
+TEST_CASE("a response that is read late is sent to its end")
+{
+    const bool shuts_down = GENERATE(true, false);
+    CAPTURE(shuts_down);
+    router_fixture f;
+    const std::string body(max_buffered_body_bytes - 1000, 'x');
+    backend_double backend{
+        f.loop, static_cast<std::uint16_t>(f.settings.callers.port + 2),
+        [&](backend_double::connection& to, const received_request& got)
+        {
+            to.write(fmt::format(
+                "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nReply-Seal: s\r\n"
+                "Content-Length: {}\r\n\r\n",
+                got.head->get("Request-Id"), body.size()));
+            to.write(body);
+        }};
+    REQUIRE(backend.opened());
+    std::string limited = document;
+    limited.insert(1, R"("limits":{"idle_timeout_ms":300},)");
+    REQUIRE(f.router->on_configuration(3, shuts_down ? document : limited));
+    const std::vector<listed_backend> list{
+        {"i-1",
+         "reports",
+         "domain-a",
+         {"127.0.0.1", static_cast<std::uint16_t>(f.settings.callers.port + 2)},
+         8,
+         false}};
+    f.router->on_backend_list(list);
+    f.router->on_router_count(1);
+    std::vector<std::unique_ptr<caller_double>> callers;
+    for (int i = 0; i < 3; ++i)
+    {
+        callers.push_back(
+            std::make_unique<caller_double>(f.loop, f.settings.callers.port));
+        callers.back()->set_reading(false);
+        callers.back()->send(request(fmt::format("a{}", i)));
+    }
+    f.run_until([] { return false; }, 700ms);
+    if (shuts_down)
+    {
+        f.router->shut_down();
+        f.run_until([] { return false; }, 3500ms);
+    }
+    for (const auto& caller : callers)
+    {
+        caller->set_reading(true);
+    }
+    for (const auto& caller : callers)
+    {
+        CHECK(f.run_until(
+            [&]
+            {
+                return caller->received().find("\r\n\r\n") + 4 + body.size() ==
+                       caller->received().size();
+            },
+            2s));
+    }
+}
+
 // Guards against requests that come late in a planned shutdown and are passed
 // on, though the process may exit before their response: their callers are told
 // that they have not run. Requests that end in time are served.
