--- a/src/process/gateway/stream_backup_links.cpp
+++ b/src/process/gateway/stream_backup_links.cpp
@@ -127,8 +127,8 @@
         std::ranges::reverse(order);
     }
     // Routers that have failed lately come last.
-    std::ranges::stable_partition(
-        order,
+    std::stable_partition(
+        order.begin(), order.end(),
         [this](instance_id router) { return !failed_at_.contains(router); });
     const auto chosen = std::ranges::find_if(
         order, [this](instance_id router) { return !is_used(router); });
