--- a/tests/soak/fleet_soak.cpp
+++ b/tests/soak/fleet_soak.cpp
@@ -73,7 +73,7 @@
 "timeout_ms":2500,"service":"app","max_attempts":2,"resumable":true}},
 {{"name":"v","host":"h","path_prefix":"/v{0}/","kind":"safe",
 "timeout_ms":2000,"service":"app","max_attempts":3}}],
-"services":[{{"name":"app","max_connections":500}}],"tenants":[]}})",
+"services":[{{"name":"app","max_connections":500}}]}})",
         version, safe_route_max_attempts);
 }
 
