Keep one copy of test set-up, and the check of heads behind parse_head

- gateway_test listed the same server in four tests and wrote the same response in three: list_backend, backend_port and fine_response.
- repeatable_relay_test added the same second server twice.
- is_well_formed_head has no caller besides parse_head any more and is internal.
- stream_backup_store names its senders by their links, as tunnel_service does, instead of by untyped pointers.

--- a/src/connection/h1/message_framing.cpp
+++ b/src/connection/h1/message_framing.cpp
@@ -88,6 +88,36 @@
     return line;
 }
 
+// Whether a header block, including its final empty line, is well formed: CRLF
+// line ends, a start line, field names that are tokens directly followed by a
+// colon, no folded lines and no control characters. Refuses header blocks that
+// other HTTP implementations might parse differently.
+bool is_well_formed_head(std::string_view head)
+{
+    bool first = true;
+    while (!head.empty())
+    {
+        if (head.find(line_end) == std::string_view::npos)
+        {
+            return false;
+        }
+        const std::string_view line = take_line(head);
+        if (line.empty())
+        {
+            return !first && head.empty();
+        }
+        const bool well_formed =
+            first ? std::ranges::all_of(line, is_field_character)
+                  : is_well_formed_field(line);
+        if (!well_formed)
+        {
+            return false;
+        }
+        first = false;
+    }
+    return false;
+}
+
 bool is_supported_version(std::string_view version)
 {
     return version == Poco::Net::HTTPMessage::HTTP_1_1 ||
@@ -216,32 +246,6 @@
     return end + end_of_head.size();
 }
 
-bool is_well_formed_head(std::string_view head)
-{
-    bool first = true;
-    while (!head.empty())
-    {
-        if (head.find(line_end) == std::string_view::npos)
-        {
-            return false;
-        }
-        const std::string_view line = take_line(head);
-        if (line.empty())
-        {
-            return !first && head.empty();
-        }
-        const bool well_formed =
-            first ? std::ranges::all_of(line, is_field_character)
-                  : is_well_formed_field(line);
-        if (!well_formed)
-        {
-            return false;
-        }
-        first = false;
-    }
-    return false;
-}
-
 bool parse_head(std::string_view head, Poco::Net::HTTPRequest& request)
 {
     if (!is_well_formed_head(head))
--- a/src/connection/h1/message_framing.hpp
+++ b/src/connection/h1/message_framing.hpp
@@ -45,17 +45,13 @@
 // not arrived.
 std::optional<std::size_t> find_head_end(std::string_view input);
 
-// Whether a header block, including its final empty line, is well formed: CRLF
-// line ends, a start line, field names that are tokens directly followed by a
-// colon, no folded lines and no control characters. Refuses header blocks that
-// other HTTP implementations might parse differently.
-bool is_well_formed_head(std::string_view head);
-
-// Parses a header block into an empty message. The values of the fields have
-// the bytes that were received, without the blanks around them. False when
-// is_well_formed_head refuses the block, the start line isn't one of HTTP/1.0
-// or HTTP/1.1, or a response's header block contains the status line of another
-// response.
+// Parses a header block, including its final empty line, into an empty message.
+// The values of the fields have the bytes that were received, without the
+// blanks around them. False when the block is malformed or other HTTP
+// implementations might parse it differently (line ends other than CRLF, folded
+// lines, names that are no tokens, control characters), when the start line
+// isn't one of HTTP/1.0 or HTTP/1.1, or when a response's header block contains
+// the status line of another response.
 bool parse_head(std::string_view head, Poco::Net::HTTPRequest& request);
 bool parse_head(std::string_view head, Poco::Net::HTTPResponse& response);
 
--- a/src/process/gateway/stream_backup_store.cpp
+++ b/src/process/gateway/stream_backup_store.cpp
@@ -36,7 +36,7 @@
 }
 
 void stream_backup_store::receive(
-    const void* link, const wire::streams_sent_msg& message)
+    const link_connection* link, const wire::streams_sent_msg& message)
 {
     const time_point now = loop_.now();
     sender& from = senders_[link];
@@ -75,7 +75,7 @@
     drop(from.untold, stream_retention_period);
 }
 
-void stream_backup_store::on_link_end(const void* link)
+void stream_backup_store::on_link_end(const link_connection* link)
 {
     auto item = senders_.extract(link);
     if (!item.empty())
--- a/src/process/gateway/stream_backup_store.hpp
+++ b/src/process/gateway/stream_backup_store.hpp
@@ -1,8 +1,7 @@
 #ifndef HICKORYGAP_PROCESS_GATEWAY_STREAM_BACKUP_STORE_HPP
 #define HICKORYGAP_PROCESS_GATEWAY_STREAM_BACKUP_STORE_HPP
 
-#include "connection/event/event_loop.hpp"
-#include "messages/codec.hpp"
+#include "connection/link/link_connection.hpp"
 
 #include <deque>
 #include <functional>
@@ -31,10 +30,11 @@
     stream_backup_store& operator=(const stream_backup_store&) = delete;
 
     // A message of the router at the other end of the link.
-    void receive(const void* link, const wire::streams_sent_msg& message);
+    void
+    receive(const link_connection* link, const wire::streams_sent_msg& message);
 
     // The link has ended; no effect on links without streams.
-    void on_link_end(const void* link);
+    void on_link_end(const link_connection* link);
 
 private:
     struct kept_stream
@@ -59,7 +59,7 @@
     event_loop& loop_;
     tell_function tell_;
     inherit_function inherit_;
-    std::map<const void*, sender> senders_;
+    std::map<const link_connection*, sender> senders_;
     timer_id timer_ = 0;
 };
 
--- a/tests/connection/event/stream_connection_test.cpp
+++ b/tests/connection/event/stream_connection_test.cpp
@@ -17,7 +17,7 @@
 namespace
 {
 
-// Echoes its input. Throws when it gets an exclamation mark.
+// Echoes its input, but throws an exception of a library for some texts.
 class fragile_server final : public connection_observer
 {
 public:
--- a/tests/connection/http/repeatable_relay_test.cpp
+++ b/tests/connection/http/repeatable_relay_test.cpp
@@ -23,6 +23,15 @@
         "{\"holes\":32}");
 }
 
+// A second server, which answers "fine".
+void add_sound_calculator(relay_fixture& fixture)
+{
+    fixture.add_scripted(
+        "calc-2", "calculator",
+        [](exchange& incoming)
+        { incoming.answer(200, "fine", incoming.attempt()); });
+}
+
 bool body_contains(const raw_response& response, const std::string& text)
 {
     return response.body.find(text) != std::string::npos;
@@ -135,10 +144,7 @@
                 "HTTP/1.1 200 OK\r\nX-Attempt: " + incoming.attempt() + "\r\n" +
                 end);
         });
-    fixture.add_scripted(
-        "calc-2", "calculator",
-        [](exchange& incoming)
-        { incoming.answer(200, "fine", incoming.attempt()); });
+    add_sound_calculator(fixture);
     fixture.start();
 
     const raw_response response = fixture.send_request(calculator_request());
@@ -176,10 +182,7 @@
                 return;
             }
         });
-    fixture.add_scripted(
-        "calc-2", "calculator",
-        [](exchange& incoming)
-        { incoming.answer(200, "fine", incoming.attempt()); });
+    add_sound_calculator(fixture);
     fixture.start();
 
     const raw_response response = fixture.send_request(calculator_request());
--- a/tests/process/gateway/gateway_test.cpp
+++ b/tests/process/gateway/gateway_test.cpp
@@ -53,6 +53,24 @@
         return condition();
     }
 
+    std::uint16_t backend_port() const
+    {
+        return static_cast<std::uint16_t>(settings.callers.port + 2);
+    }
+
+    // Lists the backend server at backend_port.
+    void list_backend()
+    {
+        const std::vector<listed_backend> list{
+            {"i-1",
+             "reports",
+             "domain-a",
+             {"127.0.0.1", backend_port()},
+             8,
+             false}};
+        router->on_backend_list(list);
+    }
+
     std::string ready()
     {
         caller_double probe{loop, settings.readiness.port};
@@ -77,6 +95,14 @@
         id);
 }
 
+std::string fine_response(std::string_view id)
+{
+    return fmt::format(
+        "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nReply-Seal: s\r\n"
+        "Content-Length: 4\r\n\r\nfine",
+        id);
+}
+
 } // namespace
 
 // Guards against a router that is ready without a configuration or a backend
@@ -114,19 +140,12 @@
     router_fixture f;
     std::vector<std::pair<backend_double::connection*, std::string>> open;
     backend_double backend{
-        f.loop, static_cast<std::uint16_t>(f.settings.callers.port + 2),
+        f.loop, f.backend_port(),
         [&](backend_double::connection& to, const received_request& got)
         { open.emplace_back(&to, got.head->get("Request-Id")); }};
     REQUIRE(backend.opened());
     REQUIRE(f.router->on_configuration(3, document));
-    const std::vector<listed_backend> list{
-        {"i-1",
-         "reports",
-         "domain-a",
-         {"127.0.0.1", static_cast<std::uint16_t>(f.settings.callers.port + 2)},
-         8,
-         false}};
-    f.router->on_backend_list(list);
+    f.list_backend();
     // Sets the connection limit high enough for all requests.
     f.router->on_router_count(1);
     f.router->shut_down();
@@ -160,10 +179,7 @@
     // The server responds to all requests but one, and the router to that one.
     for (std::size_t i = 1; i < accepted; ++i)
     {
-        open[i].first->write(fmt::format(
-            "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nReply-Seal: s\r\n"
-            "Content-Length: 4\r\n\r\nfine",
-            open[i].second));
+        open[i].first->write(fine_response(open[i].second));
     }
     const auto count = [&](std::string_view end)
     {
@@ -192,7 +208,7 @@
     router_fixture f;
     const std::string body(max_buffered_body_bytes - 1000, 'x');
     backend_double backend{
-        f.loop, static_cast<std::uint16_t>(f.settings.callers.port + 2),
+        f.loop, f.backend_port(),
         [&](backend_double::connection& to, const received_request& got)
         {
             to.write(fmt::format(
@@ -205,14 +221,7 @@
     std::string limited = document;
     limited.insert(1, R"("limits":{"idle_timeout_ms":300},)");
     REQUIRE(f.router->on_configuration(3, shuts_down ? document : limited));
-    const std::vector<listed_backend> list{
-        {"i-1",
-         "reports",
-         "domain-a",
-         {"127.0.0.1", static_cast<std::uint16_t>(f.settings.callers.port + 2)},
-         8,
-         false}};
-    f.router->on_backend_list(list);
+    f.list_backend();
     f.router->on_router_count(1);
     std::vector<std::unique_ptr<caller_double>> callers;
     for (int i = 0; i < 3; ++i)
@@ -261,25 +270,15 @@
     router_fixture f;
     int runs = 0;
     backend_double backend{
-        f.loop, static_cast<std::uint16_t>(f.settings.callers.port + 2),
+        f.loop, f.backend_port(),
         [&](backend_double::connection& to, const received_request& got)
         {
             ++runs;
-            to.write(fmt::format(
-                "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nReply-Seal: s\r\n"
-                "Content-Length: 4\r\n\r\nfine",
-                got.head->get("Request-Id")));
+            to.write(fine_response(got.head->get("Request-Id")));
         }};
     REQUIRE(backend.opened());
     REQUIRE(f.router->on_configuration(3, document));
-    const std::vector<listed_backend> list{
-        {"i-1",
-         "reports",
-         "domain-a",
-         {"127.0.0.1", static_cast<std::uint16_t>(f.settings.callers.port + 2)},
-         8,
-         false}};
-    f.router->on_backend_list(list);
+    f.list_backend();
     f.router->on_router_count(1);
     f.router->shut_down();
     f.run_until([] { return false; }, 2200ms);
@@ -308,27 +307,15 @@
     router_fixture f;
     std::vector<std::pair<backend_double::connection*, std::string>> open;
     backend_double backend{
-        f.loop, static_cast<std::uint16_t>(f.settings.callers.port + 2),
+        f.loop, f.backend_port(),
         [&](backend_double::connection& to, const received_request& got)
         { open.emplace_back(&to, got.head->get("Request-Id")); }};
     REQUIRE(backend.opened());
     REQUIRE(f.router->on_configuration(3, document));
-    const std::vector<listed_backend> list{
-        {"i-1",
-         "reports",
-         "domain-a",
-         {"127.0.0.1", static_cast<std::uint16_t>(f.settings.callers.port + 2)},
-         8,
-         false}};
-    f.router->on_backend_list(list);
+    f.list_backend();
 
     const auto respond = [&](std::size_t number)
-    {
-        open[number].first->write(fmt::format(
-            "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nReply-Seal: s\r\n"
-            "Content-Length: 4\r\n\r\nfine",
-            open[number].second));
-    };
+    { open[number].first->write(fine_response(open[number].second)); };
     caller_double running{f.loop, f.settings.callers.port};
     running.send(request("a1"));
     REQUIRE(f.run_until([&] { return open.size() == 1; }, 1s));
