--- a/tests/soak/soak_backends.cpp
+++ b/tests/soak/soak_backends.cpp
@@ -19,6 +19,10 @@
 constexpr std::uint64_t truncated_percent = 3;
 constexpr std::uint64_t unanswered_percent = 1;
 
+// Body of the response to a request whose path ends in /large; the largest that
+// routers accept.
+constexpr std::size_t large_body_bytes = std::size_t{4} * 1024 * 1024;
+
 } // namespace
 
 // A connection from a router; carries one request at a time.
@@ -107,10 +111,13 @@
 
     void send_response()
     {
+        const bool is_large = request_.head->getURI().ends_with("/large");
+        const std::string body =
+            is_large ? std::string(large_body_bytes, 'a') : id_;
         const std::string answer = fmt::format(
-            "HTTP/1.1 200 OK\r\nRequest-Id: {0}\r\nReply-Seal: s\r\n"
-            "Content-Length: {1}\r\n\r\n{0}",
-            id_, id_.size());
+            "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nReply-Seal: s\r\n"
+            "Content-Length: {}\r\n\r\n{}",
+            id_, body.size(), body);
         if (truncates_response_)
         {
             stream_->write(answer.substr(0, answer.size() - 3));
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -47,6 +47,11 @@
     return {host_of(voters + router), caller_port};
 }
 
+numeric_address soak_fleet::readiness_address(std::size_t router) const
+{
+    return {host_of(voters + router), readiness_port};
+}
+
 numeric_address soak_fleet::operator_address(std::size_t voter) const
 {
     return {host_of(voter), operator_port};
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -31,6 +31,12 @@
     void signal(std::size_t process, int signal_number);
     bool running(std::size_t process);
 
+    // Valid while the process runs.
+    pid_t pid(std::size_t process) const
+    {
+        return processes_[process]->pid();
+    }
+
     // Kills a voter and deletes its data folder.
     void wipe(std::size_t voter);
 
@@ -39,6 +45,7 @@
     void rotate_seeds();
 
     numeric_address caller_address(std::size_t router) const;
+    numeric_address readiness_address(std::size_t router) const;
     numeric_address operator_address(std::size_t voter) const;
 
 private:
