Bound the memory and the descriptors that clients take

Cause: each connection buffers up to 4 MiB, announced or in chunks, and nothing bounds the sum. A router also went on to read pipelined requests while their responses waited, kept the last response in each idle connection to a server (assigning an empty string keeps the memory), and accepted connections until no descriptor was left for servers.

Ruled out: the decoder of chunks (bodies in 8 bytes a chunk take what others take); bodies over the limit (15 and 40 MB before).

Callers may take half of the descriptors, each of the other ports an eighth. Buffers are given back when they are empty. No message changes.

--- a/src/common/text.hpp
+++ b/src/common/text.hpp
@@ -47,6 +47,13 @@
 using name_map =
     std::unordered_map<std::string, Value, name_hash, std::equal_to<>>;
 
+// Empties the text and gives its memory back, which an assignment of an empty
+// text would keep.
+inline void release_memory(std::string& text)
+{
+    std::string{}.swap(text);
+}
+
 } // namespace hickorygap
 
 #endif
--- a/src/connection/event/stream_connection.cpp
+++ b/src/connection/event/stream_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "common/error.hpp"
 #include "common/logging.hpp"
+#include "common/text.hpp"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
@@ -25,6 +26,26 @@
 // stream.
 constexpr std::size_t read_buffer_bytes = std::size_t{16} * 1024;
 
+// An empty buffer keeps this much memory for its next use.
+constexpr std::size_t retained_buffer_bytes = std::size_t{4} * 1024;
+
+// Sent bytes are removed from the front of the output from this size on, so
+// that the buffer of a stream that is never empty does not grow with it.
+constexpr std::size_t removed_output_bytes = std::size_t{64} * 1024;
+
+// Empties the buffer, and gives its memory back if it was large.
+void clear_buffer(std::string& buffer)
+{
+    if (buffer.capacity() > retained_buffer_bytes)
+    {
+        release_memory(buffer);
+    }
+    else
+    {
+        buffer.clear();
+    }
+}
+
 } // namespace
 
 stream_connection::stream_connection(
@@ -34,6 +55,7 @@
     , socket_{socket}
     , observer_{observer}
     , last_input_{loop.now()}
+    , last_output_{loop.now()}
 {
     socket_.setBlocking(false);
     const int on = 1;
@@ -204,6 +226,10 @@
     try
     {
         observer_.on_input();
+        if (input_.empty())
+        {
+            clear_buffer(input_);
+        }
     }
     catch (const std::exception& error)
     {
@@ -233,16 +259,17 @@
             }
             // The error is reported by the next read, after the input that
             // arrived before the reset.
-            output_.clear();
+            clear_buffer(output_);
             sent_ = 0;
             break;
         }
         sent_ += static_cast<std::size_t>(count);
+        last_output_ = loop_.now();
     }
     if (pending_output() == 0)
     {
         const bool had_output = !output_.empty();
-        output_.clear();
+        clear_buffer(output_);
         sent_ = 0;
         if (close_after_output_)
         {
@@ -259,12 +286,22 @@
         }
         return;
     }
+    remove_sent();
     if (!writing_)
     {
         update_interest();
     }
 }
 
+void stream_connection::remove_sent()
+{
+    if (sent_ >= removed_output_bytes && sent_ >= pending_output())
+    {
+        output_.erase(0, sent_);
+        sent_ = 0;
+    }
+}
+
 void stream_connection::update_interest()
 {
     if (!open_)
--- a/src/connection/event/stream_connection.hpp
+++ b/src/connection/event/stream_connection.hpp
@@ -8,6 +8,7 @@
 #include <Poco/Net/StreamSocket.h>
 #include <absl/status/statusor.h>
 
+#include <algorithm>
 #include <cstddef>
 #include <memory>
 #include <string>
@@ -45,6 +46,19 @@
         return output_.size() - sent_;
     }
 
+    // Memory of the buffers that are not empty.
+    std::size_t buffered_bytes() const
+    {
+        return (input_.empty() ? 0 : input_.capacity()) +
+               (output_.empty() ? 0 : output_.capacity());
+    }
+
+    // When bytes were last received or sent.
+    time_point last_progress() const
+    {
+        return std::max(last_input_, last_output_);
+    }
+
     void set_reading(bool reading) override;
 
     // Sets TCP_USER_TIMEOUT: the connection ends when sent data stays
@@ -80,6 +94,7 @@
     void finish_connect();
     void read_available();
     void send_pending();
+    void remove_sent();
     void update_interest();
     void end(connection_end reason);
 
@@ -90,6 +105,7 @@
     std::string output_;
     std::size_t sent_ = 0;
     time_point last_input_;
+    time_point last_output_;
     bool open_ = true;
     bool connected_ = true;
     bool reading_ = true;
--- a/src/connection/h1/http_endpoint.hpp
+++ b/src/connection/h1/http_endpoint.hpp
@@ -1,6 +1,7 @@
 #ifndef HICKORYGAP_CONNECTION_H1_HTTP_ENDPOINT_HPP
 #define HICKORYGAP_CONNECTION_H1_HTTP_ENDPOINT_HPP
 
+#include "connection/event/buffer_budget.hpp"
 #include "connection/event/listener.hpp"
 #include "connection/event/stream_connection.hpp"
 #include "connection/h1/request_reader.hpp"
@@ -10,7 +11,9 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -35,6 +38,18 @@
 // disconnected.
 using http_responder = std::function<void(const http_response&)>;
 
+// What the clients of an endpoint may take.
+struct endpoint_limits
+{
+    // Open connections; further ones end the one that has made no progress for
+    // the longest.
+    std::size_t connections = std::numeric_limits<std::size_t>::max();
+
+    // Memory for requests and responses; nullptr for no limit over all
+    // connections. Must outlive the endpoint.
+    buffer_budget* buffers = nullptr;
+};
+
 // HTTP server that buffers complete requests and responses, for readiness,
 // metrics and operator requests. Not for callers' traffic.
 class http_endpoint
@@ -43,7 +58,8 @@
     using handler = std::function<void(received_request, http_responder)>;
 
     http_endpoint(
-        event_loop& loop, const request_limits& limits, handler on_request);
+        event_loop& loop, const request_limits& limits, handler on_request,
+        endpoint_limits shared = {});
     ~http_endpoint();
 
     // Errors: unreachable when the address can't be bound.
@@ -54,14 +70,17 @@
     class session;
 
     void accept(const Poco::Net::StreamSocket& socket);
+    bool make_room();
     void remove(std::uint64_t id);
 
     event_loop& loop_;
     request_limits limits_;
+    endpoint_limits shared_;
     handler on_request_;
     listener listener_;
     absl::flat_hash_map<std::uint64_t, std::shared_ptr<session>> sessions_;
     std::uint64_t last_session_ = 0;
+    std::optional<time_point> limit_logged_at_;
 };
 
 } // namespace hickorygap
--- a/src/connection/h1/request_reader.cpp
+++ b/src/connection/h1/request_reader.cpp
@@ -1,5 +1,7 @@
 #include "connection/h1/request_reader.hpp"
 
+#include "common/text.hpp"
+
 #include <Poco/String.h>
 
 #include <utility>
@@ -78,6 +80,12 @@
     return {std::move(head_), std::exchange(body_, {})};
 }
 
+void request_reader::discard()
+{
+    failed_ = true;
+    release_memory(body_);
+}
+
 bool request_reader::take_continue_request()
 {
     return std::exchange(continue_requested_, false);
--- a/src/connection/h1/request_reader.hpp
+++ b/src/connection/h1/request_reader.hpp
@@ -50,6 +50,21 @@
         return head_ != nullptr;
     }
 
+    // Memory of the body that is being read.
+    std::size_t buffered_bytes() const
+    {
+        return body_.empty() ? 0 : body_.capacity();
+    }
+
+    // The header of the next request; nullptr before it has been read.
+    const Poco::Net::HTTPRequest* head() const
+    {
+        return head_.get();
+    }
+
+    // Drops what has arrived of a request that is not read to its end.
+    void discard();
+
     // Whether the request that is being read expects a "100 Continue" response
     // before its body. True at most once per request.
     bool take_continue_request();
--- a/src/connection/h1/response_reader.hpp
+++ b/src/connection/h1/response_reader.hpp
@@ -1,6 +1,7 @@
 #ifndef HICKORYGAP_CONNECTION_H1_RESPONSE_READER_HPP
 #define HICKORYGAP_CONNECTION_H1_RESPONSE_READER_HPP
 
+#include "common/text.hpp"
 #include "connection/h1/message_framing.hpp"
 
 #include <Poco/Net/HTTPResponse.h>
@@ -60,6 +61,18 @@
         return body_;
     }
 
+    // Memory of the body.
+    std::size_t buffered_bytes() const
+    {
+        return body_.empty() ? 0 : body_.capacity();
+    }
+
+    // Gives back the memory of the body, which has been forwarded.
+    void discard_body()
+    {
+        release_memory(body_);
+    }
+
     // Whether the connection can be reused after this response.
     bool keeps_connection() const;
 
--- a/src/process/commands/fleet_commands.cpp
+++ b/src/process/commands/fleet_commands.cpp
@@ -2,9 +2,11 @@
 
 #include "common/buffered_log_sink.hpp"
 #include "common/status_text.hpp"
+#include "process/fleet_process/client_limits.hpp"
 #include "process/fleet_process/fleet_node.hpp"
 #include "process/fleet_process/process_signals.hpp"
 
+#include <malloc.h>
 #include <unistd.h>
 
 #include <concepts>
@@ -24,6 +26,10 @@
 // Limits of a metrics scrape request: 4096 bytes of header and no body.
 constexpr request_limits metrics_request_limits{4096, 0};
 
+// Buffers from this size on are returned to the system when they are freed. The
+// allocator would raise this by itself, and keep what a crowd of clients filled.
+constexpr int returned_buffer_bytes = 256 * 1024;
+
 // Runs a router or a voter process: event loop, log sink, signals, settings and
 // metrics endpoint.
 class fleet_node_runner
@@ -34,6 +40,7 @@
         , streams_{streams}
         , sink_{STDOUT_FILENO}
     {
+        ::mallopt(M_MMAP_THRESHOLD, returned_buffer_bytes);
     }
 
     ~fleet_node_runner()
@@ -126,7 +133,8 @@
                 answer.content_type = "text/plain; version=0.0.4";
                 answer.body = node.metrics_text();
                 respond(answer);
-            });
+            },
+            endpoint_limits{client_limits_of(settings).endpoint_connections});
         return metrics_->open({settings.instance.host, settings.metrics.port});
     }
 
--- a/src/process/fleet_settings/fleet_settings.cpp
+++ b/src/process/fleet_settings/fleet_settings.cpp
@@ -25,6 +25,9 @@
 const number_range<double> link_range{0.01, 1e6, "Mbit/s"};
 const number_range<double> ratio_range{0, 10, "repeats per request"};
 const number_range<double> slack_range{0, 1e6, "repeats"};
+const number_range<std::uint64_t> memory_range{32, 1U << 24U, "MiB"};
+const number_range<std::uint64_t> descriptor_range{
+    64, 1U << 24U, "descriptors"};
 const number_range<double> seconds_range{0.1, 3600, "s"};
 
 duration seconds(double value)
@@ -209,6 +212,17 @@
             reader.read("window_s", window, seconds_range);
             result.retry.window = seconds(window);
         });
+    read_section(
+        file, "machine",
+        [&](json_object_reader& reader)
+        {
+            constexpr std::uint64_t bytes_per_megabyte = 1U << 20U;
+            std::uint64_t memory = 0;
+            reader.read("memory_mb", memory, memory_range);
+            reader.read(
+                "descriptors", result.machine.descriptors, descriptor_range);
+            result.machine.memory_bytes = memory * bytes_per_megabyte;
+        });
     read_section(
         file, "shutdown",
         [&](json_object_reader& reader)
--- a/src/process/fleet_settings/fleet_settings.hpp
+++ b/src/process/fleet_settings/fleet_settings.hpp
@@ -89,6 +89,13 @@
         duration window = std::chrono::seconds{10};
     } retry;
 
+    // What the machine gives to this process; zero if it is not stated.
+    struct
+    {
+        std::uint64_t memory_bytes = 0;
+        std::uint64_t descriptors = 0;
+    } machine;
+
     struct
     {
         // Time from the signal to the forced exit of the process.
--- a/src/process/gateway/backend_connection.hpp
+++ b/src/process/gateway/backend_connection.hpp
@@ -56,6 +56,12 @@
         receiver_ = &receiver;
     }
 
+    // Bytes of the response's body that have arrived and were not taken.
+    std::size_t buffered_response_bytes() const
+    {
+        return reader_ ? reader_->buffered_bytes() : 0;
+    }
+
     response_reader& reader()
     {
         return *reader_;
--- a/src/process/gateway/backend_pool.cpp
+++ b/src/process/gateway/backend_pool.cpp
@@ -439,6 +439,10 @@
 void backend_pool::add_idle(backend_connection& connection, duration limit)
 {
     connection.was_idle_ = true;
+    if (connection.reader_)
+    {
+        connection.reader_->discard_body();
+    }
     connection.idle_since_ = loop_.now();
     connection.idle_timeout_ = limit;
     connection.channel_->set_reading(true);
--- a/src/process/gateway/caller_session.cpp
+++ b/src/process/gateway/caller_session.cpp
@@ -1,10 +1,14 @@
 #include "process/gateway/caller_session.hpp"
 
 #include "common/logging.hpp"
+#include "common/text.hpp"
 #include "connection/h1/http_endpoint.hpp"
 #include "connection/h1/message_framing.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace hickorygap
@@ -18,6 +22,13 @@
 // Bytes of pipelined requests that are buffered while a request is in progress.
 constexpr std::size_t max_pipelined_bytes = std::size_t{64} * 1024;
 
+// No further request is read while more bytes than this wait for the caller.
+constexpr std::size_t max_pending_bytes = std::size_t{128} * 1024;
+
+// Retry-After of requests for which there was no memory. The stalled ones that
+// take it are ended within this time.
+constexpr duration retry_after_no_room = std::chrono::seconds{1};
+
 // After the last response, a caller that does not read it for this long is
 // disconnected.
 constexpr duration output_timeout = std::chrono::seconds{5};
@@ -42,6 +53,7 @@
     , on_end_{std::move(on_end)}
     , connection_{
           std::make_unique<stream_connection>(context.loop(), socket, *this)}
+    , buffers_{context.buffers(), *this}
 {
     start_wait();
     start_timer(limits().idle_timeout);
@@ -51,6 +63,7 @@
 {
     context_.loop().cancel(timer_);
     context_.loop().cancel(next_request_timer_);
+    context_.loop().cancel(revoke_timer_);
 }
 
 const caller_limits& caller_session::limits() const
@@ -91,7 +104,8 @@
                                ? std::max(idle_timeout_, limits().idle_timeout)
                            : reader_.has_head() ? body_timeout
                                                 : limits().header_timeout;
-    if (!request_started_ && connection_->has_unread_input())
+    if (!request_started_ && !is_output_full() &&
+        connection_->has_unread_input())
     {
         start_timer(unread_input_delay);
         return;
@@ -151,6 +165,11 @@
 
 void caller_session::on_input()
 {
+    if (ended_)
+    {
+        connection_->input().clear();
+        return;
+    }
     if (exchange_ != nullptr)
     {
         // Reading continues in order to notice when the caller disconnects.
@@ -158,9 +177,11 @@
         {
             connection_->set_reading(false);
         }
+        on_buffers_changed();
         return;
     }
     read_requests();
+    on_buffers_changed();
 }
 
 void caller_session::read_requests()
@@ -169,6 +190,11 @@
     {
         return;
     }
+    if (is_output_full())
+    {
+        connection_->set_reading(false);
+        return;
+    }
     if (!request_started_ && !connection_->input().empty())
     {
         request_started_ = true;
@@ -194,6 +220,10 @@
     case request_reader::state::complete:
         break;
     }
+    if (!has_room_to_handle())
+    {
+        return;
+    }
     request_started_ = false;
     received_request request = reader_.take();
     last_request_ = !keeps_open(*request.head);
@@ -214,12 +244,134 @@
     end_session();
 }
 
+// A connection that is no longer needed for anything else makes room for
+// others.
+void caller_session::close_for_another()
+{
+    if (!ended_)
+    {
+        connection_->close();
+        end_session();
+    }
+}
+
+buffer_use caller_session::use_of_buffers() const
+{
+    if (exchange_ != nullptr)
+    {
+        return buffer_use::handling;
+    }
+    return connection_->pending_output() > 0 ? buffer_use::sending
+                                             : buffer_use::receiving;
+}
+
+std::size_t caller_session::buffered_bytes() const
+{
+    return connection_->buffered_bytes() + reader_.buffered_bytes() +
+           (exchange_ == nullptr ? 0 : exchange_->buffered_bytes());
+}
+
+void caller_session::on_buffers_changed()
+{
+    if (!is_revoked_)
+    {
+        buffers_.set(
+            use_of_buffers(), buffered_bytes(), connection_->last_progress(),
+            context_.loop().now());
+    }
+}
+
+// Whether there is room for the request that has arrived and for the copy that
+// is sent to a server.
+bool caller_session::has_room_to_handle()
+{
+    buffers_.set(
+        buffer_use::receiving, buffered_bytes() + reader_.buffered_bytes(),
+        connection_->last_progress(), context_.loop().now());
+    return !ended_;
+}
+
+bool caller_session::is_output_full() const
+{
+    return connection_->pending_output() > max_pending_bytes;
+}
+
+// A request that is being handled is ended later, because its own code may have
+// been called before this.
+void caller_session::on_buffers_revoked()
+{
+    is_revoked_ = true;
+    if (ended_)
+    {
+        connection_->close();
+    }
+    else if (use_of_buffers() == buffer_use::receiving)
+    {
+        refuse_for_lack_of_room();
+    }
+    else
+    {
+        revoke_timer_ =
+            context_.loop().after(duration{0}, [this] { end_revoked(); });
+    }
+}
+
+// Nothing of the request has been sent to a server.
+void caller_session::refuse_for_lack_of_room()
+{
+    if (!request_started_)
+    {
+        close_for_another();
+        return;
+    }
+    http_response answer;
+    answer.status = HTTPResponse::HTTP_SERVICE_UNAVAILABLE;
+    if (reader_.head() != nullptr)
+    {
+        const auto call = context_.dialect().decode_request(*reader_.head());
+        if (call.ok())
+        {
+            answer.fields =
+                context_.dialect().response_fields(call->attempt_id);
+        }
+    }
+    answer.fields.emplace_back(
+        std::string{retry_after_field},
+        fmt::format(
+            "{:.2f}",
+            std::chrono::duration<double>(retry_after_no_room).count()));
+    answer.content_type = "text/plain";
+    answer.body = "there is no memory for the request; it has not run";
+    reader_.discard();
+    release_memory(connection_->input());
+    connection_->write(encode_response(answer, true));
+    connection_->close_after_output();
+    end_session();
+}
+
+void caller_session::end_revoked()
+{
+    revoke_timer_ = 0;
+    if (exchange_ != nullptr)
+    {
+        closing_ = true;
+        exchange_->stop();
+    }
+    connection_->close();
+    end_session();
+}
+
 void caller_session::on_drained()
 {
+    on_buffers_changed();
     if (exchange_ != nullptr)
     {
         exchange_->on_caller_drained();
     }
+    else if (!ended_)
+    {
+        resume_reading();
+    }
 }
 
 void caller_session::on_end(connection_end /*end*/)
@@ -234,6 +386,7 @@
 void caller_session::send(std::string_view bytes)
 {
     connection_->write(bytes);
+    on_buffers_changed();
 }
 
 std::size_t caller_session::pending() const
@@ -256,6 +409,12 @@
         return;
     }
     start_wait();
+    on_buffers_changed();
+    resume_reading();
+}
+
+void caller_session::resume_reading()
+{
     connection_->set_reading(true);
     if (!connection_->input().empty())
     {
--- a/src/process/gateway/exchange.cpp
+++ b/src/process/gateway/exchange.cpp
@@ -760,6 +760,7 @@
     }
     if (!held_attempt_goes_on())
     {
+        caller_.on_buffers_changed();
         return;
     }
     log(log_level::info, subsystem::attempt,
@@ -829,6 +830,22 @@
     give_up(dispatch_outcome::silent);
 }
 
+// A request that is sent is buffered a second time until the server has read it.
+std::size_t exchange::buffered_bytes() const
+{
+    std::size_t bytes =
+        request_.body.empty() ? 0 : 2 * request_.body.capacity();
+    if (attempt_.connection != nullptr)
+    {
+        bytes += attempt_.connection->buffered_response_bytes();
+    }
+    if (held_attempt_)
+    {
+        bytes += held_attempt_->connection->buffered_response_bytes();
+    }
+    return bytes + attempt_.events.remainder().size();
+}
+
 void exchange::stop()
 {
     context_.loop().cancel(deadline_timer_);
@@ -918,6 +935,10 @@
     {
         relay_whole_response();
     }
+    else
+    {
+        caller_.on_buffers_changed();
+    }
 }
 
 // False when the attempt has failed.
--- a/src/process/gateway/exchange.hpp
+++ b/src/process/gateway/exchange.hpp
@@ -37,6 +37,9 @@
     // The caller has disconnected.
     void cancel();
 
+    // Bytes of the request and of what has arrived of the response.
+    std::size_t buffered_bytes() const;
+
     // The output to the caller has been written.
     void on_caller_drained();
 
--- a/src/process/gateway/gateway.cpp
+++ b/src/process/gateway/gateway.cpp
@@ -32,6 +32,9 @@
 // connections are closed, so that it reaches their callers.
 constexpr duration final_response_margin = std::chrono::milliseconds{150};
 
+// Interval between log lines about the limit of connections.
+constexpr duration limit_log_interval = std::chrono::seconds{1};
+
 constexpr duration shutdown_check_interval = std::chrono::milliseconds{100};
 
 } // namespace
@@ -57,7 +60,8 @@
     , readiness_{
           loop, readiness_limits,
           [this](const received_request& /*request*/,
-                 const http_responder& respond) { respond_readiness(respond); }}
+                 const http_responder& respond) { respond_readiness(respond); },
+          {context_.limits().endpoint_connections, &context_.buffers()}}
 {
     follower_.set_tunnels(tunnels_);
     context_.pool().set_on_paths_changed([this]
@@ -133,6 +137,24 @@
         .set(std::chrono::duration<double>(follower_.leader_silence()).count());
     metrics.find_gauge("callers", "connections", "Open connections of callers.")
         .set(static_cast<double>(sessions_.size()));
+    metrics
+        .find_gauge(
+            "caller_buffers", "bytes",
+            "Bytes in the buffers of callers' connections.")
+        .set(static_cast<double>(context_.buffers().total()));
+    for (const auto& [use, name] :
+         {std::pair{buffer_use::receiving, "receiving"},
+          std::pair{buffer_use::handling, "handling"},
+          std::pair{buffer_use::sending, "sending"}})
+    {
+        metrics
+            .find_gauge(
+                "ended_without_memory", "connections",
+                "Connections of callers that were ended because the memory for "
+                "their buffers was used up, by what they were doing.",
+                {{"use", name}})
+            .set(static_cast<double>(context_.buffers().revoked(use)));
+    }
     metrics
         .find_gauge(
             "backend_servers", "servers",
@@ -164,6 +186,10 @@
 
 void gateway::accept(const Poco::Net::StreamSocket& socket)
 {
+    if (!has_room_for_session())
+    {
+        return;
+    }
     const std::uint64_t id = ++last_session_;
     auto session = std::make_unique<caller_session>(
         context_, socket,
@@ -175,6 +201,57 @@
     sessions_.emplace(id, std::move(session));
 }
 
+// Whether one more connection of a caller may be open. At the limit, the one
+// that has been waiting for a request for the longest makes room.
+bool gateway::has_room_for_session()
+{
+    if (sessions_.size() < context_.limits().caller_connections)
+    {
+        return true;
+    }
+    caller_session* oldest = nullptr;
+    for (const auto& [id, session] : sessions_)
+    {
+        if (!session->is_busy() && !session->has_ended() &&
+            (oldest == nullptr ||
+             session->last_progress() < oldest->last_progress()))
+        {
+            oldest = session.get();
+        }
+    }
+    const bool is_refused = oldest == nullptr;
+    context_.metrics()
+        .find_counter(
+            "connections_at_limit",
+            "Connections of callers that were refused, or closed to make room, "
+            "because the permitted number was open.",
+            {{"action", is_refused ? "refused" : "closed"}})
+        .add();
+    if (now_logs_limit())
+    {
+        log(log_level::warning, subsystem::http,
+            "caller_connections_at_limit open={} refused={}", sessions_.size(),
+            is_refused);
+    }
+    if (!is_refused)
+    {
+        oldest->close_for_another();
+    }
+    return !is_refused;
+}
+
+// Once a second.
+bool gateway::now_logs_limit()
+{
+    const time_point now = loop_.now();
+    if (limit_logged_at_ && now - *limit_logged_at_ < limit_log_interval)
+    {
+        return false;
+    }
+    limit_logged_at_ = now;
+    return true;
+}
+
 bool gateway::on_configuration(
     configuration_version version, std::string_view document)
 {
--- a/src/process/gateway/gateway.hpp
+++ b/src/process/gateway/gateway.hpp
@@ -81,6 +81,8 @@
     void accept(const Poco::Net::StreamSocket& socket);
     void respond_readiness(const http_responder& respond) const;
     bool is_ready() const;
+    bool has_room_for_session();
+    bool now_logs_limit();
     void check_shut_down();
 
     event_loop& loop_;
@@ -94,6 +96,7 @@
     absl::flat_hash_map<std::uint64_t, std::unique_ptr<caller_session>>
         sessions_;
     std::uint64_t last_session_ = 0;
+    std::optional<time_point> limit_logged_at_;
     bool draining_ = false;
     bool closed_ = false;
     time_point draining_since_;
--- a/src/process/gateway/gateway_context.cpp
+++ b/src/process/gateway/gateway_context.cpp
@@ -43,6 +43,8 @@
     , settings_{settings}
     , dialect_{dialect}
     , random_{random_seed()}
+    , limits_{client_limits_of(settings)}
+    , buffers_{limits_.buffer_bytes}
     , pool_{loop, table_, dialer, settings}
     , permits_{loop, random_()}
     , streams_{loop}
--- a/src/process/gateway/gateway_context.hpp
+++ b/src/process/gateway/gateway_context.hpp
@@ -3,6 +3,8 @@
 
 #include "common/random.hpp"
 #include "common/text.hpp"
+#include "connection/event/buffer_budget.hpp"
+#include "process/fleet_process/client_limits.hpp"
 #include "process/fleet_process/fleet_crash_tracker.hpp"
 #include "process/fleet_settings/fleet_settings.hpp"
 #include "process/gateway/backend_pool.hpp"
@@ -121,6 +123,16 @@
     // The policy by which backend servers of the route are chosen.
     dispatch_policy& policy_for(const route& matched);
 
+    // The memory that callers can fill.
+    buffer_budget& buffers()
+    {
+        return buffers_;
+    }
+    const client_limits& limits() const
+    {
+        return limits_;
+    }
+
     event_loop& loop()
     {
         return loop_;
@@ -169,6 +181,8 @@
     const fleet_settings& settings_;
     const request_dialect& dialect_;
     random_engine random_;
+    client_limits limits_;
+    buffer_budget buffers_;
     backend_table table_;
     backend_pool pool_;
     fleet_crash_tracker blame_;
--- a/src/process/gateway/response_relay.hpp
+++ b/src/process/gateway/response_relay.hpp
@@ -29,6 +29,10 @@
     // Bytes that are not yet written to the caller's socket.
     virtual std::size_t pending() const = 0;
 
+    // The request or the response that is being handled holds another number of
+    // bytes.
+    virtual void on_buffers_changed() = 0;
+
     // Whether the response must announce that the connection closes.
     virtual bool closes_after_response() const = 0;
 
--- a/src/process/voter_node/operator_service.cpp
+++ b/src/process/voter_node/operator_service.cpp
@@ -60,11 +60,14 @@
     , dialect_{dialect}
     , metrics_{metrics}
     , on_change_{std::move(on_change)}
+    , limits_{client_limits_of(settings)}
+    , buffers_{limits_.buffer_bytes}
     , endpoint_{
           loop,
           {max_head_bytes, max_configuration_document_bytes},
           [this](received_request request, const http_responder& respond)
-          { serve(std::move(request), respond); }}
+          { serve(std::move(request), respond); },
+          {limits_.endpoint_connections, &buffers_}}
 {
 }
 
--- a/src/process/voter_node/operator_service.hpp
+++ b/src/process/voter_node/operator_service.hpp
@@ -2,6 +2,7 @@
 #define HICKORYGAP_PROCESS_VOTER_NODE_OPERATOR_SERVICE_HPP
 
 #include "connection/h1/http_endpoint.hpp"
+#include "process/fleet_process/client_limits.hpp"
 #include "process/fleet_settings/fleet_settings.hpp"
 #include "process/metrics/metrics_registry.hpp"
 #include "process/routing_store/routing_voter.hpp"
@@ -72,6 +73,8 @@
     const operator_dialect& dialect_;
     metrics_registry& metrics_;
     std::function<void()> on_change_;
+    client_limits limits_;
+    buffer_budget buffers_;
     http_endpoint endpoint_;
     routing_voter* voter_ = nullptr;
     std::map<std::uint64_t, open_call> open_filings_;
--- a/tests/process/fleet_settings/fleet_settings_test.cpp
+++ b/tests/process/fleet_settings/fleet_settings_test.cpp
@@ -25,6 +25,7 @@
          "backend_list": {"address": "10.200.0.61:8223",
                           "calls_per_second": 44.5},
          "retry": {"ratio": 0.2, "slack": 56, "window_s": 10},
+         "machine": {"memory_mb": 160, "descriptors": 4100},
          "shutdown": {"limit_s": 8}})");
     INFO(std::string{result.status().message()});
     REQUIRE(result.ok());
@@ -39,6 +40,8 @@
     CHECK(result->storage.lost_disks == 2);
     CHECK(result->backend_list.calls_per_second == 44.5);
     CHECK(result->retry.window == 10s);
+    CHECK(result->machine.memory_bytes == 160U * 1024 * 1024);
+    CHECK(result->machine.descriptors == 4100);
     CHECK(result->shutdown.limit == 8s);
 }
 
