--- a/tests/process/route_fleet/route_fleet_fixture.hpp
+++ b/tests/process/route_fleet/route_fleet_fixture.hpp
@@ -92,6 +92,28 @@
         versions_.at(backend) = std::move(version);
     }
 
+    // Starts one more router, with the next number.
+    void add_router()
+    {
+        constexpr std::size_t first_host = 2;
+        std::unique_ptr<gateway> router;
+        fleet_settings settings;
+        dialers_.push_back(std::make_unique<cut_dialer>());
+        do
+        {
+            settings = common_settings(
+                fmt::format("127.0.0.{}", routers_.size() + first_host));
+            settings.callers = {"127.0.0.1", next_port()};
+            settings.readiness = {"127.0.0.1", next_port()};
+            router = std::make_unique<gateway>(
+                loop_, settings,
+                gateway_dialects{&requests_, &configurations_, &list_},
+                *dialers_.back());
+        } while (!router->open().ok());
+        caller_ports_.push_back(settings.callers.port);
+        routers_.push_back(std::move(router));
+    }
+
     // Cuts all routers off from the only voter.
     void stop_voter()
     {
@@ -226,27 +248,6 @@
         } while (!voter_->open().ok());
     }
 
-    void add_router()
-    {
-        constexpr std::size_t first_host = 2;
-        std::unique_ptr<gateway> router;
-        fleet_settings settings;
-        dialers_.push_back(std::make_unique<cut_dialer>());
-        do
-        {
-            settings = common_settings(
-                fmt::format("127.0.0.{}", routers_.size() + first_host));
-            settings.callers = {"127.0.0.1", next_port()};
-            settings.readiness = {"127.0.0.1", next_port()};
-            router = std::make_unique<gateway>(
-                loop_, settings,
-                gateway_dialects{&requests_, &configurations_, &list_},
-                *dialers_.back());
-        } while (!router->open().ok());
-        caller_ports_.push_back(settings.callers.port);
-        routers_.push_back(std::move(router));
-    }
-
     temporary_folder folder_;
     std::string data_folder_;
     event_loop loop_;
