Bound requests to cold servers, and let operators evacuate failure domains

Change: routers treat servers that the list calls cold, of services with a rate for them, like servers with a limit; the leader keeps a bucket for each (docs/design/cold-servers.md). Evacuations are entries of the voters' log; the leader publishes the servers of evacuated domains as leaving (docs/design/evacuation.md). Both are off unless the configuration has cold_per_s, or an operator orders it.

Ruled out: the limits of servers for cold ones (a response without the field would end them); an even share for each router (60 first requests exceed a rate of 8.7).

Upgrades: backend_entry and routing_entry have new last fields, entry_kind a new last member.

--- a/src/connection/event/buffer_budget.hpp
+++ b/src/connection/event/buffer_budget.hpp
@@ -63,8 +63,8 @@
         // Records the bytes in the buffers, and when the client last sent or
         // read some of them. May revoke the buffers of any connection, this one
         // included, before it returns.
-        void set(
-            buffer_use use, std::size_t bytes, time_point progress_at,
+        void
+        set(buffer_use use, std::size_t bytes, time_point progress_at,
             time_point now);
 
     private:
--- a/src/connection/h1/http_endpoint.cpp
+++ b/src/connection/h1/http_endpoint.cpp
@@ -25,7 +25,8 @@
 // while as many wait to be read.
 constexpr std::size_t max_pending_bytes = std::size_t{128} * 1024;
 
-// Seconds after which a request may be sent again for which there was no memory.
+// Seconds after which a request may be sent again for which there was no
+// memory.
 constexpr const char* retry_after_no_room = "1";
 
 // Interval between log lines about the limit of connections.
--- a/src/process/commands/fleet_commands.cpp
+++ b/src/process/commands/fleet_commands.cpp
@@ -27,7 +27,8 @@
 constexpr request_limits metrics_request_limits{4096, 0};
 
 // Buffers from this size on are returned to the system when they are freed. The
-// allocator would raise this by itself, and keep what a crowd of clients filled.
+// allocator would raise this by itself, and keep what a crowd of clients
+// filled.
 constexpr int returned_buffer_bytes = 256 * 1024;
 
 // Runs a router or a voter process: event loop, log sink, signals, settings and
--- a/src/process/fleet_process/backend_list_replica.cpp
+++ b/src/process/fleet_process/backend_list_replica.cpp
@@ -28,6 +28,8 @@
     message->slots = entry.slots;
     message->leaving = entry.leaving;
     message->version = entry.version;
+    message->cold = entry.cold;
+    message->evacuated = entry.evacuated;
     return message;
 }
 
@@ -40,7 +42,9 @@
         {message.host, message.port},
         message.slots,
         message.leaving,
-        message.version};
+        message.version,
+        message.cold,
+        message.evacuated};
 }
 
 // Limit for a decompressed list, enough for some ten thousand servers.
@@ -216,15 +220,43 @@
     return true;
 }
 
+std::set<std::string> backend_list_replica::evacuated_domains() const
+{
+    std::set<std::string> domains;
+    for (const auto& [id, known] : entries_)
+    {
+        if (known.backend.evacuated)
+        {
+            domains.insert(known.backend.failure_domain);
+        }
+    }
+    return domains;
+}
+
 void backend_list_replica::replace(std::span<const listed_backend> list)
 {
+    std::vector<listed_backend> marked{list.begin(), list.end()};
+    mark_evacuated(marked, evacuated_domains());
     version_ = {};
     known_versions_.clear();
     removed_.clear();
-    update(list, {});
+    update(marked, {});
     removed_.clear();
 }
 
+void mark_evacuated(
+    std::span<listed_backend> list, const std::set<std::string>& domains)
+{
+    for (listed_backend& backend : list)
+    {
+        if (domains.contains(backend.failure_domain))
+        {
+            backend.leaving = true;
+            backend.evacuated = true;
+        }
+    }
+}
+
 std::vector<listed_backend> backend_list_replica::list() const
 {
     std::vector<listed_backend> result;
--- a/src/process/fleet_process/backend_list_replica.hpp
+++ b/src/process/fleet_process/backend_list_replica.hpp
@@ -9,6 +9,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -58,8 +59,9 @@
     std::optional<wire::backends_push_msg>
     changes_since(backend_list_version held) const;
 
-    // Replaces the list by one that this router read itself. The next message
-    // that is applied must then contain the whole list.
+    // Replaces the list by one that this router read itself, with the servers
+    // marked that are in failure domains with evacuated servers. The next
+    // message that is applied must then contain the whole list.
     void replace(std::span<const listed_backend> list);
 
     // Zero before the first version and after replace.
@@ -76,6 +78,7 @@
         backend_list_version changed_at;
     };
 
+    std::set<std::string> evacuated_domains() const;
     change_size
     update(std::span<const listed_backend> list, backend_list_version version);
     void remove_entry(const std::string& id, backend_list_version version);
@@ -95,6 +98,10 @@
     std::deque<backend_list_version> known_versions_;
 };
 
+// Marks the servers of these failure domains as evacuated and leaving.
+void mark_evacuated(
+    std::span<listed_backend> list, const std::set<std::string>& domains);
+
 } // namespace hickorygap
 
 #endif
--- a/src/process/gateway/caller_session.cpp
+++ b/src/process/gateway/caller_session.cpp
@@ -51,8 +51,8 @@
     std::function<void()> on_end)
     : context_{context}
     , on_end_{std::move(on_end)}
-    , connection_{
-          std::make_unique<stream_connection>(context.loop(), socket, *this)}
+    , connection_{std::make_unique<stream_connection>(
+          context.loop(), socket, *this)}
     , buffers_{context.buffers(), *this}
 {
     start_wait();
--- a/src/process/gateway/exchange.cpp
+++ b/src/process/gateway/exchange.cpp
@@ -830,7 +830,8 @@
     give_up(dispatch_outcome::silent);
 }
 
-// A request that is sent is buffered a second time until the server has read it.
+// A request that is sent is buffered a second time until the server has read
+// it.
 std::size_t exchange::buffered_bytes() const
 {
     std::size_t bytes =
--- a/src/process/gateway/fleet_follower.cpp
+++ b/src/process/gateway/fleet_follower.cpp
@@ -684,7 +684,7 @@
                 list->size(), leader_silence() / std::chrono::milliseconds{1});
             backends_.replace(*list);
             relay_service_.on_backend_list();
-            observer_.on_backend_list(*list);
+            observer_.on_backend_list(backends_.list());
         });
 }
 
--- a/src/process/gateway/gateway.cpp
+++ b/src/process/gateway/gateway.cpp
@@ -165,6 +165,11 @@
             "limited_backend_servers", "servers",
             "Backend servers that have named a limit of requests.")
         .set(static_cast<double>(context_.permits().limits().size()));
+    metrics
+        .find_gauge(
+            "cold_backend_servers", "servers",
+            "Backend servers that get requests only at the rate for cold ones.")
+        .set(static_cast<double>(context_.permits().limits().cold_servers()));
     metrics
         .find_gauge(
             "lost", "services",
--- a/src/process/gateway/gateway_context.cpp
+++ b/src/process/gateway/gateway_context.cpp
@@ -1,6 +1,7 @@
 #include "process/gateway/gateway_context.hpp"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace hickorygap
@@ -19,6 +20,11 @@
 // retries earlier fails again.
 constexpr duration expected_startup_time = std::chrono::milliseconds{1300};
 
+// Time after which the list shows that a server has started again: its lag, the
+// interval at which the leader reads it, and the way to the routers, beside the
+// time that the server is down.
+constexpr duration restart_notice_time = std::chrono::seconds{6};
+
 constexpr duration min_retry_after = std::chrono::milliseconds{400};
 
 template <typename Item>
@@ -59,18 +65,48 @@
     configuration_ = std::move(applied);
     configuration_at_ = loop_.now();
     update_connection_limits();
+    update_cold_servers();
 }
 
 void gateway_context::set_backend_list(std::span<const listed_backend> list)
 {
     backend_list_at_ = loop_.now();
     table_.replace(list);
+    update_cold_servers();
 }
 
 void gateway_context::set_fleet_load(std::span<const fleet_backend_load> fleet)
 {
     fleet_load_at_ = loop_.now();
     table_.on_fleet_load(fleet, loop_.now());
+    update_cold_servers();
+}
+
+// Servers that the list names as cold, and those that were down so lately that
+// it may not say so yet.
+void gateway_context::update_cold_servers()
+{
+    std::map<backend_server_id, double> rates;
+    for (const routed_service& service :
+         configuration_ ? configuration_->services()
+                        : std::span<const routed_service>{})
+    {
+        if (service.cold_requests_per_second <= 0)
+        {
+            continue;
+        }
+        for (const backend_record* server : table_.members(service.name))
+        {
+            const bool may_have_restarted =
+                server->unreachable_at &&
+                loop_.now() - *server->unreachable_at < restart_notice_time;
+            if (server->listed.cold || may_have_restarted)
+            {
+                rates[server->id] = service.cold_requests_per_second;
+            }
+        }
+    }
+    permits_.limits().set_cold(rates);
 }
 
 decision_inputs
--- a/src/process/gateway/gateway_context.hpp
+++ b/src/process/gateway/gateway_context.hpp
@@ -176,6 +176,7 @@
 
 private:
     void update_connection_limits();
+    void update_cold_servers();
 
     event_loop& loop_;
     const fleet_settings& settings_;
--- a/src/process/routing_store/routing_register.hpp
+++ b/src/process/routing_store/routing_register.hpp
@@ -6,8 +6,10 @@
 #include <absl/status/statusor.h>
 
 #include <cstdint>
+#include <set>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace hickorygap
@@ -23,7 +25,8 @@
 };
 
 // Replicated state machine: holds the configuration with the highest version so
-// far. The first document filed under a version is never replaced.
+// far, and the failure domains that operators have evacuated. The first
+// document filed under a version is never replaced.
 class routing_register
 {
 public:
@@ -31,6 +34,14 @@
     // the current one. Error: storage_damaged when the entry can't be decoded.
     absl::StatusOr<bool> apply(std::span<const std::uint8_t> entry);
 
+    // Applies the data of an evacuation entry. Error: as above.
+    absl::Status apply_evacuation(std::span<const std::uint8_t> entry);
+
+    const std::set<std::string>& evacuated() const
+    {
+        return evacuated_;
+    }
+
     const filed_configuration& current() const
     {
         return current_;
@@ -48,8 +59,13 @@
     std::vector<std::uint8_t>
     encode_entry(const filed_configuration& configuration) const;
 
+    // Log entry that begins or ends the evacuation of a failure domain.
+    static std::vector<std::uint8_t>
+    encode_evacuation(std::string_view failure_domain, bool active);
+
 private:
     filed_configuration current_;
+    std::set<std::string> evacuated_;
 };
 
 } // namespace hickorygap
--- a/src/process/routing_store/routing_voter.cpp
+++ b/src/process/routing_store/routing_voter.cpp
@@ -16,6 +16,9 @@
 // the numbers of raft_node, which count from one.
 constexpr std::uint64_t forwarded_read_bit = std::uint64_t{1} << 63U;
 
+// Bounds what operators can add to the state.
+constexpr std::size_t max_evacuated_domains = 64;
+
 } // namespace
 
 absl::StatusOr<std::unique_ptr<routing_voter>> routing_voter::open(
@@ -107,10 +110,8 @@
     return std::size_t{2} * options_.lost_disks + 1;
 }
 
-absl::StatusOr<std::uint64_t>
-routing_voter::file(const filed_configuration& configuration, time_point now)
+absl::Status routing_voter::check_may_file() const
 {
-    now_ = now;
     if (!raft_.is_leader())
     {
         return make_error(
@@ -123,6 +124,42 @@
             error_kind::no_quorum,
             "the group is still gathering its voters; try again in a second");
     }
+    return absl::OkStatus();
+}
+
+absl::StatusOr<std::uint64_t> routing_voter::file_evacuation(
+    std::string_view failure_domain, bool active, time_point now)
+{
+    now_ = now;
+    if (absl::Status status = check_may_file(); !status.ok())
+    {
+        return status;
+    }
+    if (active && evacuated().size() >= max_evacuated_domains)
+    {
+        return make_error(
+            error_kind::overloaded,
+            "too many failure domains are evacuated; end one first");
+    }
+    const auto index = raft_.propose(
+        wire::entry_kind::evacuation,
+        routing_register::encode_evacuation(failure_domain, active), now_);
+    if (!index.ok())
+    {
+        return index.status();
+    }
+    proposed_[*index] = {raft_.term(), {++last_filing_number_}};
+    return last_filing_number_;
+}
+
+absl::StatusOr<std::uint64_t>
+routing_voter::file(const filed_configuration& configuration, time_point now)
+{
+    now_ = now;
+    if (absl::Status status = check_may_file(); !status.ok())
+    {
+        return status;
+    }
     if (queued_filings_.empty() ||
         configuration.version > highest_queued_.version)
     {
@@ -316,6 +353,11 @@
 
 absl::Status routing_voter::flush()
 {
+    if (raft_.is_leader() && raft_.term() != led_term_)
+    {
+        led_term_ = raft_.term();
+        first_led_index_ = raft_.last_index();
+    }
     absl::Status written = writer_.write(raft_, now_);
     if (absl::Status status = apply_committed(); !status.ok())
     {
@@ -359,6 +401,10 @@
             const auto changed = state_.apply(entry.data);
             state_status_ = changed.status();
         }
+        else if (entry.kind == wire::entry_kind::evacuation)
+        {
+            state_status_ = state_.apply_evacuation(entry.data);
+        }
         const auto proposed = proposed_.extract(entry.index);
         if (!proposed.empty())
         {
--- a/src/process/routing_store/routing_voter.hpp
+++ b/src/process/routing_store/routing_voter.hpp
@@ -12,7 +12,10 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
+#include <string>
+#include <string_view>
 #include <vector>
 
 namespace hickorygap
@@ -93,6 +96,26 @@
     absl::StatusOr<std::uint64_t>
     file(const filed_configuration& configuration, time_point now);
 
+    // Begins or ends the evacuation of a failure domain and returns the number
+    // of the filing. Errors: those of file; overloaded when too many domains
+    // are evacuated.
+    absl::StatusOr<std::uint64_t> file_evacuation(
+        std::string_view failure_domain, bool active, time_point now);
+
+    // Failure domains that are evacuated, as far as this voter knows.
+    const std::set<std::string>& evacuated() const
+    {
+        return state_.evacuated();
+    }
+
+    // Whether this voter leads and has applied what was committed before its
+    // term.
+    bool knows_state() const
+    {
+        return raft_.is_leader() && raft_.term() == led_term_ &&
+               applied_index_ >= first_led_index_;
+    }
+
     // Starts a linearizable read, which a majority confirms through the leader.
     // Any voter can serve it, so that large documents don't all cross the
     // leader's link. Error: not_leader when no leader is known.
@@ -134,6 +157,7 @@
         routing_voter_options options, std::unique_ptr<log_storage> storage,
         stored_state stored, time_point now);
 
+    absl::Status check_may_file() const;
     absl::Status apply_committed();
     void propose_queued();
     void
@@ -156,6 +180,10 @@
     time_point now_;
     std::uint64_t applied_index_ = 0;
 
+    // Last term that this voter has led, and the index of an entry in it.
+    std::uint64_t led_term_ = 0;
+    std::uint64_t first_led_index_ = 0;
+
     // Filings that complete with the commit of an entry, by its log index.
     struct proposed_filings
     {
--- a/src/process/voter_node/operator_dialect.hpp
+++ b/src/process/voter_node/operator_dialect.hpp
@@ -3,6 +3,8 @@
 
 #include <Poco/Net/HTTPRequest.h>
 
+#include <string>
+
 namespace hickorygap
 {
 
@@ -14,6 +16,11 @@
 
     // Return the newest configuration.
     read_configuration,
+
+    // Send nothing more to the backend servers of a failure domain, or send
+    // requests to them again.
+    evacuate,
+    end_evacuation,
     unknown
 };
 
@@ -28,6 +35,10 @@
 
     virtual operator_action
     action_of(const Poco::Net::HTTPRequest& request) const = 0;
+
+    // The failure domain that a request to evacuate names, or to end that.
+    virtual std::string
+    failure_domain_of(const Poco::Net::HTTPRequest& request) const = 0;
 };
 
 } // namespace hickorygap
--- a/src/process/voter_node/operator_service.cpp
+++ b/src/process/voter_node/operator_service.cpp
@@ -7,6 +7,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace hickorygap
@@ -23,6 +24,14 @@
 // Limit of the request line and header fields of an operator's call.
 constexpr std::size_t max_head_bytes = std::size_t{16} * 1024;
 
+constexpr std::size_t max_domain_bytes = 128;
+
+bool is_domain_character(char c)
+{
+    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+           (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.';
+}
+
 http_response
 error_answer(HTTPResponse::HTTPStatus status, std::string_view text)
 {
@@ -99,6 +108,12 @@
     case operator_action::read_configuration:
         read(respond);
         return;
+    case operator_action::evacuate:
+        evacuate(request, true, respond);
+        return;
+    case operator_action::end_evacuation:
+        evacuate(request, false, respond);
+        return;
     case operator_action::unknown:
         respond(error_answer(
             HTTPResponse::HTTP_NOT_FOUND,
@@ -170,6 +185,43 @@
     on_change_();
 }
 
+http_response operator_service::evacuation_accepted(const std::string& domain)
+{
+    http_response answer;
+    answer.body = fmt::format("{{\"failure_domain\":{}}}", json_quote(domain));
+    return answer;
+}
+
+// An order that is in force already gets its acknowledgement again once it has
+// been committed again, because an earlier one to the contrary may still be on
+// its way.
+void operator_service::evacuate(
+    const received_request& request, bool active, const http_responder& respond)
+{
+    const std::string domain = dialect_.failure_domain_of(*request.head);
+    if (domain.size() > max_domain_bytes ||
+        !std::ranges::all_of(domain, is_domain_character))
+    {
+        respond(error_answer(
+            HTTPResponse::HTTP_BAD_REQUEST,
+            "the name of the failure domain is too long, or has characters "
+            "other than letters, digits, '-', '_' and '.'"));
+        return;
+    }
+    if (redirect(request, respond))
+    {
+        return;
+    }
+    const auto number = voter_->file_evacuation(domain, active, loop_.now());
+    if (!number.ok())
+    {
+        respond(unavailable(message_of(number.status())));
+        return;
+    }
+    open_filings_[*number] = {respond, 0, loop_.now(), domain};
+    on_change_();
+}
+
 void operator_service::read(const http_responder& respond)
 {
     const auto number = voter_->start_read(loop_.now());
@@ -200,6 +252,19 @@
         {
             continue;
         }
+        const std::string& domain = call.mapped().failure_domain;
+        if (!domain.empty())
+        {
+            count_call("evacuate", outcome.confirmed);
+            log(log_level::info, subsystem::configuration,
+                "evacuation_filed failure_domain={} confirmed={}", domain,
+                outcome.confirmed);
+            call.mapped().respond(
+                outcome.confirmed
+                    ? evacuation_accepted(domain)
+                    : unavailable("leadership changed; send it again"));
+            continue;
+        }
         count_call("file", outcome.confirmed);
         log(log_level::info, subsystem::configuration,
             "configuration_filed version={} confirmed={} took_ms={}",
--- a/src/process/voter_node/operator_service.hpp
+++ b/src/process/voter_node/operator_service.hpp
@@ -55,15 +55,22 @@
         http_responder respond;
         configuration_version version = 0;
         time_point since;
+
+        // Empty for a configuration.
+        std::string failure_domain = {};
     };
 
     void serve(received_request request, const http_responder& respond);
     void file(const received_request& request, const http_responder& respond);
     void read(const http_responder& respond);
+    void evacuate(
+        const received_request& request, bool active,
+        const http_responder& respond);
     bool redirect(
         const received_request& request, const http_responder& respond) const;
     void respond_with_configuration(const http_responder& respond) const;
     void count_call(const std::string& call, bool confirmed);
+    static http_response evacuation_accepted(const std::string& domain);
     void finish_filings();
     void finish_reads();
 
--- a/src/process/voter_node/router_feed.cpp
+++ b/src/process/voter_node/router_feed.cpp
@@ -24,6 +24,10 @@
 // it.
 constexpr duration shortest_list_interval = std::chrono::seconds{1};
 
+// Time after the end of an evacuation from which on the list shows which of the
+// servers are cold; it lags by less than a second.
+constexpr duration reopening_delay = std::chrono::seconds{1};
+
 // Share of the permitted rate of list calls that the leader uses. Routers read
 // the list only while they hear from no leader. At half of the rate, reading a
 // list of 3,000 servers takes longer than a leaving server may get new
@@ -55,13 +59,15 @@
 
 router_feed::router_feed(
     event_loop& loop, peer_links& links, const fleet_settings& settings,
-    const backend_list_format& list_format)
+    const backend_list_format& list_format,
+    const configuration_format& configurations)
     : loop_{loop}
     , links_{links}
     , self_{instance_at(settings.instance.host)}
     , link_megabits_per_second_{settings.peers.link_megabits_per_second}
     , list_calls_per_second_{settings.backend_list.calls_per_second}
     , list_reader_{loop, list_format, settings.backend_list.address}
+    , configurations_{configurations}
     , documents_{loop, links, self_, settings.peers.link_megabits_per_second, backends_}
     , stream_journal_{settings.storage.folder}
     , blame_broadcast_{loop, links, settings.peers.link_megabits_per_second}
@@ -268,6 +274,18 @@
     next_list_read_ = loop_.now();
     // The routers tell a new leader the limits that they know.
     limits_ = rate_limit_allocator{voter_->raft().term()};
+    cold_rates_version_ = 0;
+    // What is closed is known from the list that the leader before published.
+    closed_domains_.clear();
+    for (const listed_backend& backend : backends_.list())
+    {
+        if (backend.evacuated)
+        {
+            closed_domains_.insert(backend.failure_domain);
+        }
+    }
+    reopening_domains_.clear();
+    read_list_ = backends_.list();
     // The next notice goes to all routers.
     notice_count_ = 0;
     send_notices();
@@ -382,6 +400,7 @@
 
 void router_feed::read_backend_list()
 {
+    list_read_began_ = loop_.now();
     list_reader_.read(
         duration{0}, [this](absl::StatusOr<std::vector<listed_backend>> list)
         { on_backend_list(std::move(list)); });
@@ -401,9 +420,32 @@
     {
         return;
     }
-    keep_limits_of(*list);
+    read_list_ = *std::move(list);
+    std::erase_if(
+        reopening_domains_,
+        [this](const auto& item) { return list_read_began_ >= item.second; });
+    publish_list();
+}
+
+// A leader that has not applied all entries before its term may not know of an
+// evacuation.
+void router_feed::publish_list()
+{
+    if (!voter_->knows_state() || read_list_.empty())
+    {
+        return;
+    }
+    std::set<std::string> closed = voter_->evacuated();
+    for (const auto& [domain, until] : reopening_domains_)
+    {
+        closed.insert(domain);
+    }
+    closed_domains_ = closed;
+    std::vector<listed_backend> list = read_list_;
+    mark_evacuated(list, closed);
+    keep_limits_of(list);
     const backend_list_version previous = backends_.version();
-    const auto change = backends_.publish(voter_->raft().term(), *list);
+    const auto change = backends_.publish(voter_->raft().term(), list);
     if (!change)
     {
         return;
@@ -412,11 +454,66 @@
         "backend_list_changed epoch={} sequence={} changed={} removed={} "
         "size={}",
         backends_.version().epoch, backends_.version().sequence,
-        change->changed, change->removed, list->size());
+        change->changed, change->removed, list.size());
     send_to_voters(*backends_.changes_since(previous));
     on_new_backend_list();
 }
 
+void router_feed::update_evacuation()
+{
+    if (!voter_->knows_state())
+    {
+        return;
+    }
+    const std::set<std::string>& evacuated = voter_->evacuated();
+    for (const std::string& domain : evacuated)
+    {
+        reopening_domains_.erase(domain);
+    }
+    for (const std::string& domain : closed_domains_)
+    {
+        if (!evacuated.contains(domain) && !reopening_domains_.contains(domain))
+        {
+            reopening_domains_[domain] = loop_.now() + reopening_delay;
+            log(log_level::info, subsystem::routing,
+                "evacuation_ended failure_domain={}", domain);
+        }
+    }
+    if (!read_list_.empty() &&
+        !std::ranges::includes(closed_domains_, evacuated))
+    {
+        log(log_level::info, subsystem::routing,
+            "evacuation_changed failure_domains={}", evacuated.size());
+        publish_list();
+    }
+}
+
+// Reads the rates at which cold servers accept requests, if the configuration
+// has changed since.
+void router_feed::update_cold_rates()
+{
+    const filed_configuration& current = voter_->current();
+    if (current.version == cold_rates_version_)
+    {
+        return;
+    }
+    cold_rates_version_ = current.version;
+    const auto decoded = configurations_.decode(current.document);
+    if (!decoded.ok())
+    {
+        return;
+    }
+    std::map<std::uint64_t, double> rates;
+    for (const routed_service& service : (*decoded)->services())
+    {
+        if (service.cold_requests_per_second > 0)
+        {
+            rates[hash_name(service.name)] = service.cold_requests_per_second;
+        }
+    }
+    limits_.set_cold_rates(std::move(rates));
+}
+
 void router_feed::keep_limits_of(std::span<const listed_backend> list)
 {
     if (limits_.size() == 0)
@@ -522,6 +619,7 @@
     {
         return;
     }
+    update_cold_rates();
     const std::uint64_t version = limits_.version();
     const permit_answer answer =
         limits_.answer(decode_query(request), loop_.now());
--- a/src/process/voter_node/router_feed.hpp
+++ b/src/process/voter_node/router_feed.hpp
@@ -17,9 +17,11 @@
 #include "process/voter_node/stream_journal.hpp"
 #include "request/dispatch/stream_versions.hpp"
 #include "request/rate_limit/rate_limit_allocator.hpp"
+#include "version/routing/configuration_format.hpp"
 
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 
@@ -40,7 +42,8 @@
 public:
     router_feed(
         event_loop& loop, peer_links& links, const fleet_settings& settings,
-        const backend_list_format& list_format);
+        const backend_list_format& list_format,
+        const configuration_format& configurations);
 
     // The voter must outlive the feed.
     void start(const routing_voter& voter);
@@ -58,6 +61,9 @@
 
     void on_leadership_change();
 
+    // Publishes the evacuated failure domains if they have changed.
+    void update_evacuation();
+
     // Sets the gauges of the feed.
     void update_metrics(metrics_registry& metrics) const;
 
@@ -78,6 +84,8 @@
     duration list_interval() const;
     void read_backend_list();
     void on_backend_list(absl::StatusOr<std::vector<listed_backend>> list);
+    void publish_list();
+    void update_cold_rates();
     void
     on_backends_push(instance_id from, const wire::backends_push_msg& push);
     void on_new_backend_list();
@@ -102,6 +110,20 @@
     double list_calls_per_second_;
     backend_list_reader list_reader_;
     backend_list_replica backends_;
+    const configuration_format& configurations_;
+
+    // The list as last read by this voter while it leads.
+    std::vector<listed_backend> read_list_;
+    time_point list_read_began_;
+
+    // Failure domains that get no requests: the evacuated ones, and those whose
+    // evacuation has ended too lately for the list to say which servers are
+    // cold.
+    std::set<std::string> closed_domains_;
+    std::map<std::string, time_point> reopening_domains_;
+
+    // Version of the configuration that limits_ has the cold rates of.
+    configuration_version cold_rates_version_ = 0;
     document_feed documents_;
     relay_planner planner_;
     load_codec load_codec_{backends_};
--- a/src/process/voter_node/voter_node.cpp
+++ b/src/process/voter_node/voter_node.cpp
@@ -74,7 +74,9 @@
     , operators_{
           loop, settings_, *dialects_.configurations, *dialects_.operators,
           metrics_, [this] { schedule_flush(); }}
-    , feed_{loop, links_, settings_, *dialects_.backend_list}
+    , feed_{
+          loop, links_, settings_, *dialects_.backend_list,
+          *dialects_.configurations}
 {
 }
 
@@ -174,6 +176,7 @@
     }
     operators_.finish_calls();
     check_leadership_change();
+    feed_.update_evacuation();
     if (voter_->current().version != committed_version_)
     {
         log(log_level::info, subsystem::configuration,
--- a/src/request/dispatch/backend_table.cpp
+++ b/src/request/dispatch/backend_table.cpp
@@ -379,6 +379,7 @@
     const auto found = records_.find(id);
     if (found != records_.end())
     {
+        found->second->unreachable_at = now;
         ++found->second->unreported.outcomes;
         ++found->second->unreported.failures;
         // A refused connection means that nothing listens at the address, which
--- a/src/request/dispatch/backend_table.hpp
+++ b/src/request/dispatch/backend_table.hpp
@@ -134,6 +134,10 @@
     // them.
     time_point avoided_until;
 
+    // When a connection to the server was last refused: it may have started
+    // again since.
+    std::optional<time_point> unreachable_at;
+
     // The server announced its shutdown, possibly before the backend list shows
     // it.
     bool announced_leaving = false;
--- a/src/request/dispatch/listed_backend.hpp
+++ b/src/request/dispatch/listed_backend.hpp
@@ -33,6 +33,13 @@
     // Version of its software.
     std::string version = {};
 
+    // The server has started lately, and fails if it gets requests at more than
+    // the rate of its service for cold servers.
+    bool cold = false;
+
+    // Operators have evacuated its failure domain; set together with leaving.
+    bool evacuated = false;
+
     friend bool
     operator==(const listed_backend&, const listed_backend&) = default;
 };
--- a/src/request/rate_limit/rate_limit_allocator.cpp
+++ b/src/request/rate_limit/rate_limit_allocator.cpp
@@ -15,6 +15,9 @@
 
 constexpr duration unlisted_retention = std::chrono::seconds{20};
 
+// A bucket of a cold server that was not used for this long is full.
+constexpr duration cold_bucket_retention = std::chrono::seconds{5};
+
 // A router that misses a removal learns it from the answer to its next query.
 constexpr std::size_t max_removed = 256;
 
@@ -352,7 +355,11 @@
         const auto found = buckets_.find(candidate.backend);
         if (found == buckets_.end())
         {
-            return candidate.backend;
+            if (take_cold(candidate.backend, query.request.service, now))
+            {
+                return candidate.backend;
+            }
+            continue;
         }
         bucket& item = found->second;
         fill(item, now);
@@ -370,6 +377,40 @@
     return std::nullopt;
 }
 
+void rate_limit_allocator::set_cold_rates(std::map<std::uint64_t, double> rates)
+{
+    cold_rates_ = std::move(rates);
+}
+
+// Whether a cold server of the service accepts one more request. True for all
+// servers of services without a rate.
+bool rate_limit_allocator::take_cold(
+    backend_server_id backend, std::uint64_t service, time_point now)
+{
+    const auto rate = cold_rates_.find(service);
+    if (rate == cold_rates_.end())
+    {
+        return true;
+    }
+    std::erase_if(
+        cold_buckets_, [now](const auto& item)
+        { return now - item.second.filled_at > cold_bucket_retention; });
+    const double capacity = std::max(1.0, rate->second * bucket_s);
+    const auto [found, is_new] =
+        cold_buckets_.try_emplace(backend, cold_bucket{capacity, now});
+    cold_bucket& item = found->second;
+    const double age =
+        std::chrono::duration<double>(now - item.filled_at).count();
+    item.tokens = std::min(item.tokens + rate->second * age, capacity);
+    item.filled_at = now;
+    if (item.tokens < 1)
+    {
+        return false;
+    }
+    item.tokens -= 1;
+    return true;
+}
+
 // The server with the most tokens that the request may go to; nullptr for none.
 rate_limit_allocator::bucket*
 rate_limit_allocator::find_other(const permit_request& request, time_point now)
--- a/src/request/rate_limit/rate_limit_allocator.hpp
+++ b/src/request/rate_limit/rate_limit_allocator.hpp
@@ -56,6 +56,10 @@
     // the list although its server still runs.
     void keep_listed(std::span<const listed_server> listed, time_point now);
 
+    // Requests per second that a cold server of a service accepts, by service.
+    // A router that asks for a server without a limit takes it for cold.
+    void set_cold_rates(std::map<std::uint64_t, double> rates);
+
     // Takes the sum of the routers' load reports, in ascending order of the
     // servers. Those without a load are missing.
     void on_loads(std::span<const backend_load> loads, time_point now);
@@ -105,6 +109,12 @@
     };
     using bucket_map = std::map<backend_server_id, bucket>;
 
+    struct cold_bucket
+    {
+        double tokens = 0;
+        time_point filled_at;
+    };
+
     struct removed_limit
     {
         backend_server_id backend = 0;
@@ -124,10 +134,15 @@
     bool competes(const permit_query& query, time_point now);
     std::optional<backend_server_id>
     take(const permit_query& query, time_point now);
+    bool
+    take_cold(backend_server_id backend, std::uint64_t service, time_point now);
     bucket* find_other(const permit_request& request, time_point now);
 
     bucket_map buckets_;
 
+    std::map<std::uint64_t, double> cold_rates_;
+    std::map<backend_server_id, cold_bucket> cold_buckets_;
+
     // By service.
     std::map<std::uint64_t, rank_admission> admissions_;
 
--- a/src/request/rate_limit/router_limits.cpp
+++ b/src/request/rate_limit/router_limits.cpp
@@ -147,20 +147,48 @@
 }
 
 // The times of permits are a Poisson process, which has no memory.
-duration router_limits::time_to_permit(const server& known, time_point now)
+duration router_limits::time_to_permit(double permitted)
 {
-    const double permitted =
-        known.ending_since
-            ? permitted_rate_after_end(
-                  known.requests_per_second, now - *known.ending_since)
-            : permitted_rate(known.requests_per_second);
     const double rate = permitted * leaderless_share / routers_;
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>{
         std::exponential_distribution<>{rate}(random_)});
 }
 
+// Whether a permit is due at a server with this rate; uses it up.
+bool router_limits::is_due(
+    std::optional<time_point>& next_permit, double permitted, time_point now)
+{
+    if (!next_permit || *next_permit + permit_lifetime < now)
+    {
+        next_permit = now + time_to_permit(permitted);
+    }
+    if (*next_permit > now)
+    {
+        return false;
+    }
+    next_permit = now + time_to_permit(permitted);
+    return true;
+}
+
+void router_limits::set_cold(const std::map<backend_server_id, double>& rates)
+{
+    std::erase_if(
+        cold_, [&](const auto& item) { return !rates.contains(item.first); });
+    for (const auto& [backend, rate] : rates)
+    {
+        cold_[backend].requests_per_second = rate;
+    }
+}
+
 bool router_limits::take_own_permit(backend_server_id backend, time_point now)
 {
+    const auto cold = cold_.find(backend);
+    if (cold != cold_.end() &&
+        !is_due(
+            cold->second.next_permit, cold->second.requests_per_second, now))
+    {
+        return false;
+    }
     const auto found = servers_.find(backend);
     if (found == servers_.end() ||
         (found->second.ending_since &&
@@ -169,16 +197,12 @@
         return true;
     }
     server& known = found->second;
-    if (!known.next_permit || *known.next_permit + permit_lifetime < now)
-    {
-        known.next_permit = now + time_to_permit(known, now);
-    }
-    if (*known.next_permit > now)
-    {
-        return false;
-    }
-    known.next_permit = now + time_to_permit(known, now);
-    return true;
+    const double permitted =
+        known.ending_since
+            ? permitted_rate_after_end(
+                  known.requests_per_second, now - *known.ending_since)
+            : permitted_rate(known.requests_per_second);
+    return is_due(known.next_permit, permitted, now);
 }
 
 permit_query router_limits::make_query(const permit_request& request) const
--- a/src/request/rate_limit/router_limits.hpp
+++ b/src/request/rate_limit/router_limits.hpp
@@ -8,6 +8,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <span>
 #include <vector>
@@ -48,7 +49,16 @@
 
     bool is_limited(backend_server_id backend) const
     {
-        return servers_.contains(backend);
+        return servers_.contains(backend) || cold_.contains(backend);
+    }
+
+    // Replaces the set of cold servers, with the requests per second that each
+    // accepts from all routers together.
+    void set_cold(const std::map<backend_server_id, double>& rates);
+
+    std::size_t cold_servers() const
+    {
+        return cold_.size();
     }
 
     // Whether the server has just rejected a request of this router, and should
@@ -92,14 +102,26 @@
         std::optional<time_point> next_permit;
     };
 
+    struct cold_server
+    {
+        double requests_per_second = 0;
+
+        // When this router gives itself the next permit.
+        std::optional<time_point> next_permit;
+    };
+
+    bool is_due(
+        std::optional<time_point>& next_permit, double permitted,
+        time_point now);
     static void
     set_limit(server& known, double limit, bool is_ending, time_point now);
-    duration time_to_permit(const server& known, time_point now);
+    duration time_to_permit(double permitted);
     void add_observed(const backend_limit& limit);
 
     random_engine random_;
     std::uint32_t routers_ = 1;
     absl::flat_hash_map<backend_server_id, server> servers_;
+    std::map<backend_server_id, cold_server> cold_;
 
     // Read from responses since the last on_reported.
     std::vector<backend_limit> observed_;
--- a/src/version/routing/routing_configuration.hpp
+++ b/src/version/routing/routing_configuration.hpp
@@ -96,6 +96,10 @@
     std::uint32_t max_connections = 0;
     std::optional<engine_limits> engine;
 
+    // Requests per second that one cold backend server accepts, over all
+    // routers; zero for no limit.
+    double cold_requests_per_second = 0;
+
     // Lowest rank_of value that a request to the service can have; computed by
     // build().
     std::uint32_t first_rank = std::numeric_limits<std::uint32_t>::max();
--- a/tests/connection/event/buffer_budget_test.cpp
+++ b/tests/connection/event/buffer_budget_test.cpp
@@ -57,20 +57,19 @@
     using enum buffer_use;
     // The last connection is the one that asks for room. The result is the
     // number of the one that ends, or -1.
-    const auto [connections, ended] =
-        GENERATE(table<std::vector<held>, int>({
-            {{{receiving, 500, 0s}, {receiving, 500, 0s}}, -1},
-            {{{receiving, 600, 0s}, {receiving, 500, 0s}}, 0},
-            {{{receiving, 500, 0s}, {receiving, 600, 0s}}, 1},
-            {{{receiving, 800, 0s}, {receiving, 300, 3s}}, 1},
-            {{{receiving, 800, 0s}, {sending, 250, 3s}}, 1},
-            {{{sending, 800, 0s}, {receiving, 300, 0s}}, 1},
-            {{{handling, 900, 9s}, {receiving, 200, 0s}}, 1},
-            {{{handling, 999, 9s}, {receiving, 60, 0s}}, -1},
-            {{{handling, 1000, 0s}, {sending, 200, 0s}}, -1},
-            {{{handling, 1240, 0s}, {receiving, 20, 0s}}, 1},
-            {{{handling, 1000, 0s}, {handling, 300, 0s}}, 0},
-        }));
+    const auto [connections, ended] = GENERATE(table<std::vector<held>, int>({
+        {{{receiving, 500, 0s}, {receiving, 500, 0s}}, -1},
+        {{{receiving, 600, 0s}, {receiving, 500, 0s}}, 0},
+        {{{receiving, 500, 0s}, {receiving, 600, 0s}}, 1},
+        {{{receiving, 800, 0s}, {receiving, 300, 3s}}, 1},
+        {{{receiving, 800, 0s}, {sending, 250, 3s}}, 1},
+        {{{sending, 800, 0s}, {receiving, 300, 0s}}, 1},
+        {{{handling, 900, 9s}, {receiving, 200, 0s}}, 1},
+        {{{handling, 999, 9s}, {receiving, 60, 0s}}, -1},
+        {{{handling, 1000, 0s}, {sending, 200, 0s}}, -1},
+        {{{handling, 1240, 0s}, {receiving, 20, 0s}}, 1},
+        {{{handling, 1000, 0s}, {handling, 300, 0s}}, 0},
+    }));
     buffer_budget budget{limit};
     std::vector<std::unique_ptr<connection>> open;
     for (const held& each : connections)
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -614,8 +614,62 @@
             {"GET", "/config", operator_action::read_configuration},
             {"POST", "/config", operator_action::unknown},
             {"GET", "/configs", operator_action::unknown},
+            {"POST", "/evacuation/zone-a", operator_action::evacuate},
+            {"DELETE", "/evacuation/zone-a", operator_action::end_evacuation},
+            {"PUT", "/evacuation/zone-a", operator_action::unknown},
+            {"POST", "/evacuation/", operator_action::unknown},
         }));
     CHECK(
         control_calls{}.action_of(HTTPRequest{method, target, "HTTP/1.1"}) ==
         action);
 }
+
+// Guards against a cold server that is taken for a warm one, and against an
+// entry that is used though the field can't be read.
+TEST_CASE("the list says which servers are cold")
+{
+    const auto [remaining, is_cold, is_readable] =
+        GENERATE(table<std::string, bool, bool>({
+            {"0", false, true},
+            {"1", true, true},
+            {"2500", true, true},
+            {"null", false, true},
+            {"-1", false, false},
+            {R"("soon")", false, false},
+        }));
+    CAPTURE(remaining);
+    const auto page = replica_list{}.decode_page(fmt::format(
+        R"({{"instances":[{{"id":"i-1","service":"s","address":"10.0.0.9:80",
+"zone":"z","slots":8,"state":"ready","version":"v1",
+"cold_remaining_ms":{}}}],"next":null}})",
+        remaining));
+    REQUIRE(page.ok());
+    REQUIRE(page->backends.size() == (is_readable ? 1U : 0U));
+    if (is_readable)
+    {
+        CHECK(page->backends[0].cold == is_cold);
+    }
+}
+
+TEST_CASE("the rate for cold servers of a service is a number")
+{
+    const auto [rate, decoded_rate] = GENERATE(table<std::string, double>({
+        {"8.7", 8.7},
+        {"3", 3.0},
+        {"0", 0.0},
+        {"null", 0.0},
+        {"-1", -1.0},
+        {R"("8")", -1.0},
+    }));
+    CAPTURE(rate);
+    const auto decoded = configuration_document{}.decode(fmt::format(
+        R"({{"version":7,"routes":[],"services":[{{"name":"llm",
+"max_connections":5,"cold_per_s":{}}}]}})",
+        rate));
+    REQUIRE(decoded.ok() == (decoded_rate >= 0));
+    if (decoded.ok())
+    {
+        CHECK(
+            (*decoded)->services()[0].cold_requests_per_second == decoded_rate);
+    }
+}
--- a/tests/process/route_fleet/route_fleet_fixture.hpp
+++ b/tests/process/route_fleet/route_fleet_fixture.hpp
@@ -69,7 +69,7 @@
     // The server is in the list from the next read by the leader on.
     backend_double& add_backend(
         const backend_double::script& on_request, std::string version = "v1",
-        std::string service = "llm")
+        std::string service = "llm", std::string domain = "domain-a")
     {
         std::unique_ptr<backend_double> added;
         std::uint16_t port = 0;
@@ -81,6 +81,8 @@
         ports_.push_back(port);
         versions_.push_back(std::move(version));
         services_.push_back(std::move(service));
+        domains_.push_back(std::move(domain));
+        cold_.push_back(false);
         backends_.push_back(std::move(added));
         return *backends_.back();
     }
@@ -114,6 +116,25 @@
         routers_.push_back(std::move(router));
     }
 
+    // Whether the list says from its next read on that the server is cold.
+    void set_cold(std::size_t backend, bool cold)
+    {
+        cold_.at(backend) = cold;
+    }
+
+    // Sends an operator's order and returns the status line of the answer.
+    std::string order(std::string_view method, std::string_view path)
+    {
+        caller_double caller{loop_, operators_port_};
+        caller.send(fmt::format(
+            "{} {} HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", method,
+            path));
+        run_until(
+            loop_, [&] { return !caller.received().empty(); },
+            std::chrono::seconds{3});
+        return caller.received().substr(0, caller.received().find("\r\n"));
+    }
+
     // Cuts all routers off from the only voter.
     void stop_voter()
     {
@@ -212,9 +233,10 @@
         {
             entries += fmt::format(
                 R"({}{{"id":"i-{}","service":"{}","address":"127.0.0.1:{}",)"
-                R"("zone":"domain-a","version":"{}","slots":8,)"
-                R"("state":"ready","cold_remaining_ms":0}})",
-                i == 0 ? "" : ",", i, services_[i], ports_[i], versions_[i]);
+                R"("zone":"{}","version":"{}","slots":8,)"
+                R"("state":"ready","cold_remaining_ms":{}}})",
+                i == 0 ? "" : ",", i, services_[i], ports_[i], domains_[i],
+                versions_[i], cold_[i] ? 2500 : 0);
         }
         return fmt::format(R"({{"instances":[{}],"next":null}})", entries);
     }
@@ -267,6 +289,8 @@
     std::vector<std::uint16_t> ports_;
     std::vector<std::string> versions_;
     std::vector<std::string> services_;
+    std::vector<std::string> domains_;
+    std::vector<bool> cold_;
     std::vector<std::unique_ptr<backend_double>> backends_;
     std::vector<std::unique_ptr<caller_double>> callers_;
 };
--- a/tests/process/routing_store/routing_cluster.hpp
+++ b/tests/process/routing_store/routing_cluster.hpp
@@ -133,6 +133,10 @@
             }
             for (const store_outcome& outcome : self.voter->take_filings())
             {
+                if (outcome.confirmed)
+                {
+                    confirmed_.insert({id, outcome.number});
+                }
                 const auto filing = self.filings.extract(outcome.number);
                 if (outcome.confirmed && !filing.empty())
                 {
@@ -181,6 +185,34 @@
         return number.ok();
     }
 
+    // Begins or ends the evacuation of a failure domain at the leader. Whether
+    // a majority has committed it within the steps.
+    bool evacuate(std::string_view domain, bool active, int steps = 400)
+    {
+        std::uint64_t number = 0;
+        std::optional<instance_id> at;
+        for (int i = 0; i < steps; ++i)
+        {
+            if (i % 100 == 0 && (at = leader()))
+            {
+                const auto filed =
+                    members_[*at].voter->file_evacuation(domain, active, now_);
+                number = filed.ok() ? *filed : 0;
+            }
+            step();
+            if (at && number != 0 && confirmed_.contains({*at, number}))
+            {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    const std::set<std::string>& evacuated_at(instance_id id) const
+    {
+        return members_.at(id).voter->evacuated();
+    }
+
     void read(instance_id id)
     {
         member& self = members_[id];
@@ -314,6 +346,9 @@
     configuration_version last_version_ = 0;
     configuration_version acknowledged_ = 0;
     bool stale_read_ = false;
+
+    // Confirmed filings, with their instance.
+    std::set<std::pair<instance_id, std::uint64_t>> confirmed_;
 };
 
 } // namespace hickorygap::test
--- a/tests/process/routing_store/routing_voter_test.cpp
+++ b/tests/process/routing_store/routing_voter_test.cpp
@@ -560,3 +560,46 @@
         });
     CHECK(holds);
 }
+
+// Guards against an evacuation that was acknowledged and is forgotten: by a new
+// leader, after a loss of power with two disks, or because a snapshot lacks it.
+TEST_CASE("an acknowledged evacuation is kept until it is taken back")
+{
+    const bool compacts = GENERATE(false, true);
+    CAPTURE(compacts);
+    routing_cluster cluster{3};
+    start_five_voters(cluster);
+    REQUIRE(cluster.evacuate("zone-a", true));
+    REQUIRE(cluster.evacuate("zone-b", true));
+    REQUIRE(cluster.evacuate("zone-b", false));
+    // More entries than between two snapshots.
+    const int versions = compacts ? 70 : 2;
+    for (int i = 0; i < versions; ++i)
+    {
+        REQUIRE(cluster.file_and_wait());
+    }
+    cluster.kill(*cluster.leader());
+    cluster.run(100);
+    REQUIRE(cluster.file_and_wait());
+    for (instance_id id = 1; id <= 5; ++id)
+    {
+        cluster.kill(id);
+    }
+    cluster.lose_disk(1);
+    cluster.lose_disk(2);
+    for (instance_id id = 1; id <= 5; ++id)
+    {
+        cluster.start(id, false);
+    }
+    REQUIRE(cluster.file_and_wait());
+    cluster.run(200);
+    const std::set<std::string> expected{"zone-a"};
+    for (instance_id id = 1; id <= 5; ++id)
+    {
+        CAPTURE(id);
+        CHECK(cluster.evacuated_at(id) == expected);
+    }
+    REQUIRE(cluster.evacuate("zone-a", false));
+    cluster.run(100);
+    CHECK(cluster.evacuated_at(5).empty());
+}
