Choose what is turned away by work and deadline, within each rank

Operators want to delay or turn away what costs callers least when there is too little room, by priority, deadline and work.

Cause: admission_controller knows a rank and an organisation; a digest of 12,000 tokens and a tag of 400 counted the same, and nobody looked at the deadline.

Change: work_estimator learns how long requests of a size take; work_admission, another admission_policy, admits within a rank those with less work more often, refuses what would not start before its caller gives up, and keeps half of the share for any size (docs/design/refusals-by-work.md). On where overload.by_work or the feature pressure is set; other deployments decide as before.

--- a/src/process/fleet_settings/fleet_settings.cpp
+++ b/src/process/fleet_settings/fleet_settings.cpp
@@ -18,6 +18,9 @@
 
 constexpr std::uint64_t highest_port = 65535;
 
+// Feature that turns on overload.by_work.
+constexpr std::string_view ordered_refusals_feature = "pressure";
+
 // Allowed ranges of the numbers, with the units that error messages state.
 const number_range<std::uint64_t> port_range{0, highest_port, ""};
 const number_range<std::uint64_t> disk_range{0, 10, "disks"};
@@ -96,6 +99,27 @@
     }
 }
 
+// Reads the names of optional behaviours; those that are not known are ignored.
+void read_features(json_object_reader& reader, fleet_settings& output)
+{
+    const auto features = reader.take_array("features");
+    if (!features)
+    {
+        return;
+    }
+    for (const auto& item : *features)
+    {
+        const auto name = json_string(item);
+        if (!name.ok())
+        {
+            reader.fail("features", "must be a list of strings");
+            return;
+        }
+        output.overload.by_work =
+            output.overload.by_work || *name == ordered_refusals_feature;
+    }
+}
+
 // Reads one object of the file with a function, and reports keys of it that the
 // function does not read.
 template <typename Function>
@@ -212,6 +236,13 @@
             reader.read("window_s", window, seconds_range);
             result.retry.window = seconds(window);
         });
+    read_section(
+        file, "overload",
+        [&](json_object_reader& reader)
+        {
+            reader.read("by_work", result.overload.by_work);
+            read_features(reader, result);
+        });
     read_section(
         file, "machine",
         [&](json_object_reader& reader)
--- a/src/process/fleet_settings/fleet_settings.hpp
+++ b/src/process/fleet_settings/fleet_settings.hpp
@@ -89,6 +89,13 @@
         duration window = std::chrono::seconds{10};
     } retry;
 
+    struct
+    {
+        // Whether requests that are turned away for lack of room are chosen by
+        // the work that they need, beside their rank; see work_admission.
+        bool by_work = false;
+    } overload;
+
     // What the machine gives to this process; zero if it is not stated.
     struct
     {
--- a/src/process/gateway/exchange.cpp
+++ b/src/process/gateway/exchange.cpp
@@ -512,6 +512,11 @@
     send_attempt(choice);
 }
 
+request_size exchange::size() const
+{
+    return {call_.prompt_tokens, call_.max_output_tokens};
+}
+
 std::uint32_t exchange::rank() const
 {
     return routing_configuration::rank_of(*route_, organisation_);
@@ -550,15 +555,30 @@
                              : std::string_view{organisation_->name};
     query.mean_load = choice.mean_load;
     query.slots = choice.mean_slots;
-    if (context_.admission(service_).admits(query, context_.loop().now()))
+    if (context_.settings().overload.by_work)
+    {
+        const work_estimator& work = context_.work(service_);
+        query.work = work.estimate(size());
+        query.mean_work = work.mean();
+        query.time_left = time_left().value_or(route_->timeout);
+        query.objective_left = std::max(
+            arrived_ + route_->target_latency - context_.loop().now(),
+            duration{0});
+    }
+    const admission_decision decision =
+        context_.admission(service_).decide(query, context_.loop().now());
+    if (decision == admission_decision::admitted)
     {
         return true;
     }
     log(log_level::info, subsystem::attempt,
         "request_not_admitted id={} service={} rank={} organisation={} "
-        "mean={:.1f} slots={:.0f}",
+        "mean={:.1f} slots={:.0f} work_ms={:.0f} mean_work_ms={:.0f} "
+        "hopeless={}",
         call_.attempt_id, service_, rank(), query.organisation,
-        choice.mean_load, choice.mean_slots);
+        choice.mean_load, choice.mean_slots, milliseconds(query.work),
+        milliseconds(query.mean_work),
+        decision == admission_decision::hopeless);
     return false;
 }
 
@@ -1120,6 +1140,11 @@
     }
     if (complete)
     {
+        if (context_.settings().overload.by_work && sends_ == 1)
+        {
+            context_.work(service_).on_answered(
+                size(), context_.loop().now() - attempt_.sent_at);
+        }
         context_.blame().on_completed(fingerprint_);
         for (const stream_id stream : stream_ids_)
         {
--- a/src/process/gateway/exchange.hpp
+++ b/src/process/gateway/exchange.hpp
@@ -128,6 +128,7 @@
     duration time_limit() const;
     std::optional<duration> time_left() const;
     bool is_repeatable() const;
+    request_size size() const;
     std::uint32_t rank() const;
     std::uint32_t rank_below_first() const;
     send_history history() const;
--- a/src/process/gateway/gateway.cpp
+++ b/src/process/gateway/gateway.cpp
@@ -165,6 +165,23 @@
             "limited_backend_servers", "servers",
             "Backend servers that have named a limit of requests.")
         .set(static_cast<double>(context_.permits().limits().size()));
+    for (const auto& [service, work] : context_.work_by_service())
+    {
+        metrics
+            .find_gauge(
+                "expected_work", "seconds",
+                "Expected time of the mean request in a slot of an engine.",
+                {{"service", service}})
+            .set(std::chrono::duration<double>(work.mean()).count());
+        metrics
+            .find_gauge(
+                "expected_work_error", "ratio",
+                "Mean error of the expected time of requests, as a share of "
+                "the "
+                "time they took.",
+                {{"service", service}})
+            .set(work.error_share());
+    }
     metrics
         .find_gauge(
             "cold_backend_servers", "servers",
--- a/src/process/gateway/gateway_context.cpp
+++ b/src/process/gateway/gateway_context.cpp
@@ -177,9 +177,32 @@
     return find_or_add(retry_estimators_, service, random_);
 }
 
-admission_controller& gateway_context::admission(std::string_view service)
+// Chosen by work where the settings say so.
+admission_policy& gateway_context::admission(std::string_view service)
 {
-    return find_or_add(admissions_, service, random_);
+    const auto known = admissions_.find(service);
+    if (known != admissions_.end())
+    {
+        return *known->second;
+    }
+    std::unique_ptr<admission_policy> added;
+    if (settings_.overload.by_work)
+    {
+        added = std::make_unique<work_admission>(random_());
+    }
+    else
+    {
+        added = std::make_unique<admission_controller>(random_());
+    }
+    return *admissions_.emplace(service, std::move(added)).first->second;
+}
+
+work_estimator& gateway_context::work(std::string_view service)
+{
+    const auto known = work_.find(service);
+    return known != work_.end()
+               ? known->second
+               : work_.emplace(service, work_estimator{}).first->second;
 }
 
 dispatch_policy& gateway_context::policy_for(const route& matched)
--- a/src/process/gateway/gateway_context.hpp
+++ b/src/process/gateway/gateway_context.hpp
@@ -18,6 +18,8 @@
 #include "request/dispatch/dispatch_policy.hpp"
 #include "request/dispatch/retry_after_estimator.hpp"
 #include "request/dispatch/retry_budget_share.hpp"
+#include "request/overload/work_admission.hpp"
+#include "request/overload/work_estimator.hpp"
 #include "version/routing/routing_configuration.hpp"
 
 #include <memory>
@@ -69,7 +71,14 @@
     retry_budget_share& retry_budget(std::string_view service);
 
     // Admission control of the service.
-    admission_controller& admission(std::string_view service);
+    admission_policy& admission(std::string_view service);
+
+    // Expected work of requests to the service.
+    work_estimator& work(std::string_view service);
+    const name_map<work_estimator>& work_by_service() const
+    {
+        return work_;
+    }
 
     // Estimator of Retry-After for refused requests to the service.
     retry_after_estimator& retry_estimator(std::string_view service);
@@ -196,7 +205,8 @@
     least_cost_policy cost_policy_;
     name_map<std::unique_ptr<retry_budget_share>> retry_budgets_;
     name_map<std::unique_ptr<retry_after_estimator>> retry_estimators_;
-    name_map<std::unique_ptr<admission_controller>> admissions_;
+    name_map<std::unique_ptr<admission_policy>> admissions_;
+    name_map<work_estimator> work_;
     std::shared_ptr<const routing_configuration> configuration_;
 
     // Arrival times of the current ones.
--- a/src/request/dispatch/admission_controller.cpp
+++ b/src/request/dispatch/admission_controller.cpp
@@ -80,7 +80,16 @@
     return found->second.requests * active > surge_multiple * all;
 }
 
-bool admission_controller::admits(const admission_query& query, time_point now)
+admission_decision
+admission_controller::decide(const admission_query& query, time_point now)
+{
+    return std::bernoulli_distribution{admitted_share(query, now)}(random_)
+               ? admission_decision::admitted
+               : admission_decision::refused;
+}
+
+double admission_controller::admitted_share(
+    const admission_query& query, time_point now)
 {
     count(query.organisation, now);
     const std::size_t rank =
@@ -88,14 +97,13 @@
     const bool surges = is_surging(query.organisation, now);
     if (query.slots <= 0 || (rank == 0 && !surges))
     {
-        return true;
+        return 1;
     }
     const double limit =
         (surges ? surge_limit : load_limits.at(rank)) * query.slots;
-    const double share = std::clamp(
+    return std::clamp(
         1 - (query.mean_load - limit) / (ramp_width * query.slots),
         min_admitted_share, 1.0);
-    return std::bernoulli_distribution{share}(random_);
 }
 
 } // namespace hickorygap
--- a/src/request/dispatch/admission_controller.hpp
+++ b/src/request/dispatch/admission_controller.hpp
@@ -4,6 +4,7 @@
 #include "common/random.hpp"
 #include "common/text.hpp"
 #include "common/time.hpp"
+#include "request/dispatch/admission_policy.hpp"
 
 #include <cstdint>
 #include <string_view>
@@ -11,22 +12,6 @@
 namespace hickorygap
 {
 
-// What the admission of a request depends on.
-struct admission_query
-{
-    // Ranks between the most urgent requests of the service and this one; zero
-    // for the most urgent.
-    std::uint32_t rank_below_first = 0;
-
-    // Empty for a caller without an organisation.
-    std::string_view organisation;
-
-    // Mean over the engines of the service: requests in flight, and requests
-    // processed at the same time.
-    double mean_load = 0;
-    double slots = 0;
-};
-
 // Refuses less urgent requests to engines early while the queues are long, so
 // that urgent requests still find room: a full engine rejects requests
 // regardless of their rank. An organisation that sends much more than its share
@@ -39,14 +24,17 @@
 // Protects against two cases: a flood of low-rank requests that fills all
 // queues, and a surge of one organisation that crowds out the others. Pure: all
 // times are passed in.
-class admission_controller
+class admission_controller final : public admission_policy
 {
 public:
     explicit admission_controller(std::uint64_t seed);
 
-    // Counts an arriving request and decides whether it may be sent to a
-    // server.
-    bool admits(const admission_query& query, time_point now);
+    admission_decision
+    decide(const admission_query& query, time_point now) override;
+
+    // Counts an arriving request and returns the share of requests like it that
+    // may be sent, 0 to 1.
+    double admitted_share(const admission_query& query, time_point now);
 
 private:
     struct organisation_count
