Let requests wait for a router that has just started

Ruled out: an earlier election, as voters that have just started grant no vote for the length of a lease.

--- a/src/connection/h1/http_endpoint.cpp
+++ b/src/connection/h1/http_endpoint.cpp
@@ -109,7 +109,10 @@
 
     void on_buffers_revoked() override
     {
-        if (use_of_buffers() == buffer_use::receiving)
+        const buffer_use use = use_of_buffers();
+        reader_.discard();
+        release_memory(connection_->input());
+        if (use == buffer_use::receiving)
         {
             http_response answer;
             answer.status = Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE;
@@ -122,8 +125,6 @@
         {
             connection_->close();
         }
-        reader_.discard();
-        release_memory(connection_->input());
         schedule_removal();
     }
 
--- a/src/process/fleet_settings/fleet_settings.cpp
+++ b/src/process/fleet_settings/fleet_settings.cpp
@@ -18,8 +18,8 @@
 
 constexpr std::uint64_t highest_port = 65535;
 
-// Feature that turns on overload.by_work.
-constexpr std::string_view ordered_refusals_feature = "pressure";
+// Feature that turns on all of overload.
+constexpr std::string_view pressure_feature = "pressure";
 
 // Allowed ranges of the numbers, with the units that error messages state.
 const number_range<std::uint64_t> port_range{0, highest_port, ""};
@@ -115,8 +115,11 @@
             reader.fail("features", "must be a list of strings");
             return;
         }
-        output.overload.by_work =
-            output.overload.by_work || *name == ordered_refusals_feature;
+        if (*name == pressure_feature)
+        {
+            output.overload.by_work = true;
+            output.overload.wait_at_start = true;
+        }
     }
 }
 
@@ -241,6 +244,7 @@
         [&](json_object_reader& reader)
         {
             reader.read("by_work", result.overload.by_work);
+            reader.read("wait_at_start", result.overload.wait_at_start);
             read_features(reader, result);
         });
     read_section(
--- a/src/process/fleet_settings/fleet_settings.hpp
+++ b/src/process/fleet_settings/fleet_settings.hpp
@@ -94,6 +94,10 @@
         // Whether requests that are turned away for lack of room are chosen by
         // the work that they need, beside their rank; see work_admission.
         bool by_work = false;
+
+        // Whether requests that arrive while a router starts wait for its
+        // configuration for a short time; see startup_queue.
+        bool wait_at_start = false;
     } overload;
 
     // What the machine gives to this process; zero if it is not stated.
--- a/src/process/gateway/exchange.cpp
+++ b/src/process/gateway/exchange.cpp
@@ -142,6 +142,40 @@
     shared_parts_ = shared_parts_of(call_.prompt);
     relay_.set_attempt_id(call_.attempt_id);
     relay_.set_last_event(call_.resume_after);
+    if (!waits_for_startup())
+    {
+        route_request();
+    }
+}
+
+// Whether the request waits because this router has just started.
+bool exchange::waits_for_startup()
+{
+    if (context_.is_ready() || !context_.settings().overload.wait_at_start ||
+        !call_.caller_timeout)
+    {
+        return false;
+    }
+    const duration time_left =
+        *call_.caller_timeout - (context_.loop().now() - arrived_);
+    const duration wait = context_.startup().longest_wait(time_left);
+    if (wait <= duration{0})
+    {
+        return false;
+    }
+    startup_entry_ = context_.startup().add(
+        context_.loop().now() + time_left, wait,
+        [this](bool /*is_ready*/)
+        {
+            startup_entry_ = 0;
+            configuration_ = context_.configuration();
+            route_request();
+        });
+    return true;
+}
+
+void exchange::route_request()
+{
     if (!find_route())
     {
         return;
@@ -869,6 +903,11 @@
 
 void exchange::stop()
 {
+    if (startup_entry_ != 0)
+    {
+        refuse_not_ready("this instance is shutting down");
+        return;
+    }
     context_.loop().cancel(deadline_timer_);
     on_deadline();
 }
@@ -879,6 +918,7 @@
     {
         return;
     }
+    context_.startup().cancel(std::exchange(startup_entry_, 0));
     release_held_attempt(dispatch_outcome::withdrawn);
     if (attempt_.connection != nullptr)
     {
@@ -1458,6 +1498,7 @@
         context_.retry_estimator(service_).on_end(
             outcome == request_outcome::refused, context_.loop().now());
     }
+    context_.startup().cancel(std::exchange(startup_entry_, 0));
     context_.loop().cancel(deadline_timer_);
     context_.loop().cancel(attempt_timer_);
     withdraw_queries();
--- a/src/process/gateway/exchange.hpp
+++ b/src/process/gateway/exchange.hpp
@@ -70,6 +70,8 @@
         exchange& owner_;
     };
 
+    bool waits_for_startup();
+    void route_request();
     bool find_route();
     void choose_service();
     void choose_service_of(software_version_id version);
@@ -164,6 +166,9 @@
     // Whether the request may be sent to a server, once that is decided.
     std::optional<bool> admitted_;
 
+    // Entry in the queue of a router that starts; zero for none.
+    std::uint64_t startup_entry_ = 0;
+
     // Open query for a permit to send the request, and for the version of the
     // stream; zero for none.
     std::uint32_t permit_query_ = 0;
--- a/src/process/gateway/gateway_context.cpp
+++ b/src/process/gateway/gateway_context.cpp
@@ -52,6 +52,7 @@
     , limits_{client_limits_of(settings)}
     , buffers_{limits_.buffer_bytes}
     , pool_{loop, table_, dialer, settings}
+    , startup_{loop}
     , permits_{loop, random_()}
     , streams_{loop}
     , cost_policy_{random_()}
@@ -66,6 +67,15 @@
     configuration_at_ = loop_.now();
     update_connection_limits();
     update_cold_servers();
+    release_waiting();
+}
+
+void gateway_context::release_waiting()
+{
+    if (is_ready())
+    {
+        startup_.release();
+    }
 }
 
 void gateway_context::set_backend_list(std::span<const listed_backend> list)
@@ -73,6 +83,7 @@
     backend_list_at_ = loop_.now();
     table_.replace(list);
     update_cold_servers();
+    release_waiting();
 }
 
 void gateway_context::set_fleet_load(std::span<const fleet_backend_load> fleet)
--- a/src/process/gateway/gateway_context.hpp
+++ b/src/process/gateway/gateway_context.hpp
@@ -11,6 +11,7 @@
 #include "process/gateway/crash_monitor.hpp"
 #include "process/gateway/permit_client.hpp"
 #include "process/gateway/request_metrics.hpp"
+#include "process/gateway/startup_queue.hpp"
 #include "process/gateway/stream_version_client.hpp"
 #include "process/metrics/metrics_registry.hpp"
 #include "request/dialect/request_dialect.hpp"
@@ -132,6 +133,19 @@
     // The policy by which backend servers of the route are chosen.
     dispatch_policy& policy_for(const route& matched);
 
+    // Whether requests can be handled: a configuration and a list of backend
+    // servers have arrived.
+    bool is_ready() const
+    {
+        return configuration_ != nullptr && backend_list_at_.has_value();
+    }
+
+    // Requests that wait until this router is ready.
+    startup_queue& startup()
+    {
+        return startup_;
+    }
+
     // The memory that callers can fill.
     buffer_budget& buffers()
     {
@@ -186,6 +200,7 @@
 private:
     void update_connection_limits();
     void update_cold_servers();
+    void release_waiting();
 
     event_loop& loop_;
     const fleet_settings& settings_;
@@ -196,6 +211,7 @@
     backend_table table_;
     backend_pool pool_;
     fleet_crash_tracker blame_;
+    startup_queue startup_;
     permit_client permits_;
     stream_version_client streams_;
     crash_monitor crashes_{pool_, blame_};
--- a/src/process/voter_node/router_feed.cpp
+++ b/src/process/voter_node/router_feed.cpp
@@ -285,7 +285,11 @@
         }
     }
     reopening_domains_.clear();
-    read_list_ = backends_.list();
+    read_list_.reset();
+    if (backends_.version() != backend_list_version{})
+    {
+        read_list_ = backends_.list();
+    }
     // The next notice goes to all routers.
     notice_count_ = 0;
     send_notices();
@@ -431,7 +435,7 @@
 // evacuation.
 void router_feed::publish_list()
 {
-    if (!voter_->knows_state() || read_list_.empty())
+    if (!voter_->knows_state() || !read_list_)
     {
         return;
     }
@@ -441,7 +445,7 @@
         closed.insert(domain);
     }
     closed_domains_ = closed;
-    std::vector<listed_backend> list = read_list_;
+    std::vector<listed_backend> list = *read_list_;
     mark_evacuated(list, closed);
     keep_limits_of(list);
     const backend_list_version previous = backends_.version();
@@ -479,8 +483,7 @@
                 "evacuation_ended failure_domain={}", domain);
         }
     }
-    if (!read_list_.empty() &&
-        !std::ranges::includes(closed_domains_, evacuated))
+    if (read_list_ && !std::ranges::includes(closed_domains_, evacuated))
     {
         log(log_level::info, subsystem::routing,
             "evacuation_changed failure_domains={}", evacuated.size());
--- a/src/process/voter_node/router_feed.hpp
+++ b/src/process/voter_node/router_feed.hpp
@@ -113,7 +113,7 @@
     const configuration_format& configurations_;
 
     // The list as last read by this voter while it leads.
-    std::vector<listed_backend> read_list_;
+    std::optional<std::vector<listed_backend>> read_list_;
     time_point list_read_began_;
 
     // Failure domains that get no requests: the evacuated ones, and those whose
--- a/tests/process/gateway/gateway_fixture.hpp
+++ b/tests/process/gateway/gateway_fixture.hpp
@@ -204,7 +204,9 @@
 class gateway_fixture
 {
 public:
-    explicit gateway_fixture(const route& routed)
+    // With a router that has just started, nothing is known before the first
+    // configuration is set.
+    explicit gateway_fixture(const route& routed, bool has_started = true)
         : settings_{make_settings()}
         , is_open_{loop_.open().ok()}
         , context_{loop_, settings_, dialect_, tcp_dialer::shared()}
@@ -218,10 +220,20 @@
         routing_configuration_builder builder{5};
         builder.add_service(service).add_route(routed);
         builder.add_organisation({"diarroi", {"key-1"}, {}});
-        context_.set_configuration(*builder.build());
+        configuration_ = *builder.build();
+        settings_.overload.wait_at_start = !has_started;
+        if (has_started)
+        {
+            set_configuration();
+        }
         port_ = bind();
     }
 
+    void set_configuration()
+    {
+        context_.set_configuration(configuration_);
+    }
+
     static route make_route(call_kind kind, std::uint32_t attempts = 2)
     {
         route result;
@@ -345,6 +357,7 @@
             [this, id] { loop_.defer([this, id] { sessions_.erase(id); }); });
     }
 
+    std::shared_ptr<const routing_configuration> configuration_;
     event_loop loop_;
     fleet_settings settings_;
     platform::request_fields dialect_;
