Decide by rank without a draw where every load admits

Cause: admission_controller drew a random number also for requests that every load admits, so all draws after it changed.

Change: no draw there, as before; deployments without overload.by_work decide exactly as they did. The test is unchanged and passes.

--- a/src/request/dispatch/admission_controller.cpp
+++ b/src/request/dispatch/admission_controller.cpp
@@ -83,12 +83,13 @@
 admission_decision
 admission_controller::decide(const admission_query& query, time_point now)
 {
-    return std::bernoulli_distribution{admitted_share(query, now)}(random_)
+    const auto share = admitted_share(query, now);
+    return !share || std::bernoulli_distribution{*share}(random_)
                ? admission_decision::admitted
                : admission_decision::refused;
 }
 
-double admission_controller::admitted_share(
+std::optional<double> admission_controller::admitted_share(
     const admission_query& query, time_point now)
 {
     count(query.organisation, now);
@@ -97,7 +98,7 @@
     const bool surges = is_surging(query.organisation, now);
     if (query.slots <= 0 || (rank == 0 && !surges))
     {
-        return 1;
+        return std::nullopt;
     }
     const double limit =
         (surges ? surge_limit : load_limits.at(rank)) * query.slots;
--- a/src/request/dispatch/admission_controller.hpp
+++ b/src/request/dispatch/admission_controller.hpp
@@ -7,6 +7,7 @@
 #include "request/dispatch/admission_policy.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace hickorygap
@@ -33,8 +34,9 @@
     decide(const admission_query& query, time_point now) override;
 
     // Counts an arriving request and returns the share of requests like it that
-    // may be sent, 0 to 1.
-    double admitted_share(const admission_query& query, time_point now);
+    // may be sent, 0 to 1; nullopt if they may be sent at any load.
+    std::optional<double>
+    admitted_share(const admission_query& query, time_point now);
 
 private:
     struct organisation_count
--- a/src/request/overload/work_admission.cpp
+++ b/src/request/overload/work_admission.cpp
@@ -77,7 +77,7 @@
 admission_decision
 work_admission::decide(const admission_query& query, time_point now)
 {
-    const double share = ranks_.admitted_share(query, now);
+    const double share = ranks_.admitted_share(query, now).value_or(1);
     if (query.time_left != duration::max() &&
         queueing_seconds(query) > hopeless_factor * in_seconds(query.time_left))
     {
