Send a request to the server that its permit is for

Cause: after a permit was given, the server was chosen once more, and the policy for plain services chooses at random; a permit for one of several servers with a limit was left unused most of the time.

Ruled out: a late return of the failure domain (published 2.4 s before).

Change: a permit is used for its server, unless that one can't take the request.

--- a/src/process/gateway/exchange.cpp
+++ b/src/process/gateway/exchange.cpp
@@ -491,19 +491,42 @@
             }
             if (!ended_)
             {
-                std::vector<backend_server_id> skipped;
-                const dispatch_choice choice =
-                    choose_backend(permitted, skipped);
-                if (choice.backend != nullptr &&
-                    choice.backend->id == permitted)
-                {
-                    admitted_ = true;
-                }
-                send_to(choice);
+                send_to(choose_permitted(permitted));
             }
         });
 }
 
+// The server that a permit was given for, if it still can take the request. A
+// policy that chooses at random would leave most permits unused.
+dispatch_choice
+exchange::choose_permitted(std::optional<backend_server_id> permitted)
+{
+    std::vector<backend_server_id> excluded = tried_backends_;
+    const auto members = context_.table().members(service_);
+    for (const backend_record* server : members)
+    {
+        if (server->id != permitted)
+        {
+            excluded.push_back(server->id);
+        }
+    }
+    dispatch_query query = make_query();
+    query.excluded = excluded;
+    if (permitted)
+    {
+        const dispatch_choice choice = context_.policy_for(*route_).choose(
+            members, query, context_.loop().now());
+        if (choice.backend != nullptr &&
+            choice.reason != dispatch_reason::last_resort)
+        {
+            admitted_ = true;
+            return choice;
+        }
+    }
+    std::vector<backend_server_id> skipped;
+    return choose_backend(std::nullopt, skipped);
+}
+
 void exchange::withdraw_queries()
 {
     context_.streams().cancel(std::exchange(version_query_, 0));
--- a/src/process/gateway/exchange.hpp
+++ b/src/process/gateway/exchange.hpp
@@ -81,6 +81,8 @@
     dispatch_choice choose_backend(
         std::optional<backend_server_id> permitted,
         std::vector<backend_server_id>& skipped);
+    dispatch_choice
+    choose_permitted(std::optional<backend_server_id> permitted);
     void dispatch();
     void send_to(const dispatch_choice& choice);
     void withdraw_queries();
--- a/tests/process/route_fleet/evacuation_test.cpp
+++ b/tests/process/route_fleet/evacuation_test.cpp
@@ -100,8 +100,9 @@
     // The list lags, so its servers count as cold when they return.
     tested.fleet.run_for(3s);
     const auto cold = tested.send(1s);
-    CHECK(cold.first > 0);
-    // Two servers at 4 requests a second, with a bucket of 2 each.
+    // Two servers at 4 requests a second, with a bucket of 2 each. Most permits
+    // are used.
+    CHECK(cold.first >= 4);
     CHECK(cold.first <= 12);
     CHECK(cold.first + cold.second >= 45);
     tested.fleet.set_cold(0, false);
