--- a/review/stand_ins_2/fleet.hpp
+++ b/review/stand_ins_2/fleet.hpp
@@ -25,9 +25,12 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace review
@@ -335,6 +338,141 @@
            std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+// The value of a field in the head of a request; empty without one.
+inline std::string field_of(const std::string& head, const std::string& name)
+{
+    const std::size_t at = head.find("\r\n" + name + ": ");
+    if (at == std::string::npos)
+    {
+        return {};
+    }
+    const std::size_t begin = at + name.size() + 4;
+    return head.substr(begin, head.find("\r\n", begin) - begin);
+}
+
+// A stand-in for a backend server: a thread for each connection, which reads
+// whole requests with a Content-Length and passes them to the handler.
+class backend_stand_in
+{
+public:
+    using handler = std::function<void(int descriptor, const std::string& head)>;
+
+    backend_stand_in(std::string host, int port, handler on_request)
+        : host_{std::move(host)}
+        , port_{port}
+        , on_request_{std::move(on_request)}
+    {
+        start();
+    }
+
+    ~backend_stand_in()
+    {
+        crash();
+    }
+
+    void start()
+    {
+        listener_ = ::socket(AF_INET, SOCK_STREAM, 0);
+        const int on = 1;
+        ::setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+        const sockaddr_in address = address_of(host_, port_);
+        if (::bind(
+                listener_, reinterpret_cast<const sockaddr*>(&address),
+                sizeof address) != 0 ||
+            ::listen(listener_, 128) != 0)
+        {
+            std::perror("listen");
+            std::exit(2);
+        }
+        accepting_ = std::thread{[this, listener = listener_]
+                                 { accept_all(listener); }};
+    }
+
+    // Resets all connections and refuses new ones, as a process that has
+    // crashed.
+    void crash()
+    {
+        if (listener_ < 0)
+        {
+            return;
+        }
+        ::shutdown(listener_, SHUT_RDWR);
+        accepting_.join();
+        ::close(std::exchange(listener_, -1));
+        const std::lock_guard lock{mutex_};
+        for (const int descriptor : open_)
+        {
+            const linger reset{1, 0};
+            ::setsockopt(
+                descriptor, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+            // Ends the reads and writes of its thread, which closes it.
+            const sockaddr unspecified{AF_UNSPEC, {}};
+            ::connect(descriptor, &unspecified, sizeof unspecified);
+            ::shutdown(descriptor, SHUT_RDWR);
+        }
+    }
+
+private:
+    void accept_all(int listener)
+    {
+        while (true)
+        {
+            const int descriptor = ::accept(listener, nullptr, nullptr);
+            if (descriptor < 0)
+            {
+                return;
+            }
+            {
+                const std::lock_guard lock{mutex_};
+                open_.push_back(descriptor);
+            }
+            std::thread{[this, descriptor] { serve(descriptor); }}.detach();
+        }
+    }
+
+    void serve(int descriptor)
+    {
+        std::string input;
+        char buffer[16384];
+        while (true)
+        {
+            const std::size_t end = input.find("\r\n\r\n");
+            const std::size_t size =
+                end == std::string::npos
+                    ? 0
+                    : end + 4 +
+                          static_cast<std::size_t>(std::atol(
+                              field_of(input.substr(0, end + 2), "Content-Length")
+                                  .c_str()));
+            if (end == std::string::npos || input.size() < size)
+            {
+                const ssize_t count =
+                    ::recv(descriptor, buffer, sizeof buffer, 0);
+                if (count <= 0)
+                {
+                    break;
+                }
+                input.append(buffer, static_cast<std::size_t>(count));
+                continue;
+            }
+            const std::string head = input.substr(0, end + 2);
+            input.erase(0, size);
+            on_request_(descriptor, head);
+        }
+        const std::lock_guard lock{mutex_};
+        std::erase(open_, descriptor);
+        ::close(descriptor);
+    }
+
+    std::string host_;
+    int port_;
+    handler on_request_;
+    int listener_ = -1;
+    std::thread accepting_;
+    std::mutex mutex_;
+    std::vector<int> open_;
+};
+
 // One process of the deploy file.
 struct process
 {
