--- a/review/stand_ins_2/fleet.hpp
+++ b/review/stand_ins_2/fleet.hpp
@@ -502,6 +502,11 @@
     }
 
     ~fleet()
+    {
+        end();
+    }
+
+    void end()
     {
         for (auto& [name, each] : processes_)
         {
--- a/review/stand_ins_2/small_fleet.hpp
+++ b/review/stand_ins_2/small_fleet.hpp
@@ -74,6 +74,12 @@
         return fleet_.at("front-" + std::to_string(number));
     }
 
+    // Ends all processes and removes what they left.
+    void end()
+    {
+        fleet_.end();
+    }
+
     // Replaces what the platform's list shows.
     void show(const std::string& instances)
     {
