--- a/review/stand_ins_2/core_replacement.cpp
+++ b/review/stand_ins_2/core_replacement.cpp
@@ -1,8 +1,12 @@
-// A machine of the core is replaced as planned, and two others lose their disks
-// more than catch_up_s later. Reads the configuration back afterwards.
+// Machines of the core are replaced as planned: a new one first, then SIGTERM to
+// the old one once the new one has had catch_up_s. Reads the configuration back
+// afterwards.
 //
 // usage: core_replacement BINARY RECORD
-// TROUBLE: 0 nothing, 1 both (default), replace or wipe only one of the two.
+// TROUBLE: 1 (default) three are replaced, one after the other; 0 none; slow:
+// three, with twice the time between them; disks: one is replaced, and two
+// others lose their disks more than catch_up_s after it has gone; replace and
+// wipe: only one of these two.
 #include "fleet.hpp"
 
 #include <set>
@@ -17,10 +21,15 @@
 constexpr double recovery_s = 12.0;
 constexpr int tolerated_disks = 2;
 
-// The loss of the disks follows this long after the end of catch_up_s.
+// What follows comes this long after the end of catch_up_s.
 constexpr double margin_s = 0.1;
 
+// The same for machines that are replaced one after the other.
+constexpr double rolling_margin_s = 0.3;
+
 constexpr int machine_count = 5;
+constexpr int replaced_count = 3;
+constexpr int all_machines = machine_count + replaced_count;
 
 class trial
 {
@@ -31,7 +40,7 @@
         , prefix_{loopback_prefix()}
     {
         std::vector<std::string> hosts{prefix_ + "9"};
-        for (int i = 1; i <= machine_count + 1; ++i)
+        for (int i = 1; i <= all_machines; ++i)
         {
             const std::string name = "core-" + std::to_string(i);
             hosts.push_back(prefix_ + std::to_string(10 + i));
@@ -43,19 +52,48 @@
         list_port_ = free_port(hosts);
     }
 
-    int run(bool replaces, bool wipes)
+    // Replaces three machines, each time the one that has acknowledged last.
+    // Each successor has had its time when the old machine gets its SIGTERM.
+    int roll(double interval_s, int count)
     {
-        const http_server list{
-            prefix_ + "9", list_port_, [](const std::string&)
-            { return json_answer(R"({"instances":[],"next":null})"); }};
-        for (int i = 1; i <= machine_count; ++i)
+        if (!start_core())
         {
-            start(i, true);
+            return 2;
         }
-        record_.line("5 core machines started, bootstrap=true");
-        if (!file_until_acknowledged(15))
+        for (int i = 1; i <= replaced_count; ++i)
+        {
+            const int successor = machine_count + i;
+            if (i <= count)
+            {
+                start(successor, false);
+                record_.line("core-%d started, empty disk", successor);
+            }
+            sleep_until(now_s() + interval_s);
+            if (!file_until_acknowledged(4))
+            {
+                return read_back(now_s());
+            }
+            if (i > count)
+            {
+                continue;
+            }
+            if (version_at(successor) != version_)
+            {
+                record_.line("core-%d has not caught up", successor);
+                return 2;
+            }
+            record_.line(
+                "core-%d reads the configuration, version %d", successor,
+                version_);
+            remove(acknowledged_by_);
+        }
+        return read_back(now_s());
+    }
+
+    int run(bool replaces, bool wipes)
+    {
+        if (!start_core())
         {
-            record_.line("the first configuration was not acknowledged");
             return 2;
         }
         const int successor = machine_count + 1;
@@ -81,10 +119,7 @@
         if (replaces)
         {
             removed = acknowledged_by_;
-            record_.line("SIGTERM to %s, which leaves for good",
-                         removed.c_str());
-            fleet::kill(fleet_.at(removed), SIGTERM);
-            record_.line("%s has ended", removed.c_str());
+            remove(removed);
         }
         sleep_until(now_s() + catch_up_s + margin_s);
         const double lost_from = now_s();
@@ -111,6 +146,31 @@
     }
 
 private:
+    bool start_core()
+    {
+        list_ = std::make_unique<http_server>(
+            prefix_ + "9", list_port_, [](const std::string&)
+            { return json_answer(R"({"instances":[],"next":null})"); });
+        for (int i = 1; i <= machine_count; ++i)
+        {
+            start(i, true);
+        }
+        record_.line("5 core machines started, bootstrap=true");
+        const bool is_filed = file_until_acknowledged(15);
+        if (!is_filed)
+        {
+            record_.line("the first configuration was not acknowledged");
+        }
+        return is_filed;
+    }
+
+    void remove(const std::string& name)
+    {
+        record_.line("SIGTERM to %s, which leaves for good", name.c_str());
+        fleet::kill(fleet_.at(name), SIGTERM);
+        record_.line("%s has ended", name.c_str());
+    }
+
     static int number_of(const std::string& name)
     {
         return name.back() - '0';
@@ -185,7 +245,7 @@
         const std::string body = document(++version_);
         while (now_s() < limit)
         {
-            for (int i = 1; i <= machine_count + 1; ++i)
+            for (int i = 1; i <= all_machines; ++i)
             {
                 process& each = machine(i);
                 if (!fleet::is_running(each))
@@ -272,7 +332,7 @@
         double first_s = -1;
         while (now_s() < back + 3 * recovery_s)
         {
-            for (int i = 1; i <= machine_count + 1; ++i)
+            for (int i = 1; i <= all_machines; ++i)
             {
                 if (!fleet::is_running(machine(i)))
                 {
@@ -319,6 +379,7 @@
     record record_;
     fleet fleet_;
     std::string prefix_;
+    std::unique_ptr<http_server> list_;
     int control_port_ = 0;
     int peer_port_ = 0;
     int metrics_port_ = 0;
@@ -339,8 +400,20 @@
     ::signal(SIGPIPE, SIG_IGN);
     const char* const value = std::getenv("TROUBLE");
     const std::string trouble = value == nullptr ? "1" : value;
-    trial all{argv[1], argv[2]};
-    return all.run(
-        trouble == "1" || trouble == "replace",
-        trouble == "1" || trouble == "wipe");
+    int code = 2;
+    {
+        trial all{argv[1], argv[2]};
+        if (trouble == "disks" || trouble == "replace" || trouble == "wipe")
+        {
+            code = all.run(trouble != "wipe", trouble != "replace");
+        }
+        else
+        {
+            code = all.roll(
+                (catch_up_s + rolling_margin_s) * (trouble == "slow" ? 2 : 1),
+                trouble == "0" ? 0 : replaced_count);
+        }
+    }
+    std::fflush(stdout);
+    std::_Exit(code);
 }
