--- a/review/stand_ins_2/small_fleet.hpp
+++ b/review/stand_ins_2/small_fleet.hpp
@@ -98,6 +98,28 @@
                "\",\"slots\":64,\"state\":\"ready\",\"cold_remaining_ms\":0}";
     }
 
+    // The internal port that a router uses in place of the others', so that
+    // proxies can stand between it and them. Before start_all.
+    void set_peer_port(int number, int port)
+    {
+        own_peer_ports_["front-" + std::to_string(number)] = port;
+    }
+
+    int peer_port() const
+    {
+        return peer_port_;
+    }
+
+    std::string core_host(int number) const
+    {
+        return prefix_ + std::to_string(10 + number);
+    }
+
+    void start_router(int number)
+    {
+        fleet_.start(router(number), settings(router(number), false));
+    }
+
     void start_all()
     {
         list_ = std::make_unique<http_server>(
@@ -182,6 +204,12 @@
     }
 
 private:
+    int peer_port_of(const std::string& name) const
+    {
+        const auto own = own_peer_ports_.find(name);
+        return own == own_peer_ports_.end() ? peer_port_ : own->second;
+    }
+
     std::string settings(const process& each, bool bootstrap) const
     {
         const bool routes = each.command == "route";
@@ -206,7 +234,8 @@
                at(routes, readiness_port_) + "\"}, \"metrics\": {\"port\": " +
                std::to_string(metrics_port_) +
                "}, \"operators\": {\"address\": \"" + at(!routes, control_port_) +
-               "\"}, \"peers\": {\"port\": " + std::to_string(peer_port_) +
+               "\"}, \"peers\": {\"port\": " +
+               std::to_string(peer_port_of(each.name)) +
                ", \"seeds\": [" + seeds + "], \"link_megabits_per_second\": " +
                (routes ? "1000.0" : "6.0") +
                " }, \"storage\": {\"folder\": \"" +
@@ -230,6 +259,7 @@
     std::string prefix_;
     int routers_;
     std::set<int> used_;
+    std::map<std::string, int> own_peer_ports_;
     int control_port_ = 0;
     int peer_port_ = 0;
     int metrics_port_ = 0;
