--- a/review/stand_ins_2/fleet.hpp
+++ b/review/stand_ins_2/fleet.hpp
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -547,6 +548,8 @@
         const pid_t pid = ::fork();
         if (pid == 0)
         {
+            // It ends with this program, also when that is killed.
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int log = ::open(
                 (each.folder + "/log").c_str(), O_WRONLY | O_CREAT | O_APPEND,
                 0600);
