Let successors vote before the voters that they replace leave

Cause: a learner got a vote only after a voter had been silent for 4 s, measured by each leader from its own election; a voter that got SIGTERM told nobody. So the list kept five places with three, then two voters.

Change: a learner with all committed entries becomes an extra voter at once, up to lost_disks more than needed; a silent voter is removed after 2 s while there are more than needed, and the silence of the previous leader counts from its last message; on SIGTERM a voter asks to be removed and ends when that is committed, or at once when nothing can take its place; no list is proposed whose majority has not replied lately. Where a whole failure domain may be lost, an extra vote must not give a domain half of them.

One check changes its meaning: "a new machine replaces a voter that no longer replies" asserted that a spare has no vote. It now asserts that the spare votes and all five others still do, and as before who votes after a loss. active_voters of the harness no longer counts frozen instances, which is stricter.

Messages: group_join gets `leaving`, append_reply gets `failure_domain`, both last in their tables. An older leader takes the first for a request to join, which has no effect for a voter; the leaving voter ends after 2 s. It ignores the second; a domain that an older follower does not state counts as one.

--- a/src/connection/event/event_loop.hpp
+++ b/src/connection/event/event_loop.hpp
@@ -100,6 +100,10 @@
     {
         stopped_ = true;
     }
+    bool is_stopped() const
+    {
+        return stopped_;
+    }
 
     // Runs one iteration: waits at most `max_wait_time` for events, then calls
     // the handlers of events, expired timers and deferred functions. Used by
--- a/src/process/consensus/raft_node.cpp
+++ b/src/process/consensus/raft_node.cpp
@@ -380,6 +380,12 @@
     leader_ = options_.self;
     followers_.clear();
     update_followers();
+    // The silence of the previous leader began before this election.
+    if (const auto previous = followers_.find(last_leader_);
+        previous != followers_.end())
+    {
+        previous->second.last_heard = last_leader_contact_;
+    }
     broadcast_sequence_ = 0;
     broadcast_times_.clear();
     lease_until_.reset();
@@ -437,6 +443,8 @@
     }
     reset_election_deadline();
     vote_blocked_until_ = now_ + options_.election_timeout;
+    last_leader_ = from;
+    last_leader_contact_ = now_;
 }
 
 // Creation of the group.
@@ -528,6 +536,7 @@
 {
     wire::append_reply_msg reply;
     reply.disk = hard_.disk;
+    reply.failure_domain = options_.failure_domain;
     reply.read_sequence = message.read_sequence;
     if (message.term >= hard_.term)
     {
@@ -722,6 +731,7 @@
         {
             item->second.next = log_.last_index() + 1;
             item->second.last_contact = now_;
+            item->second.last_heard = now_;
         }
     }
 }
@@ -736,6 +746,7 @@
         follower.next = log_.last_index() + 1;
     }
     follower.last_contact = now_;
+    follower.last_heard = now_;
 }
 
 // Returns the follower that sent a reply of the given term, or nullptr when it
@@ -765,6 +776,7 @@
         return;
     }
     record_reply(*follower, message.disk);
+    follower->failure_domain = message.failure_domain;
     follower->acked_sequence =
         std::max(follower->acked_sequence, message.read_sequence);
     if (message.success)
@@ -1041,12 +1053,21 @@
            found->second.match >= commit_ && commit_ >= term_start_index_;
 }
 
+std::uint64_t raft_node::failure_domain_of(instance_id instance) const
+{
+    if (instance == options_.self)
+    {
+        return options_.failure_domain;
+    }
+    const auto found = followers_.find(instance);
+    return found == followers_.end() ? 0 : found->second.failure_domain;
+}
+
 std::optional<time_point> raft_node::last_contact(instance_id instance) const
 {
     const auto found = followers_.find(instance);
-    return found == followers_.end()
-               ? std::nullopt
-               : std::optional{found->second.last_contact};
+    return found == followers_.end() ? std::nullopt
+                                     : std::optional{found->second.last_heard};
 }
 
 bool raft_node::may_change_voters() const
--- a/src/process/consensus/raft_node.hpp
+++ b/src/process/consensus/raft_node.hpp
@@ -52,6 +52,10 @@
     // followers that are slightly behind need no snapshot.
     std::uint64_t trailing_entries = 256;
 
+    // Hash of this instance's failure domain, which the leader learns from
+    // replies; zero if it is unknown.
+    std::uint64_t failure_domain = 0;
+
     std::uint64_t seed = 0;
 };
 
@@ -202,9 +206,14 @@
     disk_id disk_of(instance_id instance) const;
     bool is_caught_up(instance_id instance) const;
 
+    // On the leader: the failure domain that the instance stated; zero for
+    // none.
+    std::uint64_t failure_domain_of(instance_id instance) const;
+
     // On the leader: when the instance last replied in this term, or when
-    // replication to it started. Nothing for this instance and for instances
-    // that are not in the voter list.
+    // replication to it started; for the previous leader, when it was last
+    // heard of as such. Nothing for this instance and for instances that are
+    // not in the voter list.
     std::optional<time_point> last_contact(instance_id instance) const;
 
 private:
@@ -212,11 +221,18 @@
     struct progress
     {
         disk_id disk = 0;
+        std::uint64_t failure_domain = 0;
         std::uint64_t match = 0;
         std::uint64_t next = 1;
         std::uint64_t acked_sequence = 0;
+
+        // Last reply, or start of the replication.
         time_point last_contact;
 
+        // The same, but may lie before the start of the replication when the
+        // instance was the previous leader.
+        time_point last_heard;
+
         // An append or snapshot chunk is unacknowledged; sent_through is the
         // last index of the append.
         bool in_flight = false;
@@ -340,6 +356,10 @@
     // No vote is granted before this time, because the current leader may hold
     // a lease.
     time_point vote_blocked_until_;
+
+    // The last other leader that this node followed; zero for none.
+    instance_id last_leader_ = 0;
+    time_point last_leader_contact_;
     std::set<instance_id> votes_;
 
     bool may_create_group_ = true;
--- a/src/process/fleet_settings/fleet_settings.cpp
+++ b/src/process/fleet_settings/fleet_settings.cpp
@@ -21,6 +21,9 @@
 // Feature that turns on all of overload.
 constexpr std::string_view pressure_feature = "pressure";
 
+// Feature that turns on storage.survives_domain_loss.
+constexpr std::string_view failure_domains_feature = "places";
+
 // Allowed ranges of the numbers, with the units that error messages state.
 const number_range<std::uint64_t> port_range{0, highest_port, ""};
 const number_range<std::uint64_t> disk_range{0, 10, "disks"};
@@ -120,6 +123,10 @@
             output.overload.by_work = true;
             output.overload.wait_at_start = true;
         }
+        if (*name == failure_domains_feature)
+        {
+            output.storage.survives_domain_loss = true;
+        }
     }
 }
 
@@ -218,6 +225,8 @@
             reader.read("bootstrap", result.storage.bootstrap);
             reader.read("lost_disks", lost_disks, disk_range);
             result.storage.lost_disks = static_cast<std::uint32_t>(lost_disks);
+            reader.read(
+                "survives_domain_loss", result.storage.survives_domain_loss);
         });
     read_section(
         file, "backend_list",
--- a/src/process/fleet_settings/fleet_settings.hpp
+++ b/src/process/fleet_settings/fleet_settings.hpp
@@ -69,6 +69,10 @@
 
         // Number of disks that may be lost at the same time.
         std::uint32_t lost_disks = 0;
+
+        // Whether the voters must bear the loss of a whole failure domain; see
+        // routing_voter_options.
+        bool survives_domain_loss = false;
     } storage;
 
     // Source of the list of backend servers.
--- a/src/process/routing_store/routing_voter.cpp
+++ b/src/process/routing_store/routing_voter.cpp
@@ -65,6 +65,13 @@
     std::erase_if(
         joining_, [&](const auto& item)
         { return now - item.second > options_.join_expiry; });
+    std::erase_if(
+        leaving_, [&](const auto& item)
+        { return now - item.second > options_.leave_expiry; });
+    if (is_leaving_)
+    {
+        leaving_[options_.raft.self] = now;
+    }
     if (raft_.is_leader())
     {
         reconcile_group();
@@ -75,14 +82,18 @@
     instance_id from, const wire::payloadUnion& payload, time_point now)
 {
     now_ = now;
-    if (message_in<wire::group_join_msg>(payload) != nullptr)
+    if (const auto* request = message_in<wire::group_join_msg>(payload))
     {
-        receive_join(from);
+        receive_join(from, *request);
         return;
     }
     if (const auto* notice = message_in<wire::voter_notice_msg>(payload))
     {
         advertised_voters_ = notice->voters;
+        is_removed_ =
+            is_leaving_ && !advertised_voters_.empty() &&
+            std::ranges::find(advertised_voters_, options_.raft.self) ==
+                advertised_voters_.end();
         return;
     }
     if (const auto* request = message_in<wire::read_request_msg>(payload))
@@ -228,18 +239,81 @@
 
 // Only the leader can add an instance. Other voters reply with the list of
 // voters, because the seeds of the joining instance need not include the
-// leader.
-void routing_voter::receive_join(instance_id from)
+// leader. The leader replies to a voter that leaves once its removal is
+// committed, which the log that it no longer receives can't tell it.
+void routing_voter::receive_join(
+    instance_id from, const wire::group_join_msg& request)
 {
-    joining_[from] = now_;
     const voter_list* list = raft_.configuration();
-    if (raft_.is_leader() || list == nullptr)
+    if (request.leaving)
     {
+        joining_.erase(from);
+        leaving_[from] = now_;
+        if (raft_.may_change_voters() && list->find_voter(from) == nullptr)
+        {
+            reply_with_voters(from);
+        }
         return;
     }
+    leaving_.erase(from);
+    joining_[from] = now_;
+    if (!raft_.is_leader() && list != nullptr)
+    {
+        reply_with_voters(from);
+    }
+}
+
+void routing_voter::reply_with_voters(instance_id to)
+{
     wire::voter_notice_msg notice;
-    notice.voters = list->instances();
-    outgoing_.push_back(make_outgoing(from, std::move(notice)));
+    notice.voters = raft_.configuration()->instances();
+    outgoing_.push_back(make_outgoing(to, std::move(notice)));
+}
+
+std::vector<outgoing_message>
+routing_voter::membership_requests(std::span<const instance_id> seeds) const
+{
+    wire::group_join_msg request;
+    request.leaving = is_leaving_;
+    std::vector<outgoing_message> messages;
+    if (is_leaving_)
+    {
+        const instance_id leader = raft_.leader();
+        if (leader != 0 && leader != options_.raft.self)
+        {
+            messages.push_back(make_outgoing(leader, request));
+        }
+    }
+    else if (wants_to_join())
+    {
+        for (const instance_id target : join_targets(seeds))
+        {
+            messages.push_back(make_outgoing(target, request));
+        }
+    }
+    return messages;
+}
+
+void routing_voter::leave(time_point now)
+{
+    now_ = now;
+    is_leaving_ = true;
+}
+
+bool routing_voter::has_left() const
+{
+    const voter_list* list = raft_.configuration();
+    if (is_removed_ || list == nullptr)
+    {
+        return true;
+    }
+    if (list->find_voter(options_.raft.self) == nullptr)
+    {
+        // A leader ends its leadership when its own removal is committed.
+        return !raft_.is_leader();
+    }
+    return list->voters.size() <= target_voter_count() &&
+           list->learners.empty();
 }
 
 std::vector<instance_id>
@@ -357,6 +431,7 @@
     {
         led_term_ = raft_.term();
         first_led_index_ = raft_.last_index();
+        leads_since_ = now_;
     }
     absl::Status written = writer_.write(raft_, now_);
     if (absl::Status status = apply_committed(); !status.ok())
@@ -444,10 +519,29 @@
 
 // Membership.
 
-bool routing_voter::is_unresponsive(instance_id instance) const
+bool routing_voter::is_silent(instance_id instance, duration limit) const
 {
     const auto contact = raft_.last_contact(instance);
-    return contact && now_ - *contact > options_.replace_after;
+    return contact && now_ - *contact > limit;
+}
+
+// Whether the voter has asked to leave or no longer replies. The previous
+// leader gets the length of an election timeout to reply to this one.
+bool routing_voter::departs(instance_id instance) const
+{
+    return leaving_.contains(instance) ||
+           (is_silent(instance, options_.replace_after) &&
+            now_ - leads_since_ > options_.raft.election_timeout);
+}
+
+// Whether a majority of the voters has replied so recently that the change to
+// this list can be committed.
+bool routing_voter::has_live_majority(const voter_list& list) const
+{
+    const auto live = std::ranges::count_if(
+        list.voters, [this](const voter_identity& voter)
+        { return !is_silent(voter.instance, options_.raft.election_timeout); });
+    return 2 * static_cast<std::size_t>(live) > list.voters.size();
 }
 
 void routing_voter::reconcile_group()
@@ -457,7 +551,7 @@
         return;
     }
     const auto next = next_voter_list();
-    if (!next)
+    if (!next || !has_live_majority(*next))
     {
         return;
     }
@@ -486,34 +580,22 @@
         }
     }
 
-    const bool has_unresponsive_voter = std::ranges::any_of(
+    const auto departing = std::ranges::find_if(
         list.voters, [this](const voter_identity& voter)
-        { return is_unresponsive(voter.instance); });
-    const bool needs_voter =
-        list.voters.size() < target_voter_count() ||
-        (has_unresponsive_voter && list.voters.size() == target_voter_count());
-    for (const instance_id learner : list.learners)
+        { return departs(voter.instance); });
+    const bool voter_departs = departing != list.voters.end();
+    if (voter_departs && list.voters.size() > target_voter_count())
     {
-        if (needs_voter && !is_unresponsive(learner) &&
-            raft_.is_caught_up(learner))
-        {
-            return list.with_voter({learner, raft_.disk_of(learner)});
-        }
+        return list.without(departing->instance);
     }
-
-    if (list.voters.size() > target_voter_count())
+    if (auto grown = list_with_next_learner(voter_departs))
     {
-        for (const voter_identity& voter : list.voters)
-        {
-            if (is_unresponsive(voter.instance))
-            {
-                return list.without(voter.instance);
-            }
-        }
+        return grown;
     }
     for (const instance_id learner : list.learners)
     {
-        if (is_unresponsive(learner) && !joining_.contains(learner))
+        if (is_silent(learner, options_.learner_expiry) &&
+            !joining_.contains(learner))
         {
             return list.without(learner);
         }
@@ -528,4 +610,49 @@
     return std::nullopt;
 }
 
+// Gives a learner that holds all committed entries a vote: while the group is
+// too small, in place of a voter that departs, which is removed next, or as an
+// extra voter.
+std::optional<voter_list>
+routing_voter::list_with_next_learner(bool voter_departs) const
+{
+    const voter_list& list = *raft_.configuration();
+    const bool needs_voter =
+        list.voters.size() < target_voter_count() || voter_departs;
+    for (const instance_id learner : list.learners)
+    {
+        if (!leaving_.contains(learner) &&
+            !is_silent(learner, options_.raft.election_timeout) &&
+            raft_.is_caught_up(learner) &&
+            (needs_voter || may_add_extra_voter(learner)))
+        {
+            return list.with_voter({learner, raft_.disk_of(learner)});
+        }
+    }
+    return std::nullopt;
+}
+
+bool routing_voter::may_add_extra_voter(instance_id learner) const
+{
+    std::vector<instance_id> voters = raft_.configuration()->instances();
+    voters.push_back(learner);
+    if (voters.size() > target_voter_count() + options_.lost_disks)
+    {
+        return false;
+    }
+    if (!options_.survives_domain_loss)
+    {
+        return true;
+    }
+    std::map<std::uint64_t, std::size_t> voters_by_domain;
+    for (const instance_id voter : voters)
+    {
+        ++voters_by_domain[raft_.failure_domain_of(voter)];
+    }
+    // Voters that have not stated a domain may all share one.
+    return std::ranges::all_of(
+        voters_by_domain,
+        [&](const auto& item) { return 2 * item.second < voters.size(); });
+}
+
 } // namespace hickorygap
--- a/src/process/routing_store/routing_voter.hpp
+++ b/src/process/routing_store/routing_voter.hpp
@@ -28,12 +28,29 @@
     raft_options raft;
 
     // Number of disks that may be lost at the same time without losing an
-    // acknowledged configuration. The group has 2 * lost_disks + 1 voters.
+    // acknowledged configuration. The group has at least 2 * lost_disks + 1
+    // voters. Further instances that hold the log become voters, too, up to
+    // lost_disks more, so that each of them can make up for a voter that leaves
+    // without notice.
     std::uint32_t lost_disks = 0;
 
-    // A voter that has not replied for this time is replaced when another
-    // instance is available.
-    duration replace_after = std::chrono::seconds{4};
+    // Whether the loss of a whole failure domain must leave a majority. An
+    // instance whose vote would prevent that gets it only in place of a voter
+    // that leaves.
+    bool survives_domain_loss = false;
+
+    // A voter that has not replied for this time is removed when the group can
+    // do without it, or is replaced when another instance is available. An
+    // instance that starts together with the end of a voter must vote within 4
+    // s, also when that voter led the group and an election, of up to 1.5 s,
+    // comes first.
+    duration replace_after = std::chrono::seconds{2};
+
+    // A learner that has not replied for this time is removed.
+    duration learner_expiry = std::chrono::seconds{4};
+
+    // A request to leave counts for this time.
+    duration leave_expiry = std::chrono::seconds{1};
 
     // A joining instance repeats its request; it is dropped from the candidates
     // after this time without a request.
@@ -140,17 +157,19 @@
         return raft_;
     }
 
-    // True while this instance is not a voter, or may have been removed; the
-    // caller then sends group_join messages to join_targets.
-    bool wants_to_join() const
-    {
-        return !raft_.is_voter() || may_be_removed_;
-    }
+    // Requests to the group that the caller sends periodically: to become a
+    // voter while this instance is none or may have been removed, or to be
+    // removed after leave.
+    std::vector<outgoing_message>
+    membership_requests(std::span<const instance_id> seeds) const;
 
-    // The seeds, the voters in this instance's log, and those named in the last
-    // reply to a group_join message; without this instance, in order.
-    std::vector<instance_id>
-    join_targets(std::span<const instance_id> seeds) const;
+    // Begins to leave the group before the process ends. Until has_left, this
+    // voter goes on as before, because its vote may be needed.
+    void leave(time_point now);
+
+    // Whether the group no longer counts on this instance, or can't do without
+    // it: then it has no other instance in its place.
+    bool has_left() const;
 
 private:
     routing_voter(
@@ -162,7 +181,17 @@
     void propose_queued();
     void
     complete_filings(std::span<const std::uint64_t> numbers, bool confirmed);
-    void receive_join(instance_id from);
+    void receive_join(instance_id from, const wire::group_join_msg& request);
+    void reply_with_voters(instance_id to);
+    bool wants_to_join() const
+    {
+        return !raft_.is_voter() || may_be_removed_;
+    }
+
+    // The seeds, the voters in this instance's log, and those named in the last
+    // reply to a group_join message; without this instance, in order.
+    std::vector<instance_id>
+    join_targets(std::span<const instance_id> seeds) const;
     void check_membership();
     void receive_read(instance_id from, const wire::read_request_msg& request);
     void receive_read_reply(const wire::read_reply_msg& reply);
@@ -171,7 +200,11 @@
     std::size_t target_voter_count() const;
     void reconcile_group();
     std::optional<voter_list> next_voter_list() const;
-    bool is_unresponsive(instance_id instance) const;
+    std::optional<voter_list> list_with_next_learner(bool voter_departs) const;
+    bool is_silent(instance_id instance, duration limit) const;
+    bool departs(instance_id instance) const;
+    bool may_add_extra_voter(instance_id learner) const;
+    bool has_live_majority(const voter_list& list) const;
 
     routing_voter_options options_;
     storage_writer writer_;
@@ -180,9 +213,11 @@
     time_point now_;
     std::uint64_t applied_index_ = 0;
 
-    // Last term that this voter has led, and the index of an entry in it.
+    // Last term that this voter has led, the index of an entry in it, and the
+    // time of its first flush.
     std::uint64_t led_term_ = 0;
     std::uint64_t first_led_index_ = 0;
+    time_point leads_since_;
 
     // Filings that complete with the commit of an entry, by its log index.
     struct proposed_filings
@@ -221,10 +256,16 @@
     std::map<std::uint64_t, requested_read> requested_reads_;
     std::vector<outgoing_message> outgoing_;
 
-    // Instances that requested to join, with the time of their last request.
+    // Instances that requested to join or to leave, with the time of their last
+    // request.
     std::map<instance_id, time_point> joining_;
+    std::map<instance_id, time_point> leaving_;
     std::vector<instance_id> advertised_voters_;
 
+    // Whether this instance leaves, and whether the leader has confirmed that.
+    bool is_leaving_ = false;
+    bool is_removed_ = false;
+
     // When this instance last knew a leader, and whether that is longer ago
     // than rejoin_after.
     time_point leader_known_at_;
--- a/src/process/voter_node/voter_node.cpp
+++ b/src/process/voter_node/voter_node.cpp
@@ -1,6 +1,7 @@
 #include "process/voter_node/voter_node.hpp"
 
 #include "common/error.hpp"
+#include "common/hashing.hpp"
 #include "common/logging.hpp"
 #include "common/random.hpp"
 #include "common/status_text.hpp"
@@ -28,20 +29,31 @@
 // less than a second on the slowest link.
 constexpr int resend_after_heartbeats = 10;
 
-constexpr duration join_interval = std::chrono::milliseconds{250};
+// Interval of requests to join or to leave the group.
+constexpr duration membership_request_interval = std::chrono::milliseconds{250};
 
 // Grace period for open filings when the process shuts down.
 constexpr duration shutdown_grace_period = std::chrono::milliseconds{300};
 
+// Time that a voter waits for its removal from the group when the process shuts
+// down. Longer than an election.
+constexpr duration leave_timeout = std::chrono::seconds{2};
+
 routing_voter_options
 voter_options(const fleet_settings& settings, instance_id self)
 {
     routing_voter_options options;
     options.lost_disks = settings.storage.lost_disks;
+    options.survives_domain_loss = settings.storage.survives_domain_loss;
     options.raft.self = self;
     options.raft.heartbeat_interval = raft_heartbeat_interval;
     options.raft.election_timeout = election_timeout;
     options.raft.resend_after_heartbeats = resend_after_heartbeats;
+    if (!settings.instance.failure_domain.empty())
+    {
+        options.raft.failure_domain =
+            hash_name(settings.instance.failure_domain);
+    }
     options.raft.seed = random_seed();
     if (settings.storage.bootstrap)
     {
@@ -115,6 +127,22 @@
 void voter_node::shut_down()
 {
     operators_.close();
+    voter_->leave(loop_.now());
+    request_membership();
+    end_when_left(loop_.now() + leave_timeout);
+}
+
+// Stops the loop once the group can do without this voter, or at the deadline.
+void voter_node::end_when_left(time_point deadline)
+{
+    if (!voter_->has_left() && loop_.now() < deadline)
+    {
+        loop_.after(
+            tick_interval, [this, deadline] { end_when_left(deadline); });
+        return;
+    }
+    log(log_level::info, subsystem::consensus, "group_left in_time={}",
+        voter_->has_left());
     loop_.after(
         operators_.has_open_filings() ? shutdown_grace_period : duration{0},
         [this] { loop_.stop(); });
@@ -147,7 +175,7 @@
     loop_.after(tick_interval, [this] { tick(); });
     voter_->tick(loop_.now());
     flush_and_send();
-    request_join();
+    request_membership();
     operators_.expire_calls();
     feed_.tick();
 }
@@ -214,21 +242,26 @@
 
 // Membership.
 
-void voter_node::request_join()
+void voter_node::request_membership()
 {
-    if (!voter_->wants_to_join() || loop_.now() < next_join_request_)
+    if (loop_.now() < next_membership_request_)
     {
         return;
     }
-    next_join_request_ = loop_.now() + join_interval;
     std::vector<instance_id> seeds;
     for (const std::string& seed : settings_.peers.seeds)
     {
         seeds.push_back(instance_at(seed));
     }
-    for (const instance_id target : voter_->join_targets(seeds))
+    const auto requests = voter_->membership_requests(seeds);
+    if (requests.empty())
+    {
+        return;
+    }
+    next_membership_request_ = loop_.now() + membership_request_interval;
+    for (const outgoing_message& request : requests)
     {
-        links_.send(target, make_payload(wire::group_join_msg{}));
+        links_.send(request.destination, request.payload);
     }
 }
 
--- a/src/process/voter_node/voter_node.hpp
+++ b/src/process/voter_node/voter_node.hpp
@@ -41,7 +41,8 @@
     absl::Status open() override;
     void reload(const fleet_settings& settings) override;
 
-    // Stops the loop after a short grace period for open filings.
+    // Stops the loop once the group does without this voter, or after a time
+    // limit, and after a short grace period for open filings.
     void shut_down() override;
 
     // Error of an unusable log or state that stopped the voter, or OK.
@@ -61,7 +62,8 @@
         link_connection& link);
 
     void check_leadership_change();
-    void request_join();
+    void request_membership();
+    void end_when_left(time_point deadline);
 
     event_loop& loop_;
     fleet_settings settings_;
@@ -76,7 +78,7 @@
     bool flush_scheduled_ = false;
     bool was_leader_ = false;
     configuration_version committed_version_ = 0;
-    time_point next_join_request_;
+    time_point next_membership_request_;
     absl::Status failure_;
 };
 
--- a/tests/process/routing_store/routing_cluster.hpp
+++ b/tests/process/routing_store/routing_cluster.hpp
@@ -31,6 +31,13 @@
     {
     }
 
+    // Failure domains, for instances that are started later. Makes the voters
+    // bear the loss of one.
+    void set_failure_domains(std::map<instance_id, std::uint64_t> domains)
+    {
+        domains_ = std::move(domains);
+    }
+
     // Starts an instance with its existing disk, or with an empty one if it has
     // none.
     void start(instance_id id, bool bootstrap = false)
@@ -44,6 +51,11 @@
         options.lost_disks = 2;
         options.raft = raft_options_;
         options.raft.self = id;
+        options.survives_domain_loss = !domains_.empty();
+        if (const auto domain = domains_.find(id); domain != domains_.end())
+        {
+            options.raft.failure_domain = domain->second;
+        }
         options.raft.seed = ++seed_;
         if (bootstrap && id <= 3)
         {
@@ -68,6 +80,21 @@
     void kill(instance_id id)
     {
         members_[id].voter.reset();
+        members_[id].leaves_until.reset();
+    }
+
+    // Ends the instance in order, as SIGTERM does: at the latest 2 s later.
+    void shut_down(instance_id id)
+    {
+        members_[id].voter->leave(now_);
+        members_[id].leaves_until = now_ + std::chrono::seconds{2};
+    }
+
+    bool is_running(instance_id id) const
+    {
+        const auto found = members_.find(id);
+        return found != members_.end() && found->second.voter &&
+               !found->second.frozen;
     }
 
     void lose_disk(instance_id id)
@@ -116,15 +143,11 @@
                 continue;
             }
             self.voter->tick(now_);
-            if (self.voter->wants_to_join())
+            constexpr std::array<instance_id, 3> seeds{1, 2, 3};
+            for (const outgoing_message& request :
+                 self.voter->membership_requests(seeds))
             {
-                constexpr std::array<instance_id, 3> seeds{1, 2, 3};
-                for (const instance_id target : self.voter->join_targets(seeds))
-                {
-                    network_.send(
-                        id, make_outgoing(target, wire::group_join_msg{}),
-                        now_);
-                }
+                network_.send(id, request, now_);
             }
             static_cast<void>(self.voter->flush());
             for (const outgoing_message& message : self.voter->take_outgoing())
@@ -155,6 +178,11 @@
                     stale_read_ = true;
                 }
             }
+            if (self.leaves_until &&
+                (self.voter->has_left() || now_ >= *self.leaves_until))
+            {
+                kill(id);
+            }
         }
     }
 
@@ -284,7 +312,7 @@
         std::size_t count = 0;
         for (const auto& [id, self] : members_)
         {
-            count += self.voter && self.voter->raft().is_voter() ? 1 : 0;
+            count += is_running(id) && self.voter->raft().is_voter() ? 1 : 0;
         }
         return count;
     }
@@ -328,6 +356,7 @@
         std::shared_ptr<memory_disk> disk;
         std::unique_ptr<routing_voter> voter;
         bool frozen = false;
+        std::optional<time_point> leaves_until;
         std::vector<faulty_network::delivery> held_messages;
 
         // Versions by the number of their filing, and the acknowledged version
@@ -340,6 +369,7 @@
 
     std::uint64_t seed_;
     raft_options raft_options_;
+    std::map<instance_id, std::uint64_t> domains_;
     faulty_network network_;
     std::map<instance_id, member> members_;
     time_point now_{std::chrono::hours{1}};
--- a/tests/process/routing_store/routing_voter_test.cpp
+++ b/tests/process/routing_store/routing_voter_test.cpp
@@ -4,6 +4,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <array>
 #include <iterator>
 #include <map>
 #include <utility>
@@ -284,14 +285,15 @@
 
 // Failure: a machine is lost for good and a new one with an empty disk joins
 // from another address. Guards against a group that remains at four voters, and
-// against a spare instance that replaces a voter that still replies.
+// against a spare instance that takes the vote of a voter that still replies.
 TEST_CASE("a new machine replaces a voter that no longer replies")
 {
     routing_cluster cluster{8};
     start_five_voters(cluster);
     cluster.start(6);
     cluster.run(300);
-    CHECK(cluster.voters() == first_five);
+    CHECK(cluster.voters() == std::set<instance_id>{1, 2, 3, 4, 5, 6});
+    CHECK(cluster.active_voters() == 6);
     const bool planned = GENERATE(true, false);
     const instance_id replaced = planned ? 4 : 1;
     cluster.lose_disk(replaced);
@@ -304,6 +306,234 @@
     CHECK(cluster.file_and_wait());
 }
 
+namespace
+{
+
+// How a voter leaves for good.
+enum class departure
+{
+    shut_down,
+    killed,
+    frozen
+};
+
+void depart(routing_cluster& cluster, instance_id id, departure kind)
+{
+    switch (kind)
+    {
+    case departure::shut_down:
+        cluster.shut_down(id);
+        break;
+    case departure::killed:
+        cluster.kill(id);
+        break;
+    case departure::frozen:
+        cluster.freeze(id);
+        break;
+    }
+}
+
+// Time that a machine is given to take part in the group, in steps of 20 ms.
+constexpr int catch_up_steps = 200;
+
+// Time within which the group must recover from its last fault.
+constexpr int recovery_steps = 600;
+
+// Two machines, the leader among them, lose their disks at once and return 1 s
+// later. The acknowledged version must be there in time, and all running
+// instances must vote again.
+void check_loss_of_two_disks(
+    routing_cluster& cluster, std::vector<instance_id> running)
+{
+    const instance_id leader = cluster.leader().value_or(running.front());
+    std::erase(running, leader);
+    const std::array<instance_id, 2> wiped{leader, running.front()};
+    running.push_back(leader);
+    for (const instance_id id : wiped)
+    {
+        cluster.lose_disk(id);
+    }
+    cluster.run(catch_up_steps / 4);
+    for (const instance_id id : wiped)
+    {
+        cluster.start(id);
+    }
+    cluster.run(recovery_steps);
+    REQUIRE(cluster.leader());
+    CHECK(cluster.version_at(*cluster.leader()) >= cluster.acknowledged());
+    CHECK(
+        cluster.voters() ==
+        std::set<instance_id>(running.begin(), running.end()));
+    CHECK(cluster.active_voters() == running.size());
+    CHECK(cluster.file_and_wait());
+}
+
+} // namespace
+
+// Failure: machines of the group are replaced as planned, a new one first, one
+// after another; then two disks are lost. Guards against a group that counts
+// machines that have left until it has no majority, and whose acknowledged
+// versions can't be read any more (review/6).
+TEST_CASE("successors make up for voters that leave one after another")
+{
+    struct replacements
+    {
+        departure kind;
+        bool leaders;
+        int count;
+    };
+    const auto [kind, leaders, count] = GENERATE(values<replacements>(
+        {{departure::shut_down, true, 1},
+         {departure::shut_down, true, 3},
+         {departure::shut_down, false, 3},
+         {departure::killed, true, 1},
+         {departure::killed, true, 3},
+         {departure::killed, false, 1},
+         {departure::killed, false, 3},
+         {departure::frozen, true, 1},
+         {departure::frozen, true, 3},
+         {departure::frozen, false, 3}}));
+    CAPTURE(static_cast<int>(kind), leaders, count);
+    for (std::uint64_t seed = 1; seed <= 10; ++seed)
+    {
+        CAPTURE(seed);
+        routing_cluster cluster{seed, production_timing()};
+        start_five_voters(cluster);
+        std::vector<instance_id> running{1, 2, 3, 4, 5};
+        for (int round = 0; round < count; ++round)
+        {
+            CAPTURE(round);
+            running.push_back(running.back() + 1);
+            cluster.start(running.back());
+            cluster.run(catch_up_steps);
+            REQUIRE(cluster.leader());
+            const instance_id leader = *cluster.leader();
+            const instance_id leaving =
+                leaders ? leader : running[running[0] == leader ? 1 : 0];
+            REQUIRE(cluster.file_and_wait(50));
+            depart(cluster, leaving, kind);
+            std::erase(running, leaving);
+        }
+        cluster.run(catch_up_steps);
+        check_loss_of_two_disks(cluster, running);
+    }
+}
+
+// Failure: a voter ends in order after its successor has had time to join, and
+// two disks are lost right after. Guards against a voter that ends while the
+// group still counts on it (review/6).
+TEST_CASE("a voter that ends in order hands over its place first")
+{
+    const bool leads = GENERATE(true, false);
+    CAPTURE(leads);
+    for (std::uint64_t seed = 1; seed <= 10; ++seed)
+    {
+        CAPTURE(seed);
+        routing_cluster cluster{seed, production_timing()};
+        start_five_voters(cluster);
+        cluster.start(6);
+        cluster.run(catch_up_steps);
+        REQUIRE(cluster.file_and_wait());
+        const instance_id leader = *cluster.leader();
+        const instance_id leaving =
+            leads ? leader : static_cast<instance_id>(leader % 5 + 1);
+        cluster.shut_down(leaving);
+        int steps = 0;
+        for (; cluster.is_running(leaving) && steps < catch_up_steps; ++steps)
+        {
+            cluster.step();
+        }
+        CHECK(steps <= 100);
+        std::vector<instance_id> running{1, 2, 3, 4, 5, 6};
+        std::erase(running, leaving);
+        check_loss_of_two_disks(cluster, running);
+    }
+}
+
+// Guards against a voter that is restarted in order and waits for a removal
+// that the group can't afford, and against a removed one that does not vote
+// again.
+TEST_CASE("a voter that is restarted in order votes again")
+{
+    const bool has_extra_voter = GENERATE(false, true);
+    CAPTURE(has_extra_voter);
+    for (instance_id id = 1; id <= 5; ++id)
+    {
+        CAPTURE(id);
+        routing_cluster cluster{id, production_timing()};
+        start_five_voters(cluster);
+        std::set<instance_id> all = first_five;
+        if (has_extra_voter)
+        {
+            cluster.start(6);
+            cluster.run(catch_up_steps);
+            all.insert(6);
+        }
+        cluster.shut_down(id);
+        int steps = 0;
+        for (; cluster.is_running(id) && steps < catch_up_steps; ++steps)
+        {
+            cluster.step();
+        }
+        CHECK(steps <= (has_extra_voter ? 50 : 1));
+        cluster.run(50);
+        cluster.start(id);
+        cluster.run(catch_up_steps);
+        CHECK(cluster.voters() == all);
+        CHECK(cluster.active_voters() == all.size());
+        CHECK(cluster.file_and_wait());
+    }
+}
+
+// Failure: a failure domain is lost while a successor runs beside the voter
+// that it shall replace. Guards against extra voters that give a domain half of
+// the votes, and against a successor that does not get the vote of a voter that
+// leaves.
+TEST_CASE("extra voters leave a majority without any failure domain")
+{
+    struct layout
+    {
+        std::uint64_t successor_domain;
+        bool votes;
+    };
+    const auto [successor_domain, votes] =
+        GENERATE(values<layout>({{1, false}, {2, false}, {3, true}}));
+    CAPTURE(successor_domain);
+    for (std::uint64_t seed = 1; seed <= 5; ++seed)
+    {
+        CAPTURE(seed);
+        routing_cluster cluster{seed, production_timing()};
+        std::map<instance_id, std::uint64_t> domains{
+            {1, 1}, {2, 2}, {3, 3}, {4, 1}, {5, 2}, {6, successor_domain}};
+        cluster.set_failure_domains(domains);
+        start_five_voters(cluster);
+        cluster.start(6);
+        cluster.run(catch_up_steps);
+        CHECK(cluster.voters().contains(6) == votes);
+        const bool domain_is_lost = seed % 2 == 0;
+        std::vector<instance_id> running;
+        for (const auto& [id, domain] : domains)
+        {
+            const bool leaves = domain_is_lost ? domain == successor_domain
+                                               : id == successor_domain;
+            if (leaves)
+            {
+                cluster.kill(id);
+            }
+            else
+            {
+                running.push_back(id);
+            }
+        }
+        cluster.run(catch_up_steps);
+        REQUIRE(cluster.file_and_wait());
+        if (!domain_is_lost)
+        {
+            check_loss_of_two_disks(cluster, running);
+        }
+    }
+}
+
 // Failure: a voter is silent while another machine is replaced, so that the
 // leader removes the silent one; then two disks are lost. Guards against a
 // voter that never learns of its removal and never joins again, which leaves
--- a/tests/process/voter_node/voter_node_test.cpp
+++ b/tests/process/voter_node/voter_node_test.cpp
@@ -11,7 +11,12 @@
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
+#include <deque>
+#include <functional>
+#include <memory>
 #include <optional>
+#include <string>
+#include <vector>
 
 using namespace hickorygap;
 using namespace hickorygap::test;
@@ -110,6 +115,129 @@
     std::unique_ptr<voter_node> node_;
 };
 
+// Voters of one group on loopback addresses that end in 11 and higher, with
+// lost_disks 2. The first three create the group.
+class voter_group
+{
+public:
+    static constexpr int seed_count = 3;
+
+    // Opens the voters one after another; false if that fails.
+    bool open(int count)
+    {
+        const std::uint16_t peer_port = next_port();
+        const std::uint16_t operator_port = next_port();
+        for (int i = 0; i < count; ++i)
+        {
+            fleet_settings settings;
+            settings.instance.host = host(i);
+            settings.storage.folder = folders_.emplace_back().path();
+            settings.storage.bootstrap = i < seed_count;
+            settings.storage.lost_disks = 2;
+            for (int seed = 0; seed < seed_count; ++seed)
+            {
+                settings.peers.seeds.push_back(host(seed));
+            }
+            settings.peers.port = peer_port;
+            settings.operators = {settings.instance.host, operator_port};
+            settings.backend_list.address = {"127.0.0.1", 1};
+            auto& self = members_.emplace_back(std::make_unique<member>());
+            if (!self->loop.open().ok())
+            {
+                return false;
+            }
+            self->node = std::make_unique<voter_node>(
+                self->loop, settings,
+                voter_dialects{&configurations_, &list_, &calls_});
+            if (!self->node->open().ok())
+            {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    // Runs all voters in turn until the condition holds; false on timeout. A
+    // voter that has stopped its loop ends.
+    bool run_until(const std::function<bool()>& condition, duration time)
+    {
+        const time_point limit = boot_now() + time;
+        while (!condition() && boot_now() < limit)
+        {
+            for (auto& self : members_)
+            {
+                if (self)
+                {
+                    self->loop.run_once(1ms);
+                }
+                if (self && self->loop.is_stopped())
+                {
+                    self.reset();
+                }
+            }
+        }
+        return condition();
+    }
+
+    std::optional<std::size_t> leader() const
+    {
+        for (std::size_t i = 0; i < members_.size(); ++i)
+        {
+            if (members_[i] && metric(i, "hickorygap_leads_bool") == 1)
+            {
+                return i;
+            }
+        }
+        return std::nullopt;
+    }
+
+    // Whether the leader knows a group of this size.
+    bool has_voters(int count) const
+    {
+        const auto at = leader();
+        return at && metric(*at, "hickorygap_group_voters") == count;
+    }
+
+    void shut_down(std::size_t number)
+    {
+        members_[number]->node->shut_down();
+    }
+    bool is_running(std::size_t number) const
+    {
+        return members_[number] != nullptr;
+    }
+
+private:
+    struct member
+    {
+        event_loop loop;
+        std::unique_ptr<voter_node> node;
+    };
+
+    static std::string host(int number)
+    {
+        constexpr int first_host = 11;
+        return fmt::format("127.0.0.{}", first_host + number);
+    }
+
+    // Value that the voter shows of a metric; -1 without it.
+    int metric(std::size_t number, std::string_view name) const
+    {
+        const std::string text = members_[number]->node->metrics_text();
+        const std::string line = fmt::format("\n{} ", name);
+        const auto found = text.find(line);
+        return found == std::string::npos
+                   ? -1
+                   : std::stoi(text.substr(found + line.size()));
+    }
+
+    std::deque<temporary_folder> folders_;
+    platform::configuration_document configurations_;
+    platform::replica_list list_;
+    platform::control_calls calls_;
+    std::vector<std::unique_ptr<member>> members_;
+};
+
 // Test double of a router, which connects to the voter by a link.
 class router_double final : public link_observer
 {
@@ -211,6 +339,27 @@
     }
 }
 
+// Failure: a voter gets SIGTERM after its successor has joined. Guards against
+// a process that ends while the group still counts on its vote (review/6), and
+// against one that waits for a removal which the group can't afford.
+TEST_CASE("a voter ends in order once the group does without it")
+{
+    const bool has_successor = GENERATE(true, false);
+    const bool leads = GENERATE(true, false);
+    CAPTURE(has_successor, leads);
+    voter_group group;
+    const int count = has_successor ? 6 : 5;
+    REQUIRE(group.open(count));
+    REQUIRE(group.run_until([&] { return group.has_voters(count); }, 20s));
+    const std::size_t leader = *group.leader();
+    const std::size_t leaving = leads ? leader : (leader + 1) % 5;
+    group.shut_down(leaving);
+    REQUIRE(group.run_until(
+        [&] { return !group.is_running(leaving); },
+        has_successor ? 5s : 500ms));
+    CHECK(group.run_until([&] { return group.has_voters(5); }, 5s));
+}
+
 // Guards against invalid calls that are accepted, end the process, or are
 // refused without an error that names the problem.
 TEST_CASE("invalid operator calls are refused with a reason")
