Keep the event loop going whatever a timer does

Cause: while a request was handled, the timer of its connection was armed again with the idle time, and an iteration of the event loop ran timers until none was due. With 0 it never ended. Beside that, a new connection was closed before its first request could arrive.

Change: an iteration runs the timers that were armed before it, and at most 16 rounds of deferred functions. The timer of a connection rests while a request is handled. A new connection has 3 s for its first request; without an idle time responses carry Connection: close. Version 0, which was acknowledged and dropped, is refused.

Messages: none changed. What an older voter acknowledged decodes as before.

--- a/src/connection/event/event_loop.cpp
+++ b/src/connection/event/event_loop.cpp
@@ -30,6 +30,9 @@
 // of a process that gets a small share of a processor.
 constexpr duration pause_threshold = std::chrono::milliseconds{200};
 
+// Deferred functions may defer others this many times in one iteration.
+constexpr int max_deferred_rounds = 16;
+
 // Longest wait of run(), so that a timer that expired while the machine was
 // suspended is run soon after.
 constexpr duration max_wait = std::chrono::seconds{1};
@@ -201,9 +204,14 @@
     run_deferred();
 }
 
+// Timers that are armed meanwhile wait for the next iteration, so that one that
+// is always due again does not keep the loop from its events. They come last in
+// the order of timers_ among those that are due.
 void event_loop::run_timers()
 {
-    while (!timers_.empty() && timers_.begin()->first.first <= now_)
+    const timer_id last = last_timer_;
+    while (!timers_.empty() && timers_.begin()->first.first <= now_ &&
+           timers_.begin()->first.second <= last)
     {
         const auto first = timers_.begin();
         const std::function<void()> function = std::move(first->second);
@@ -215,7 +223,8 @@
 
 void event_loop::run_deferred()
 {
-    while (!deferred_.empty())
+    for (int round = 0; round < max_deferred_rounds && !deferred_.empty();
+         ++round)
     {
         const auto functions = std::exchange(deferred_, {});
         for (const auto& function : functions)
--- a/src/connection/event/event_loop.hpp
+++ b/src/connection/event/event_loop.hpp
@@ -61,13 +61,15 @@
     // Discards events of the descriptor that were not delivered yet.
     void remove(int descriptor);
 
-    // Calls the function once, after the delay.
+    // Calls the function once, after the delay. A timer that is due at once
+    // runs in the next iteration, after the events that are ready by then.
     timer_id after(duration delay, std::function<void()> function);
 
     // Cancels the timer, if it has not run yet, and sets `timer` to zero.
     void cancel(timer_id& timer);
 
-    // Calls the function at the end of the current iteration.
+    // Calls the function at the end of the current iteration. Functions that
+    // defer each other without end continue in the next one.
     void defer(std::function<void()> function);
 
     // Destroys the object at the end of the current iteration, so that its own
--- a/src/process/gateway/caller_session.cpp
+++ b/src/process/gateway/caller_session.cpp
@@ -36,6 +36,10 @@
 // Time limit for a request body after its head, for callers that stop midway.
 constexpr duration body_timeout = std::chrono::seconds{30};
 
+// A new connection may wait this long for its first request, also when the idle
+// timeout is shorter: the request may still be on its way.
+constexpr duration new_connection_timeout = std::chrono::seconds{3};
+
 // A connection with bytes that were not read yet is not idle. They are read in
 // the next iteration of the event loop.
 constexpr duration unread_input_delay = std::chrono::milliseconds{10};
@@ -56,7 +60,6 @@
     , buffers_{context.buffers(), *this}
 {
     start_wait();
-    start_timer(limits().idle_timeout);
 }
 
 caller_session::~caller_session()
@@ -77,17 +80,29 @@
 {
     waiting_since_ = context_.loop().now();
     idle_timeout_ = limits().idle_timeout;
+    const duration limit = idle_limit();
+    if (timer_ == 0 || timer_due_ > waiting_since_ + limit)
+    {
+        start_timer(limit);
+    }
+}
+
+duration caller_session::idle_limit() const
+{
+    const duration limit = std::max(idle_timeout_, limits().idle_timeout);
+    return has_served_ ? limit : std::max(limit, new_connection_timeout);
 }
 
 void caller_session::start_timer(duration limit)
 {
     context_.loop().cancel(timer_);
+    timer_due_ = context_.loop().now() + limit;
     timer_ = context_.loop().after(limit, [this] { on_timeout(); });
 }
 
 // There is one timer for each connection. When it fires after the wait has
 // restarted, it is re-armed, which is cheaper than to restart it with each
-// request.
+// request. It rests while a request is handled.
 void caller_session::on_timeout()
 {
     timer_ = 0;
@@ -97,11 +112,9 @@
     }
     if (exchange_ != nullptr)
     {
-        start_timer(limits().idle_timeout);
         return;
     }
-    const duration limit = !request_started_
-                               ? std::max(idle_timeout_, limits().idle_timeout)
+    const duration limit = !request_started_    ? idle_limit()
                            : reader_.has_head() ? body_timeout
                                                 : limits().header_timeout;
     if (!request_started_ && !is_output_full() &&
@@ -396,7 +409,8 @@
 
 bool caller_session::closes_after_response() const
 {
-    return closing_ || last_request_;
+    // Without an idle time the connection would be closed at once.
+    return closing_ || last_request_ || limits().idle_timeout == duration{0};
 }
 
 void caller_session::on_response_complete()
--- a/src/process/gateway/caller_session.hpp
+++ b/src/process/gateway/caller_session.hpp
@@ -71,6 +71,9 @@
 
 private:
     void start_wait();
+
+    // Longest time that the connection may now wait for a request.
+    duration idle_limit() const;
     void read_requests();
     void resume_reading();
     void fail_request();
@@ -110,6 +113,7 @@
     bool ended_ = false;
     bool is_revoked_ = false;
     timer_id timer_ = 0;
+    time_point timer_due_;
     timer_id revoke_timer_ = 0;
     timer_id next_request_timer_ = 0;
 };
--- a/src/process/voter_node/operator_service.cpp
+++ b/src/process/voter_node/operator_service.cpp
@@ -161,6 +161,13 @@
         return;
     }
     const configuration_version version = (*decoded)->version();
+    if (version == 0)
+    {
+        respond(error_answer(
+            HTTPResponse::HTTP_BAD_REQUEST,
+            "version 0 stands for no configuration; use a higher one"));
+        return;
+    }
     if (version <= voter_->current().version)
     {
         // The first document committed under a version is final, so this needs
--- a/src/request/dispatch/retry_rules.cpp
+++ b/src/request/dispatch/retry_rules.cpp
@@ -16,6 +16,9 @@
 // multiple of its target latency, or when half of the time has passed.
 constexpr int first_response_target_multiple = 2;
 
+// With a target below this, nearly every request would be sent twice.
+constexpr duration min_first_response_timeout = std::chrono::milliseconds{20};
+
 // Callers abandon a stream after two seconds without an event, or after eight
 // times the longest gap between events that is on time. The rest of that time
 // is enough for the first event of another server.
@@ -26,8 +29,16 @@
 
 duration first_response_timeout(duration target_latency, duration time_left)
 {
+    if (target_latency <= duration{0})
+    {
+        // The route has no target.
+        return time_left / 2;
+    }
     return std::min(
-        target_latency * first_response_target_multiple, time_left / 2);
+        std::max(
+            target_latency * first_response_target_multiple,
+            min_first_response_timeout),
+        time_left / 2);
 }
 
 duration stream_stall_timeout(duration target_gap)
--- a/src/request/rate_limit/router_limits.cpp
+++ b/src/request/rate_limit/router_limits.cpp
@@ -19,6 +19,9 @@
 // Share of its even share of a limit that a router uses without a leader.
 constexpr double leaderless_share = 0.5;
 
+// Longest time between two permits, for rates that are close to zero.
+constexpr double max_permit_interval_seconds = 3600;
+
 // Time in which a report reaches the leader, and the change the routers.
 constexpr duration report_delay = std::chrono::seconds{1};
 
@@ -150,8 +153,11 @@
 duration router_limits::time_to_permit(double permitted)
 {
     const double rate = permitted * leaderless_share / routers_;
+    const double seconds = rate > 0
+                               ? std::exponential_distribution<>{rate}(random_)
+                               : max_permit_interval_seconds;
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>{
-        std::exponential_distribution<>{rate}(random_)});
+        std::min(seconds, max_permit_interval_seconds)});
 }
 
 // Whether a permit is due at a server with this rate; uses it up.
