Tell a reset from an orderly end when a write has failed

Cause: the write that fails takes the error of the reset, and the next read sees the end of the input. The connection counted as closed in order, which completes a response without a length.

Ruled out: resets without waiting output, and uploads that were read.

Change: a connection whose write has failed, or that ends while output waits, was reset. Messages: none changed.

--- a/src/connection/event/byte_channel.hpp
+++ b/src/connection/event/byte_channel.hpp
@@ -13,10 +13,11 @@
 // How a connection ended.
 enum class connection_end
 {
-    // The peer closed the connection; all its bytes have been received.
+    // The peer closed the connection after it was sent all output; all its
+    // bytes have been received.
     finished,
 
-    // Connection reset or network error.
+    // Connection reset, network error, or output that could not be sent.
     reset,
 
     // The connection could not be established; nothing was sent.
--- a/src/connection/event/stream_connection.cpp
+++ b/src/connection/event/stream_connection.cpp
@@ -213,7 +213,11 @@
     }
     else if (count == 0)
     {
-        end(connection_end::finished);
+        // The failure of a write takes the error of a reset, so that the end of
+        // the input looks orderly. The peer has not received the output then,
+        // nor has it if some is still waiting.
+        end(write_failed_ || pending_output() > 0 ? connection_end::reset
+                                                  : connection_end::finished);
     }
     else if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)
     {
@@ -257,8 +261,9 @@
             {
                 break;
             }
-            // The error is reported by the next read, after the input that
+            // The connection ends with the next read, after the input that
             // arrived before the reset.
+            write_failed_ = true;
             clear_buffer(output_);
             sent_ = 0;
             break;
--- a/src/connection/event/stream_connection.hpp
+++ b/src/connection/event/stream_connection.hpp
@@ -111,6 +111,9 @@
     bool reading_ = true;
     bool writing_ = false;
     bool close_after_output_ = false;
+
+    // The peer has reset the connection, as a write has shown.
+    bool write_failed_ = false;
 };
 
 } // namespace hickorygap
--- a/tests/connection/event/stream_connection_test.cpp
+++ b/tests/connection/event/stream_connection_test.cpp
@@ -81,3 +81,76 @@
         { return server->ended == connection_end::reset; });
     CHECK(ended == 1);
 }
+
+namespace
+{
+
+// Keeps what it receives.
+class recorder final : public connection_observer
+{
+public:
+    void on_input() override
+    {
+    }
+    void on_end(connection_end end) override
+    {
+        ended = end;
+    }
+
+    std::optional<connection_end> ended;
+};
+
+} // namespace
+
+// Failure: the peer sends some bytes and ends the connection while output for
+// it is waiting. Guards against an end that looks orderly: the error of a reset
+// is reported once only, to the write that fails, and the next read sees the
+// end of the input.
+TEST_CASE("a connection that ends before its output is sent was reset")
+{
+    struct ending
+    {
+        std::size_t output_bytes;
+        bool resets;
+        connection_end expected;
+    };
+    const auto [output_bytes, resets, expected] = GENERATE(values<ending>(
+        {{16'000'000, true, connection_end::reset},
+         {16'000'000, false, connection_end::reset},
+         {0, true, connection_end::reset},
+         {0, false, connection_end::finished}}));
+    CAPTURE(output_bytes, resets);
+    event_loop loop;
+    REQUIRE(loop.open().ok());
+    std::vector<Poco::Net::StreamSocket> accepted;
+    listener accepting{loop, [&](const Poco::Net::StreamSocket& socket) {
+                           accepted.push_back(socket);
+                       }};
+    std::uint16_t port = 0;
+    do
+    {
+        port = next_port();
+    } while (!accepting.open({"127.0.0.1", port}).ok());
+    recorder observer;
+    auto connected =
+        stream_connection::connect(loop, {"127.0.0.1", port}, observer);
+    REQUIRE(connected.ok());
+    stream_connection& connection = **connected;
+    connection.write(std::string(output_bytes, 'o'));
+    REQUIRE(run_until(loop, [&] { return accepted.size() == 1; }));
+    run_for(loop, std::chrono::milliseconds{50});
+    Poco::Net::StreamSocket& peer = accepted[0];
+    const std::string part = "part";
+    peer.sendBytes(part.data(), static_cast<int>(part.size()));
+    if (resets)
+    {
+        peer.setLinger(true, 0);
+    }
+    peer.close();
+    REQUIRE(run_until(loop, [&] { return observer.ended.has_value(); }));
+    CHECK(*observer.ended == expected);
+    if (expected == connection_end::finished)
+    {
+        CHECK(connection.input() == part);
+    }
+}
--- a/tests/process/gateway/exchange_test.cpp
+++ b/tests/process/gateway/exchange_test.cpp
@@ -1,8 +1,12 @@
 #include "process/gateway/gateway_fixture.hpp"
 
+#include <Poco/Exception.h>
+#include <Poco/Net/ServerSocket.h>
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <array>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -69,6 +73,77 @@
     return !status_of(caller).empty() || caller.ended();
 }
 
+// Port of a listed server whose connections the test reads itself, or not at
+// all. Its window is small, so that most of a long request waits in the router.
+class slow_server
+{
+public:
+    explicit slow_server(gateway_fixture& fixture)
+    {
+        constexpr int window_bytes = 4096;
+        std::uint16_t port = 0;
+        while (!listening_)
+        {
+            port = next_port();
+            try
+            {
+                listening_.emplace();
+                listening_->bind({"127.0.0.1", port});
+            }
+            catch (const Poco::Exception&)
+            {
+                listening_.reset();
+            }
+        }
+        listening_->setReceiveBufferSize(window_bytes);
+        listening_->listen();
+        fixture.add_listed_backend(port);
+    }
+
+    bool has_connection() const
+    {
+        return listening_->poll(0, Poco::Net::Socket::SELECT_READ);
+    }
+    Poco::Net::StreamSocket accept() const
+    {
+        Poco::Net::ServerSocket listening{*listening_};
+        return listening.acceptConnection();
+    }
+
+private:
+    std::optional<Poco::Net::ServerSocket> listening_;
+};
+
+// Reads what has arrived and returns its size. `ended` is set once the router
+// has closed the connection.
+std::size_t read_available(Poco::Net::StreamSocket& from, bool* ended = nullptr)
+{
+    std::size_t total = 0;
+    std::array<char, std::size_t{64} * 1024> buffer;
+    while (from.poll(0, Poco::Net::Socket::SELECT_READ))
+    {
+        int count = 0;
+        try
+        {
+            count = from.receiveBytes(buffer.data(), buffer.size());
+        }
+        catch (const Poco::Exception&)
+        {
+            // A reset counts as the end.
+        }
+        if (count <= 0)
+        {
+            if (ended != nullptr)
+            {
+                *ended = true;
+            }
+            break;
+        }
+        total += static_cast<std::size_t>(count);
+    }
+    return total;
+}
+
 } // namespace
 
 // Guards against responses that belong to another request, or are cut, unsigned
@@ -1016,6 +1091,54 @@
     CHECK(full.requests().size() > 1);
 }
 
+// Failure: a server answers a long upload at once with a success without a
+// length, sends a part of its body, and resets the connection while the upload
+// is still written. Guards against a part that reaches the caller as a complete
+// response, because the failed write hides the reset from the next read.
+TEST_CASE("a reset during an upload does not complete a response")
+{
+    struct ending
+    {
+        bool resets;
+        bool reads_upload;
+        std::size_t upload_bytes;
+    };
+    const auto [resets, reads_upload, upload_bytes] = GENERATE(values<ending>(
+        {{true, false, 3'000'000},
+         // The rest of the upload is unread, so the system resets.
+         {false, false, 3'000'000},
+         {true, false, 100},
+         {true, true, 3'000'000}}));
+    CAPTURE(resets, reads_upload, upload_bytes);
+    gateway_fixture fixture{
+        gateway_fixture::make_route(call_kind::non_repeatable)};
+    const slow_server accepting{fixture};
+    const caller_double& caller = fixture.call(
+        gateway_fixture::request_text("", std::string(upload_bytes, 'u')));
+    REQUIRE(fixture.run_until([&] { return accepting.has_connection(); }));
+    Poco::Net::StreamSocket server = accepting.accept();
+    for (int i = 0; i < 20; ++i)
+    {
+        fixture.run_for(5ms);
+        if (reads_upload)
+        {
+            read_available(server);
+        }
+    }
+    const std::string part =
+        "HTTP/1.1 200 OK\r\n" + sealed + "\r\npart of the body";
+    server.setBlocking(true);
+    server.sendBytes(part.data(), static_cast<int>(part.size()));
+    if (resets)
+    {
+        server.setLinger(true, 0);
+    }
+    server.close();
+    REQUIRE(fixture.run_until([&] { return is_answered(caller); }));
+    CHECK(status_of(caller) != "200");
+    CHECK(caller.received().find("part of") == std::string::npos);
+}
+
 // Guards against unbounded memory use, and against callers that wait until
 // their timeout, when a server sends an endless invalid head or body.
 TEST_CASE("endless responses are cut off")
--- a/tests/process/gateway/gateway_fixture.hpp
+++ b/tests/process/gateway/gateway_fixture.hpp
@@ -274,17 +274,28 @@
 
     // Adds a server to the list at whose address nothing listens.
     void add_dead_backend()
+    {
+        add_listed_backend(next_port());
+    }
+
+    // Adds a server to the list that the test itself plays.
+    void add_listed_backend(std::uint16_t port)
     {
         list_.push_back(
             {fmt::format("i-{}", list_.size()),
              "reports",
              "domain-a",
-             {"127.0.0.1", next_port()},
+             {"127.0.0.1", port},
              8,
              false});
         context_.set_backend_list(list_);
     }
 
+    event_loop& loop()
+    {
+        return loop_;
+    }
+
     caller_double& call(const std::string& request)
     {
         callers_.push_back(std::make_unique<caller_double>(loop_, port_));
