Refuse responses whose status is no final or interim one

But statuses of 600 and more reached callers, and a 101 that nobody asked for was waited on until the deadline.

Cause: the status was only checked against 100.

Change: statuses above 599 and 101 make a response broken.

--- a/src/connection/h1/message_framing.cpp
+++ b/src/connection/h1/message_framing.cpp
@@ -281,11 +281,15 @@
     const std::string_view rest = strip(line.substr(version_end));
     const std::string_view digits = rest.substr(0, rest.find(' '));
     constexpr std::size_t status_digits = 3;
+    // RFC 9110 section 15: other status codes are invalid. A switch of
+    // protocols is never asked for.
     constexpr int first_status = 100;
+    constexpr int last_status = 599;
     int status = 0;
     if (!is_supported_version(line.substr(0, version_end)) ||
         digits.size() != status_digits || !parse_number(digits, status) ||
-        status < first_status)
+        status < first_status || status > last_status ||
+        status == Poco::Net::HTTPResponse::HTTP_SWITCHING_PROTOCOLS)
     {
         return false;
     }
