Close connections on which most of a request is unread

Cause: a connection was kept for reuse whatever still waited in its output, and the memory budget did not count that any more.

Ruled out: the response's own buffers, which the budget counts.

Change: a connection with more than 32 KiB of output waiting is closed after its response; one with any carries no further request. Messages: none changed.

--- a/src/process/gateway/backend_pool.cpp
+++ b/src/process/gateway/backend_pool.cpp
@@ -55,6 +55,11 @@
 // Limit of connections to one server when its service has no limit.
 constexpr std::uint32_t default_connection_limit = 64;
 
+// A server may answer before it has read a request. A connection with more of
+// the request than this waiting is closed: the rest belongs to no request that
+// is being handled, so that no limit of the memory covers it.
+constexpr std::size_t max_idle_output_bytes = std::size_t{32} * 1024;
+
 } // namespace
 
 backend_pool::backend_pool(
@@ -111,6 +116,7 @@
             idle_connection->channel_->last_input() < *blocked_since;
         if (idle <= idle_connection->idle_timeout_ && !may_be_cut &&
             !idle_connection->has_refused(attempt) &&
+            idle_connection->channel_->pending_output() == 0 &&
             !idle_connection->channel_->has_unread_input())
         {
             return idle_connection;
@@ -422,6 +428,7 @@
     const bool usable =
         connection.tunnel_ == nullptr && connection.channel_->is_open() &&
         connection.channel_->input().empty() &&
+        connection.channel_->pending_output() <= max_idle_output_bytes &&
         connection.refused_.size() < max_remembered_refusals &&
         connection.reader_->current() == response_reader::state::complete &&
         connection.reader_->keeps_connection();
--- a/tests/process/gateway/exchange_test.cpp
+++ b/tests/process/gateway/exchange_test.cpp
@@ -1147,6 +1147,53 @@
     CHECK(caller.received().find("part of") == std::string::npos);
 }
 
+// Failure: full servers reject long requests before they have read them, keep
+// the connections and read on later. Guards against the rest of each request
+// that stays in memory when nobody counts it any more, until the router is out
+// of memory (review/9), and against a request that waits behind such a rest.
+TEST_CASE("a connection with an unread request is not kept")
+{
+    struct early_answer
+    {
+        std::string label;
+        std::string text;
+        std::size_t upload_bytes;
+        bool is_kept;
+    };
+    const auto tested = GENERATE_COPY(
+        early_answer{
+            "rejection",
+            make_response("503 Busy", "full", sealed + "Not-Run: 1\r\n"),
+            3'000'000, false},
+        early_answer{
+            "response", make_response("200 OK", "fine"), 3'000'000, false},
+        early_answer{
+            "error", make_response("500 Error", "sorry"), 3'000'000, false},
+        early_answer{
+            "request that was read", make_response("200 OK", "fine"), 100,
+            true});
+    CAPTURE(tested.label);
+    gateway_fixture fixture{
+        gateway_fixture::make_route(call_kind::non_repeatable, 1)};
+    const slow_server accepting{fixture};
+    const caller_double& caller = fixture.call(gateway_fixture::request_text(
+        "", std::string(tested.upload_bytes, 'u')));
+    REQUIRE(fixture.run_until([&] { return accepting.has_connection(); }));
+    Poco::Net::StreamSocket server = accepting.accept();
+    fixture.run_for(50ms);
+    server.sendBytes(tested.text.data(), static_cast<int>(tested.text.size()));
+    REQUIRE(fixture.run_until([&] { return is_answered(caller); }));
+    bool ended = false;
+    std::size_t received = 0;
+    for (int i = 0; i < 100 && !ended; ++i)
+    {
+        fixture.run_for(5ms);
+        received += read_available(server, &ended);
+    }
+    CHECK(ended != tested.is_kept);
+    CHECK((received >= tested.upload_bytes) == tested.is_kept);
+}
+
 // Guards against unbounded memory use, and against callers that wait until
 // their timeout, when a server sends an endless invalid head or body.
 TEST_CASE("endless responses are cut off")
