Show that endless responses and full disks in turn do no harm

Two reports of other operators: bytes without end from a server until the caller was out of memory, and changes that stayed unanswered long after the disks of counted machines had been full one after another.

(Each one alone is cut off in "endless responses are cut off".) routing_store "changes are acknowledged after all disks were full in turn": voters with files, whose writes fail by a limit on the size of files, the leader's first or each in turn, twice round, with and without an extra voter, changes all the time.

file_size_limit moves from the tests of the log storage to tests/support.

--- a/tests/process/consensus/file_log_storage_test.cpp
+++ b/tests/process/consensus/file_log_storage_test.cpp
@@ -1,48 +1,24 @@
 #include "process/consensus/file_log_storage.hpp"
+#include "support/file_size_limit.hpp"
 #include "support/temporary_folder.hpp"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
-#include <sys/resource.h>
 
 #include <algorithm>
-#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <functional>
 #include <string>
 
 using namespace hickorygap;
+using test::file_size_limit;
 using test::temporary_folder;
 namespace fs = std::filesystem;
 
 namespace
 {
 
-// Keeps files from growing beyond the limit during its lifetime, which makes
-// writes fail as on a full disk.
-class file_size_limit
-{
-public:
-    explicit file_size_limit(rlim_t bytes)
-    {
-        std::signal(SIGXFSZ, SIG_IGN);
-        ::getrlimit(RLIMIT_FSIZE, &before_);
-        rlimit limit = before_;
-        limit.rlim_cur = bytes;
-        ::setrlimit(RLIMIT_FSIZE, &limit);
-    }
-    file_size_limit(const file_size_limit&) = delete;
-    file_size_limit& operator=(const file_size_limit&) = delete;
-    ~file_size_limit()
-    {
-        ::setrlimit(RLIMIT_FSIZE, &before_);
-    }
-
-private:
-    rlimit before_{};
-};
-
 wire::log_entry_msg make_entry(std::uint64_t index, std::uint64_t term = 1)
 {
     wire::log_entry_msg entry;
--- a/tests/process/gateway/exchange_test.cpp
+++ b/tests/process/gateway/exchange_test.cpp
@@ -3,9 +3,11 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/ServerSocket.h>
 #include <catch2/catch.hpp>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
+#include <fstream>
 #include <optional>
 #include <string>
 #include <thread>
@@ -114,6 +116,16 @@
     std::optional<Poco::Net::ServerSocket> listening_;
 };
 
+// Memory of this process that is resident.
+std::size_t resident_bytes()
+{
+    std::ifstream file{"/proc/self/statm"};
+    std::size_t total_pages = 0;
+    std::size_t resident_pages = 0;
+    file >> total_pages >> resident_pages;
+    return resident_pages * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
 // Reads what has arrived and returns its size. `ended` is set once the router
 // has closed the connection.
 std::size_t read_available(Poco::Net::StreamSocket& from, bool* ended = nullptr)
@@ -1270,6 +1282,92 @@
     CHECK(endless_bytes < max_bytes);
 }
 
+// Failure: servers send bytes without end to many requests at once. Guards
+// against a router that keeps them all until it is out of memory, and against
+// other requests that are not served any more.
+TEST_CASE("many endless responses at once stay within the memory")
+{
+    struct row
+    {
+        std::string label;
+        call_kind kind;
+        std::string start;
+        std::string repeated;
+    };
+    const std::string unframed = "HTTP/1.1 200 OK\r\n" + sealed;
+    const auto tested = GENERATE_COPY(
+        row{"fields of a head", call_kind::repeatable, unframed, "X-A: b\r\n"},
+        row{"body without length", call_kind::repeatable, unframed + "\r\n",
+            "body "},
+        row{"chunks", call_kind::repeatable,
+            unframed + "Transfer-Encoding: chunked\r\n\r\n",
+            chunk(std::string(1000, 'b'))},
+        row{"body of a rejection", call_kind::non_repeatable,
+            "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n\r\n", "body "},
+        row{"event", call_kind::streaming, stream_head, chunk("data: x ")});
+    CAPTURE(tested.label);
+    constexpr std::size_t callers = 60;
+    // The budget for buffers of a machine with 160 MiB, and its upper limit.
+    constexpr std::size_t upper_limit = std::size_t{80} << 20U;
+    constexpr std::size_t machine_memory = std::size_t{160} << 20U;
+    route routed = gateway_fixture::make_route(tested.kind, 1);
+    routed.timeout = 3s;
+    routed.target_latency = 3s;
+    gateway_fixture fixture{routed};
+    bool is_endless = true;
+    std::size_t endless_bytes = 0;
+    fixture.add_backend(
+        [&](connection& to, const received_request&)
+        {
+            if (!is_endless)
+            {
+                to.write(
+                    tested.kind == call_kind::streaming
+                        ? stream_head + chunk(event(1)) + "0\r\n\r\n"
+                        : make_response("200 OK", "fine"));
+                return;
+            }
+            to.write(tested.start);
+            std::string bytes;
+            while (bytes.size() < std::size_t{32} * 1024)
+            {
+                bytes += tested.repeated;
+            }
+            to.write_endlessly(bytes, endless_bytes);
+        });
+    std::vector<const caller_double*> waiting;
+    for (std::size_t i = 0; i < callers; ++i)
+    {
+        waiting.push_back(&fixture.call(
+            gateway_fixture::request_text("Deadline-Ms: 3000\r\n")));
+    }
+    const std::size_t memory_before = resident_bytes();
+    std::size_t most_buffered = 0;
+    std::size_t most_resident = memory_before;
+    const time_point start = boot_now();
+    while (!std::ranges::all_of(
+               waiting, [](const auto* each) { return is_answered(*each); }) &&
+           boot_now() - start < 8s)
+    {
+        fixture.run_for(2ms);
+        most_buffered =
+            std::max(most_buffered, fixture.context().buffers().total());
+        most_resident = std::max(most_resident, resident_bytes());
+    }
+    CHECK(std::ranges::all_of(
+        waiting, [](const auto* each) { return is_answered(*each); }));
+    CHECK(std::ranges::none_of(
+        waiting, [](const auto* each) { return status_of(*each) == "200"; }));
+    CHECK(most_buffered <= upper_limit);
+    CHECK(most_resident - memory_before < machine_memory);
+    is_endless = false;
+    fixture.run_for(100ms);
+    const caller_double& last =
+        fixture.call(gateway_fixture::request_text("Deadline-Ms: 3000\r\n"));
+    REQUIRE(fixture.run_until([&] { return is_answered(last); }));
+    CHECK(status_of(last) == "200");
+}
+
 // Guards against a pipelined request that is lost behind another one on the
 // same connection.
 TEST_CASE("pipelined requests are answered in order")
--- a/tests/process/routing_store/routing_cluster.hpp
+++ b/tests/process/routing_store/routing_cluster.hpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include <array>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -31,6 +32,14 @@
     {
     }
 
+    // Creates the storage of instances that are started later, instead of one
+    // in memory.
+    void
+    set_storage(std::function<std::unique_ptr<log_storage>(instance_id)> create)
+    {
+        create_storage_ = std::move(create);
+    }
+
     // Failure domains, for instances that are started later. Makes the voters
     // bear the loss of one.
     void set_failure_domains(std::map<instance_id, std::uint64_t> domains)
@@ -62,7 +71,10 @@
             options.raft.initial_voters = {1, 2, 3};
         }
         auto opened = routing_voter::open(
-            options, std::make_unique<memory_log_storage>(self.disk), now_);
+            options,
+            create_storage_ ? create_storage_(id)
+                            : std::make_unique<memory_log_storage>(self.disk),
+            now_);
         if (opened.ok())
         {
             self.voter = *std::move(opened);
@@ -370,6 +382,7 @@
     std::uint64_t seed_;
     raft_options raft_options_;
     std::map<instance_id, std::uint64_t> domains_;
+    std::function<std::unique_ptr<log_storage>(instance_id)> create_storage_;
     faulty_network network_;
     std::map<instance_id, member> members_;
     time_point now_{std::chrono::hours{1}};
--- a/tests/process/routing_store/routing_voter_test.cpp
+++ b/tests/process/routing_store/routing_voter_test.cpp
@@ -1,10 +1,14 @@
+#include "process/consensus/file_log_storage.hpp"
 #include "process/routing_store/routing_cluster.hpp"
+#include "support/file_size_limit.hpp"
+#include "support/temporary_folder.hpp"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
 #include <algorithm>
 #include <array>
+#include <deque>
 #include <iterator>
 #include <map>
 #include <utility>
@@ -716,6 +720,131 @@
     CHECK(*cluster.leader() != before);
 }
 
+namespace
+{
+
+// Log storage in files whose disk may be full.
+class limited_log_storage final : public log_storage
+{
+public:
+    // `is_full` must outlive the storage.
+    limited_log_storage(std::string folder, const bool& is_full)
+        : files_{std::move(folder)}
+        , is_full_{is_full}
+    {
+    }
+
+    absl::StatusOr<stored_state> load() override
+    {
+        return files_.load();
+    }
+    void write(storage_write change) override
+    {
+        files_.write(std::move(change));
+    }
+    absl::Status sync() override
+    {
+        std::optional<file_size_limit> limit;
+        if (is_full_)
+        {
+            limit.emplace(0);
+        }
+        return files_.sync();
+    }
+
+private:
+    file_log_storage files_;
+    const bool& is_full_;
+};
+
+} // namespace
+
+// Failure: the disks of all voters are full for some seconds, one after another
+// and never two at once, while changes are filed; the leader's among them.
+// Guards against a voter that does not go on once its disk has room again, so
+// that changes are refused or stay unanswered for good.
+TEST_CASE("changes are acknowledged after all disks were full in turn")
+{
+    struct sequence
+    {
+        bool leader_first;
+        int full_steps;
+        int pause_steps;
+        bool with_extra_voter;
+    };
+    const auto [leader_first, full_steps, pause_steps, with_extra_voter] =
+        GENERATE(values<sequence>(
+            {{false, 150, 0, false},
+             {true, 150, 0, false},
+             {true, 100, 25, false},
+             {true, 40, 0, false},
+             {false, 300, 100, false},
+             {true, 150, 0, true}}));
+    CAPTURE(leader_first, full_steps, pause_steps, with_extra_voter);
+    const instance_id count = with_extra_voter ? 6 : 5;
+    std::deque<temporary_folder> folders(count);
+    std::array<bool, 7> is_full{};
+    routing_cluster cluster{1, production_timing()};
+    cluster.set_storage(
+        [&](instance_id id)
+        {
+            return std::make_unique<limited_log_storage>(
+                folders[id - 1].path(), is_full[id]);
+        });
+    cluster.start_all(5);
+    if (with_extra_voter)
+    {
+        cluster.start(6);
+    }
+    REQUIRE(cluster.file_and_wait());
+    cluster.run(100);
+    REQUIRE(cluster.voters().size() == count);
+    // Changes come all the time, at whichever voter leads.
+    const auto run_with_changes = [&](int steps)
+    {
+        for (int i = 0; i < steps; ++i)
+        {
+            if (const auto leader = cluster.leader(); leader && i % 8 == 0)
+            {
+                cluster.file(*leader);
+            }
+            cluster.step();
+        }
+    };
+    for (int turn = 0; turn < 2 * static_cast<int>(count); ++turn)
+    {
+        const auto next = static_cast<instance_id>(turn % count + 1);
+        const instance_id id =
+            leader_first ? cluster.leader().value_or(next) : next;
+        is_full[id] = true;
+        run_with_changes(full_steps);
+        is_full[id] = false;
+        run_with_changes(pause_steps);
+    }
+    // ack_ms is 4 s.
+    for (int change = 0; change < 3; ++change)
+    {
+        REQUIRE(cluster.file_and_wait(200));
+    }
+    cluster.run(catch_up_steps);
+    CHECK(cluster.voters().size() == count);
+    CHECK(cluster.active_voters() == count);
+    CHECK_FALSE(cluster.stale_read());
+    for (instance_id id = 1; id <= count; ++id)
+    {
+        CHECK(cluster.version_at(id) >= cluster.acknowledged());
+    }
+    // What was acknowledged is on the disks.
+    for (instance_id id = 1; id <= count; ++id)
+    {
+        cluster.kill(id);
+        cluster.start(id);
+    }
+    cluster.run(catch_up_steps);
+    REQUIRE(cluster.leader());
+    CHECK(cluster.version_at(*cluster.leader()) >= cluster.acknowledged());
+}
+
 // Random faults: crashes, up to two lost disks at a time, partitions, and loss
 // and duplication of messages. Guards against lost or stale versions and a
 // group that does not recover.
