--- a/tests/process/fleet_settings/fleet_settings_test.cpp
+++ b/tests/process/fleet_settings/fleet_settings_test.cpp
@@ -45,6 +45,31 @@
     CHECK(result->shutdown.limit == 8s);
 }
 
+// Guards against a feature that the platform names and that has no effect, and
+// against one that turns on another behaviour.
+TEST_CASE("features turn on the behaviours that they stand for")
+{
+    struct row
+    {
+        std::string features;
+        bool survives_domain_loss;
+        bool by_work;
+    };
+    const auto [features, survives_domain_loss, by_work] = GENERATE(values<row>(
+        {{R"("base", "drain")", false, false},
+         {R"("base", "places")", true, false},
+         {R"("pressure", "places")", true, true},
+         {R"("pressure")", false, true}}));
+    CAPTURE(features);
+    const auto result = parse_fleet_settings(
+        R"({"instance": {"host": "10.1.0.22"}, "overload": {"features": [)" +
+        features + "]}}");
+    INFO(std::string{result.status().message()});
+    REQUIRE(result.ok());
+    CHECK(result->storage.survives_domain_loss == survives_domain_loss);
+    CHECK(result->overload.by_work == by_work);
+}
+
 // Guards against invalid settings that are accepted at the start and noticed
 // only when the process misbehaves, and against messages that don't name the
 // key.
--- a/tests/process/gateway/exchange_test.cpp
+++ b/tests/process/gateway/exchange_test.cpp
@@ -116,6 +116,17 @@
     std::optional<Poco::Net::ServerSocket> listening_;
 };
 
+// The text, repeated to 32 KiB.
+std::string block_of(std::string_view repeated)
+{
+    std::string bytes;
+    while (bytes.size() < std::size_t{32} * 1024)
+    {
+        bytes += repeated;
+    }
+    return bytes;
+}
+
 // Memory of this process that is resident.
 std::size_t resident_bytes()
 {
@@ -1260,12 +1271,7 @@
                     return;
                 }
                 to.write(tested.start);
-                std::string bytes;
-                while (bytes.size() < std::size_t{32} * 1024)
-                {
-                    bytes += tested.repeated;
-                }
-                to.write_endlessly(bytes, endless_bytes);
+                to.write_endlessly(block_of(tested.repeated), endless_bytes);
             });
     }
     const time_point start = boot_now();
@@ -1328,12 +1334,7 @@
                 return;
             }
             to.write(tested.start);
-            std::string bytes;
-            while (bytes.size() < std::size_t{32} * 1024)
-            {
-                bytes += tested.repeated;
-            }
-            to.write_endlessly(bytes, endless_bytes);
+            to.write_endlessly(block_of(tested.repeated), endless_bytes);
         });
     std::vector<const caller_double*> waiting;
     for (std::size_t i = 0; i < callers; ++i)
