Show a system that never starts after a kill in its first half second

The seed with the lowest address creates the group of voters, and only while its settings say bootstrap. A process that is killed before that is started again without bootstrap, since the system doesn't start for the first time any more, and nothing on its disk says that it was to found a group. No configuration can be accepted from then on (CONFIG, Fault).

The case kills all processes of the core once, 0.4 s after the first start; they are back after 0.5 s with their disks.

--- a/review/stand_ins_3/fleet.hpp
+++ b/review/stand_ins_3/fleet.hpp
@@ -153,10 +153,15 @@
 public:
     static constexpr std::size_t voters = 5;
 
-    fleet(std::string repository, std::string folder, std::size_t routers)
+    // spares: core machines that are started later, after the routers in the
+    // numbers of the processes.
+    fleet(
+        std::string repository, std::string folder, std::size_t routers,
+        std::size_t spares = 0)
         : repository_{std::move(repository)}
         , folder_{std::move(folder)}
-        , processes_(voters + routers)
+        , routers_{routers}
+        , processes_(voters + routers + spares)
     {
         choose_addresses();
     }
@@ -176,7 +181,7 @@
 
     std::size_t routers() const
     {
-        return processes_.size() - voters;
+        return routers_;
     }
 
     address list_address() const
@@ -199,19 +204,85 @@
         return {host(voters + router), front_port_};
     }
 
-    address control(std::size_t voter) const
+    // process: a voter, or a spare.
+    address control(std::size_t process) const
     {
-        return {host(voter), control_port_};
+        return {host(process), control_port_};
+    }
+
+    std::size_t spare(std::size_t number) const
+    {
+        return voters + routers_ + number;
+    }
+
+    // Core machines whose addresses stand in settings that are written from now
+    // on.
+    void set_seeds(std::vector<std::size_t> processes)
+    {
+        seeds_ = std::move(processes);
+    }
+
+    void signal(std::size_t process, int number)
+    {
+        ::kill(processes_.at(process), number);
     }
 
     void start()
     {
-        for (std::size_t i = 0; i < processes_.size(); ++i)
+        for (std::size_t i = 0; i < voters + routers_; ++i)
         {
             start(i, true);
         }
     }
 
+    // The platform writes the settings at each start, and when they change.
+    void write_settings(std::size_t process, bool bootstrap) const
+    {
+        std::ofstream{folder_ + "/" + std::to_string(process) + ".settings"}
+            << settings(process, bootstrap);
+    }
+
+    // bootstrap: the whole system starts for the first time.
+    void start(std::size_t process, bool bootstrap)
+    {
+        write_settings(process, bootstrap);
+        const std::string name = folder_ + "/" + std::to_string(process);
+        if (has_disk(process))
+        {
+            std::filesystem::create_directories(disk(process));
+        }
+        const std::string program = repository_ + "/target/src/hickorygap";
+        if (!std::filesystem::exists(program))
+        {
+            throw cannot_run{"the program is not built: " + program};
+        }
+        const pid_t child = ::fork();
+        if (child == 0)
+        {
+            // Ends with the test, however that ends.
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+            const int log = ::open(
+                (name + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+            ::dup2(log, 1);
+            ::dup2(log, 2);
+            ::execl(
+                program.c_str(), program.c_str(),
+                has_disk(process) ? "vote" : "route", "--settings",
+                (name + ".settings").c_str(), nullptr);
+            ::_exit(127);
+        }
+        processes_.at(process) = child;
+    }
+
+    // Ends the process at once; its disk stays.
+    void kill(std::size_t process)
+    {
+        pid_t& id = processes_.at(process);
+        ::kill(id, SIGKILL);
+        ::waitpid(id, nullptr, 0);
+        id = 0;
+    }
+
     // Whether all processes that were started still run.
     bool is_running()
     {
@@ -225,11 +296,6 @@
         return true;
     }
 
-    void signal(std::size_t process, int number)
-    {
-        ::kill(processes_.at(process), number);
-    }
-
     void configure(const std::string& document)
     {
         const auto end = clock_type::now() + std::chrono::seconds{20};
@@ -277,6 +343,23 @@
         return link->read_head(head) ? head.status() : 0;
     }
 
+    // The status of a read of the configuration; zero without an answer.
+    int read(const address& at, std::string& document)
+    {
+        const auto link = connection::dial(at);
+        if (!link)
+        {
+            return 0;
+        }
+        link->set_deadline(clock_type::now() + std::chrono::seconds{2});
+        link->write("GET /config HTTP/1.1\r\nHost: control\r\n"
+                    "Connection: close\r\n\r\n");
+        http_head head;
+        return link->read_head(head) && link->read_body(head, document)
+                   ? head.status()
+                   : 0;
+    }
+
     bool is_ready(std::size_t router)
     {
         const auto link =
@@ -336,13 +419,13 @@
     // Fills in the placeholders of the template, which are all values.
     std::string settings(std::size_t process, bool bootstrap) const
     {
-        const bool is_voter = process < voters;
+        const bool is_voter = has_disk(process);
         const auto quoted = [](const std::string& text)
         { return "\"" + text + "\""; };
         std::string seeds;
-        for (std::size_t i = 0; i < 3; ++i)
+        for (const std::size_t seed : seeds_)
         {
-            seeds += (i == 0 ? "" : ",") + quoted(control(i).text());
+            seeds += (seeds.empty() ? "" : ",") + quoted(control(seed).text());
         }
         const std::map<std::string, std::string> values{
             {"node_name|json",
@@ -390,46 +473,22 @@
         return text;
     }
 
-    std::string disk(std::size_t process) const
+    bool has_disk(std::size_t process) const
     {
-        return folder_ + "/disk-" + std::to_string(process);
+        return process < voters || process >= voters + routers_;
     }
 
-    void start(std::size_t process, bool bootstrap)
+    std::string disk(std::size_t process) const
     {
-        const std::string name = folder_ + "/" + std::to_string(process);
-        std::ofstream{name + ".settings"} << settings(process, bootstrap);
-        if (process < voters)
-        {
-            std::filesystem::create_directories(disk(process));
-        }
-        const std::string program = repository_ + "/target/src/hickorygap";
-        if (!std::filesystem::exists(program))
-        {
-            throw cannot_run{"the program is not built: " + program};
-        }
-        const pid_t child = ::fork();
-        if (child == 0)
-        {
-            // Ends with the test, however that ends.
-            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-            const int log = ::open(
-                (name + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
-            ::dup2(log, 1);
-            ::dup2(log, 2);
-            ::execl(
-                program.c_str(), program.c_str(),
-                process < voters ? "vote" : "route", "--settings",
-                (name + ".settings").c_str(), nullptr);
-            ::_exit(127);
-        }
-        processes_.at(process) = child;
+        return folder_ + "/disk-" + std::to_string(process);
     }
 
     static constexpr std::uint16_t metrics_port = 9464;
 
     std::string repository_;
     std::string folder_;
+    std::size_t routers_;
+    std::vector<std::size_t> seeds_{0, 1, 2};
     std::string network_;
     std::uint16_t front_port_ = 0;
     std::uint16_t readiness_port_ = 0;
--- a/review/stand_ins_3/network.hpp
+++ b/review/stand_ins_3/network.hpp
@@ -134,11 +134,20 @@
         ::shutdown(file_, SHUT_RDWR);
     }
 
-    // The connection is reset instead of closed in order.
-    void reset()
+    // Waits for the time. False as soon as the peer has closed the connection.
+    bool wait(milliseconds time)
     {
-        const linger option{1, 0};
-        ::setsockopt(file_, SOL_SOCKET, SO_LINGER, &option, sizeof option);
+        const auto end = clock_type::now() + time;
+        while (clock_type::now() < end)
+        {
+            char next = 0;
+            if (::recv(file_, &next, 1, MSG_PEEK | MSG_DONTWAIT) == 0)
+            {
+                return false;
+            }
+            std::this_thread::sleep_for(milliseconds{10});
+        }
+        return true;
     }
 
     bool write(const std::string& bytes)
