--- a/review/stand_ins_3/killed_at_first_start.cpp
+++ b/review/stand_ins_3/lost_at_first_start.cpp
@@ -1,11 +1,13 @@
 #include "streams.hpp"
 
 // The whole system starts for the first time. While the core processes find
-// each other, all of them are killed at the same moment, and are back within a
-// second with their disks. Checks that the first configuration, which the
-// operator sends until it is accepted, can be read back in the end.
+// each other, the machine of one seed is lost for good, and is replaced by an
+// empty one at another address. Checks that the first configuration, which the
+// operator sends until it is accepted, can be read back in the end. Variants:
+// all core processes (KILL_ALL), or that of the first seed (KILL_ONE), are killed
+// instead, and are back within a second with their disks.
 //
-// usage: killed_at_first_start REPOSITORY FOLDER RECORD
+// usage: lost_at_first_start REPOSITORY FOLDER RECORD
 
 namespace
 {
@@ -17,11 +19,14 @@
 // Time within which all machines start, in any order.
 constexpr milliseconds start_spread{250};
 
-// Time from the start of the first process to the kill.
-constexpr milliseconds killed_after{400};
+// Time from the start of the first process to the disruption.
+constexpr milliseconds disrupted_after{400};
 constexpr milliseconds down_time{500};
 
-// After the processes are back: recovery_s is 12.
+// Time until the empty machine comes.
+constexpr std::chrono::seconds replaced_after{1};
+
+// After the disruption: recovery_s is 12.
 constexpr std::chrono::seconds operator_time{30};
 
 // The operator reads for at least stable_window_ms, 3,000.
@@ -32,8 +37,10 @@
 {
     const bool has_trouble = is_switched("TROUBLE", true);
     const bool bootstraps_again = is_switched("BOOTSTRAP_AGAIN", false);
-    const std::size_t killed = is_switched("ONE", false) ? 1 : fleet::voters;
-    fleet processes{repository, folder, router_count};
+    const std::size_t killed = is_switched("KILL_ALL", false)   ? fleet::voters
+                               : is_switched("KILL_ONE", false) ? 1
+                                                                : 0;
+    fleet processes{repository, folder, router_count, 1};
     replica_list list;
     list.publish({});
     if (!list.start(processes.list_address()))
@@ -50,8 +57,19 @@
             std::this_thread::sleep_for(start_spread);
         }
     }
-    std::this_thread::sleep_for(killed_after - start_spread);
-    if (has_trouble)
+    std::this_thread::sleep_for(disrupted_after - start_spread);
+    std::vector<std::size_t> core{0, 1, 2, 3, 4};
+    if (has_trouble && killed == 0)
+    {
+        processes.kill(core[1]);
+        record.line("the machine of the second seed is lost for good");
+        std::this_thread::sleep_for(replaced_after);
+        core[1] = processes.spare(0);
+        processes.set_seeds({core[0], core[2], core[3]});
+        processes.start(core[1], false);
+        record.line("an empty machine at another address takes its place");
+    }
+    else if (has_trouble)
     {
         for (std::size_t i = 0; i < killed; ++i)
         {
@@ -72,7 +90,7 @@
     for (std::size_t i = 0; !is_acknowledged && clock_type::now() < end; ++i)
     {
         const int status =
-            processes.put(processes.control(i % fleet::voters), document);
+            processes.put(processes.control(core[i % core.size()]), document);
         ++put_statuses[status];
         is_acknowledged = status == 200;
         std::this_thread::sleep_for(milliseconds{200});
@@ -90,7 +108,7 @@
     {
         std::string read;
         const int status =
-            processes.read(processes.control(i % fleet::voters), read);
+            processes.read(processes.control(core[i % core.size()]), read);
         ++read_statuses[status];
         is_read = is_read || (status == 200 && read == document);
         std::this_thread::sleep_for(milliseconds{100});
