Show a group of voters that ends by a removal and two lost disks

A successor that has caught up gets a vote beside the machine that it replaces. When that machine is removed without SIGTERM, it keeps its vote for two seconds; if two others lose their disks in this time, three of six can vote, and there is never a leader again (CONFIG).

The case on software versions under an old id is dropped: case 8 shows the same.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,10 +1,10 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, with 0 if it held, and with 2 if the case
-# couldn't run. TROUBLE=0: without the disruption. KEEP_ID=0: the replicas come
-# back under new ids.
+# couldn't run. TROUBLE=0: without the disruption. REMOVAL=0 and DISKS=0:
+# with one of the two disruptions only.
 cd "$(dirname "$0")" || exit 2
 repository=$(cd ../.. && pwd)
-program=$repository/target/review-3/restarted_replicas
+program=$repository/target/review-3/disks_beside_removal
 if [[ ! -x $program ]]; then
     echo "$program is missing; run review/build-3.sh"
     exit 2
--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -4,7 +4,7 @@
 # back under new ids.
 cd "$(dirname "$0")" || exit 2
 repository=$(cd ../.. && pwd)
-program=$repository/target/review-3/updated_replicas
+program=$repository/target/review-3/restarted_replicas
 if [[ ! -x $program ]]; then
     echo "$program is missing; run review/build-3.sh"
     exit 2
--- a/review/stand_ins_3/fleet.hpp
+++ b/review/stand_ins_3/fleet.hpp
@@ -283,6 +283,12 @@
         id = 0;
     }
 
+    // The machine loses its disk, while its process is down.
+    void wipe(std::size_t process) const
+    {
+        std::filesystem::remove_all(disk(process));
+    }
+
     // Whether all processes that were started still run.
     bool is_running()
     {
