Let half of an even group go on once a lost disk is proven

Cause: the removed machine counts until it was silent for 2 s, because it can't be told from one that is cut off. Meanwhile the group has six voters, of which three are gone, and half is no majority. That two of the three can never vote again was known to everyone who asked them, and was used for nothing. Ruled out: that the new processes disturb elections (with the removed machine running, REMOVAL=0, the same losses end in a leader); that a shorter silence is enough (a disk may be lost right after any acknowledgement).

Change: half of the voters of an even group are a quorum when each of them has verified, by a nonce, that a voter of the other half runs from another disk. Changes of the voter list take a quorum of the list before, too, until they are committed; a voter stores that its list is committed. The list says whether all voters count by this rule. No change is proposed any more that needs the vote of a lost disk whose machine is back.

--- a/src/process/consensus/file_log_storage.cpp
+++ b/src/process/consensus/file_log_storage.cpp
@@ -151,6 +151,7 @@
     message->term = hard.term;
     message->vote = hard.vote;
     message->disk = hard.disk;
+    message->committed_list = hard.committed_list;
     if (hard.bootstrap)
     {
         message->bootstrap =
@@ -165,6 +166,7 @@
     hard.term = message.term;
     hard.vote = message.vote;
     hard.disk = message.disk;
+    hard.committed_list = message.committed_list;
     if (message.bootstrap)
     {
         hard.bootstrap = from_wire(*message.bootstrap);
--- a/src/process/consensus/log_storage.hpp
+++ b/src/process/consensus/log_storage.hpp
@@ -26,6 +26,12 @@
 
     // Set only on the disk of the voter that created the group.
     std::optional<voter_list> bootstrap;
+
+    // Index of the last log entry with a voter list that this voter knows to be
+    // committed, so that it still knows after a restart; zero for none. Stored
+    // where it decides which quorums elect a leader: for lists with half
+    // quorums and those after them.
+    std::uint64_t committed_list = 0;
 };
 
 // State that replaces all log entries up to index.
--- a/src/process/consensus/raft_node.cpp
+++ b/src/process/consensus/raft_node.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -231,7 +232,9 @@
 void raft_node::start_pre_vote()
 {
     role_ = raft_role::pre_candidate;
-    votes_ = {options_.self};
+    lost_voter_ = find_lost_voter();
+    votes_.clear();
+    cast_own_vote();
     // Retries soon, because voters grant no votes within an election timeout
     // after their start.
     election_deadline_ = now_ + options_.election_timeout / pre_vote_rounds;
@@ -276,7 +279,15 @@
 
 void raft_node::request_votes(bool pre_vote)
 {
-    for (const voter_identity& voter : configuration_->voters)
+    std::vector<voter_identity> voters = configuration_->voters;
+    if (const voter_list* joint = joint_list())
+    {
+        std::ranges::copy_if(
+            joint->voters, std::back_inserter(voters),
+            [this](const voter_identity& voter)
+            { return !configuration_->has_voter(voter.instance, voter.disk); });
+    }
+    for (const voter_identity& voter : voters)
     {
         if (voter.instance == options_.self)
         {
@@ -288,14 +299,28 @@
         request.last_term = log_.last_term();
         request.pre_vote = pre_vote;
         request.receiver_disk = voter.disk;
+        if (lost_voter_)
+        {
+            request.lost_instance = lost_voter_->instance;
+            request.lost_disk = lost_voter_->disk;
+        }
         send_after_sync(voter.instance, request);
     }
 }
 
+void raft_node::cast_own_vote()
+{
+    votes_[options_.self] = {hard_.disk, lost_voter_.has_value()};
+}
+
 void raft_node::count_votes()
 {
-    if (!has_quorum([this](const voter_identity& voter)
-                    { return votes_.contains(voter.instance); }))
+    const auto votes_for_self = [this](const voter_identity& voter)
+    {
+        const auto vote = votes_.find(voter.instance);
+        return vote != votes_.end() && vote->second.disk == voter.disk;
+    };
+    if (!has_quorum(votes_for_self))
     {
         return;
     }
@@ -320,6 +345,13 @@
     const bool may_vote = message.receiver_disk == hard_.disk &&
                           !storage_failing_ && !is_leader() &&
                           now_ >= vote_blocked_until_;
+    const voter_identity lost{message.lost_instance, message.lost_disk};
+    const bool names_loss = lost.disk != 0;
+    const bool knows_loss = names_loss && knows_loss_of(lost);
+    if (names_loss && !knows_loss)
+    {
+        query_disk(lost);
+    }
     wire::vote_reply_msg reply;
     reply.pre_vote = message.pre_vote;
     reply.disk = hard_.disk;
@@ -327,6 +359,7 @@
     if (message.pre_vote)
     {
         reply.granted = may_vote && log_is_current && message.term > hard_.term;
+        reply.confirms_loss = reply.granted && knows_loss;
         if (reply.granted)
         {
             reply.term = message.term;
@@ -342,6 +375,7 @@
     reply.term = hard_.term;
     reply.granted = may_vote && log_is_current && message.term == hard_.term &&
                     (hard_.vote == 0 || hard_.vote == from);
+    reply.confirms_loss = reply.granted && knows_loss;
     if (reply.granted && hard_.vote == 0)
     {
         hard_.vote = from;
@@ -364,18 +398,37 @@
          message.term == hard_.term + 1) ||
         (role_ == raft_role::candidate && !message.pre_vote &&
          message.term == hard_.term);
-    if (expected && message.granted &&
-        configuration_->has_voter(from, message.disk))
+    if (expected && message.granted)
     {
-        votes_.insert(from);
+        ballot& vote = votes_[from];
+        vote.disk = message.disk;
+        vote.confirms_loss = message.confirms_loss;
         count_votes();
+        return;
+    }
+    if (message.pre_vote && configuration_)
+    {
+        verify_disk(from, message.disk);
+    }
+}
+
+// Asks a voter that replied from another disk than the list names.
+void raft_node::verify_disk(instance_id from, disk_id disk)
+{
+    const voter_list& list = election_list();
+    const voter_identity* voter = list.find_voter(from);
+    if (list.has_half_quorums() && voter != nullptr && disk != 0 &&
+        disk != voter->disk && !knows_loss_of(*voter))
+    {
+        query_disk(*voter);
     }
 }
 
 void raft_node::become_leader()
 {
-    log(log_level::info, subsystem::consensus, "leader_elected term={}",
-        hard_.term);
+    log(log_level::info, subsystem::consensus,
+        "leader_elected term={} lost_voter={}", hard_.term,
+        lost_voter_ ? lost_voter_->instance : 0);
     role_ = raft_role::leader;
     leader_ = options_.self;
     followers_.clear();
@@ -484,12 +537,14 @@
     reply.disk = hard_.disk;
     reply.empty = is_new();
     reply.term = hard_.term;
+    reply.nonce = message.nonce;
     send_after_sync(from, reply);
 }
 
 void raft_node::receive_group_reply(
     instance_id from, const wire::group_reply_msg& message)
 {
+    receive_disk(from, message);
     if (!is_new() || message.query_disk != hard_.disk)
     {
         return;
@@ -537,6 +592,7 @@
     wire::append_reply_msg reply;
     reply.disk = hard_.disk;
     reply.failure_domain = options_.failure_domain;
+    reply.half_quorums = options_.half_quorums;
     reply.read_sequence = message.read_sequence;
     if (message.term >= hard_.term)
     {
@@ -546,7 +602,7 @@
         {
             const std::uint64_t match =
                 message.previous_index + message.entries.size();
-            commit_ = std::max(commit_, std::min(message.commit, match));
+            advance_commit_to(std::min(message.commit, match));
             reply.match_index = match;
         }
         else
@@ -720,6 +776,11 @@
     {
         wanted.insert(voter.instance);
     }
+    if (const voter_list* joint = joint_list())
+    {
+        const auto voters = joint->instances();
+        wanted.insert(voters.begin(), voters.end());
+    }
     wanted.erase(options_.self);
     std::erase_if(
         followers_,
@@ -777,6 +838,7 @@
     }
     record_reply(*follower, message.disk);
     follower->failure_domain = message.failure_domain;
+    follower->half_quorums = message.half_quorums;
     follower->acked_sequence =
         std::max(follower->acked_sequence, message.read_sequence);
     if (message.success)
@@ -940,31 +1002,202 @@
     send(to, std::move(chunk));
 }
 
+// Quorums.
+
+// Whether this node knows that the voter list in use is committed.
+bool raft_node::is_list_committed() const
+{
+    return configuration_index_ <= std::max(commit_, hard_.committed_list);
+}
+
+// The list before the one in use, if a quorum of it is needed, too, until the
+// change is committed. A majority of the next list alone need not have a voter
+// in common with a half quorum of this one, nor with a majority of it that
+// contains a disk that the next list replaces.
+const voter_list* raft_node::joint_list() const
+{
+    const bool is_joint = previous_configuration_ &&
+                          previous_configuration_->half_quorums &&
+                          !is_list_committed();
+    return is_joint ? &*previous_configuration_ : nullptr;
+}
+
+// The list of which half a quorum may elect a leader. It is committed: a list
+// is proposed only after the one before is.
+const voter_list& raft_node::election_list() const
+{
+    const voter_list* joint = joint_list();
+    return joint != nullptr ? *joint : *configuration_;
+}
+
+// A list that is not committed, and follows one without half quorums, needs a
+// majority: a majority of the list before may not know it.
+bool raft_node::counts_half_quorums(const voter_list& list) const
+{
+    return list.has_half_quorums() &&
+           (is_list_committed() || joint_list() != nullptr);
+}
+
+bool raft_node::confirms_loss(const voter_list& list, instance_id voter) const
+{
+    const auto vote = votes_.find(voter);
+    return lost_voter_ && counts_half_quorums(list) &&
+           list.has_voter(lost_voter_->instance, lost_voter_->disk) &&
+           vote != votes_.end() && vote->second.confirms_loss &&
+           list.has_voter(voter, vote->second.disk);
+}
+
+template <typename Predicate>
+bool raft_node::has_quorum(const voter_list& list, Predicate counts) const
+{
+    const auto count = std::ranges::count_if(list.voters, counts);
+    const auto confirming = std::ranges::count_if(
+        list.voters, [&](const voter_identity& voter)
+        { return counts(voter) && confirms_loss(list, voter.instance); });
+    return 2 * static_cast<std::size_t>(count) > list.voters.size() ||
+           2 * static_cast<std::size_t>(confirming) >= list.voters.size();
+}
+
+template <typename Predicate>
+bool raft_node::has_quorum(Predicate counts) const
+{
+    const voter_list* joint = joint_list();
+    return has_quorum(*configuration_, counts) &&
+           (joint == nullptr || has_quorum(*joint, counts));
+}
+
 template <typename Value, typename Get>
-Value raft_node::quorum_value(const Value& own, Get get) const
+Value raft_node::value_of(
+    const voter_identity& voter, const Value& own, Get get) const
+{
+    if (voter.instance == options_.self)
+    {
+        return voter.disk == hard_.disk ? own : Value{};
+    }
+    const auto found = followers_.find(voter.instance);
+    const bool counts =
+        found != followers_.end() && found->second.disk == voter.disk;
+    return counts ? get(found->second) : Value{};
+}
+
+template <typename Value, typename Get>
+Value raft_node::majority_value(
+    const voter_list& list, const Value& own, Get get) const
 {
     std::vector<Value> values;
-    for (const voter_identity& voter : configuration_->voters)
+    for (const voter_identity& voter : list.voters)
     {
-        if (voter.instance == options_.self)
+        values.push_back(value_of(voter, own, get));
+    }
+    std::ranges::sort(values, std::greater<>{});
+    return values[values.size() / 2];
+}
+
+template <typename Value, typename Get>
+Value raft_node::half_quorum_value(
+    const voter_list& list, const Value& own, Get get) const
+{
+    std::vector<Value> values;
+    for (const voter_identity& voter : list.voters)
+    {
+        if (confirms_loss(list, voter.instance))
         {
-            values.push_back(voter.disk == hard_.disk ? own : Value{});
-            continue;
+            values.push_back(value_of(voter, own, get));
         }
-        const auto found = followers_.find(voter.instance);
-        const bool counts =
-            found != followers_.end() && found->second.disk == voter.disk;
-        values.push_back(counts ? get(found->second) : Value{});
+    }
+    if (values.empty() || 2 * values.size() < list.voters.size())
+    {
+        return Value{};
     }
     std::ranges::sort(values, std::greater<>{});
-    return values[values.size() / 2];
+    return values[list.voters.size() / 2 - 1];
 }
 
-template <typename Predicate>
-bool raft_node::has_quorum(Predicate counts) const
+template <typename Value, typename Get>
+Value raft_node::quorum_value(
+    const voter_list& list, const Value& own, Get get) const
+{
+    return std::max(
+        majority_value(list, own, get), half_quorum_value(list, own, get));
+}
+
+template <typename Value, typename Get>
+Value raft_node::quorum_value(const Value& own, Get get) const
+{
+    const Value reached = quorum_value(*configuration_, own, get);
+    const voter_list* joint = joint_list();
+    return joint == nullptr ? reached
+                            : std::min(reached, quorum_value(*joint, own, get));
+}
+
+// Lost disks.
+
+// A voter that is known to have lost its disk, if possible one of both lists
+// that count.
+std::optional<voter_identity> raft_node::find_lost_voter() const
+{
+    std::optional<voter_identity> found;
+    for (const voter_identity& voter : election_list().voters)
+    {
+        const bool is_in_both =
+            configuration_->has_voter(voter.instance, voter.disk);
+        if (knows_loss_of(voter) && (!found || is_in_both))
+        {
+            found = voter;
+        }
+    }
+    return found;
+}
+
+bool raft_node::knows_loss_of(voter_identity voter) const
 {
-    const auto count = std::ranges::count_if(configuration_->voters, counts);
-    return static_cast<std::size_t>(count) * 2 > configuration_->voters.size();
+    const auto found = lost_disks_.find(voter.instance);
+    return found != lost_disks_.end() && found->second == voter.disk;
+}
+
+// Asks the instance which disk it has. Messages that are already on their way
+// prove nothing, since they may be older than the expected disk; hence the
+// nonce.
+void raft_node::query_disk(voter_identity expected)
+{
+    if (expected.instance == options_.self)
+    {
+        return;
+    }
+    disk_query& query = disk_queries_[expected.instance];
+    if (query.expected != expected.disk)
+    {
+        query = {expected.disk, random_() | 1U, std::nullopt};
+    }
+    if (query.sent_at &&
+        now_ < *query.sent_at + options_.election_timeout / pre_vote_rounds)
+    {
+        return;
+    }
+    query.sent_at = now_;
+    wire::group_query_msg message;
+    message.disk = hard_.disk;
+    message.nonce = query.nonce;
+    send(expected.instance, message);
+}
+
+// An instance that answers from another disk than a voter list names has lost
+// that disk for good: it keeps one as long as it can.
+void raft_node::receive_disk(
+    instance_id from, const wire::group_reply_msg& message)
+{
+    const auto query = disk_queries_.find(from);
+    if (query == disk_queries_.end() || message.nonce != query->second.nonce)
+    {
+        return;
+    }
+    if (message.disk != 0 && message.disk != query->second.expected)
+    {
+        lost_disks_[from] = query->second.expected;
+        log(log_level::info, subsystem::consensus,
+            "voter_lost_disk instance={}", from);
+    }
+    disk_queries_.erase(query);
 }
 
 bool raft_node::heard_from_quorum() const
@@ -987,6 +1220,23 @@
         });
 }
 
+bool raft_node::hears_quorum_of_change(const voter_list& next) const
+{
+    const auto is_heard = [this](const voter_identity& voter)
+    {
+        if (voter.instance == options_.self)
+        {
+            return true;
+        }
+        const auto found = followers_.find(voter.instance);
+        return found != followers_.end() && found->second.disk == voter.disk &&
+               now_ - found->second.last_contact <= options_.election_timeout;
+    };
+    return has_quorum(next, is_heard) &&
+           (!configuration_->half_quorums ||
+            has_quorum(*configuration_, is_heard));
+}
+
 void raft_node::advance_commit()
 {
     const auto index = quorum_value(
@@ -995,7 +1245,7 @@
     {
         return;
     }
-    commit_ = index;
+    advance_commit_to(index);
     confirm_reads();
     if (configuration_index_ <= commit_ &&
         configuration_->find_voter(options_.self) == nullptr)
@@ -1004,6 +1254,27 @@
     }
 }
 
+void raft_node::advance_commit_to(std::uint64_t index)
+{
+    const bool was_committed = is_list_committed();
+    commit_ = std::max(commit_, index);
+    if (was_committed || !is_list_committed())
+    {
+        return;
+    }
+    if (configuration_->half_quorums ||
+        (previous_configuration_ && previous_configuration_->half_quorums))
+    {
+        hard_.committed_list = configuration_index_;
+        hard_dirty_ = true;
+    }
+    if (is_leader())
+    {
+        // Drops those that only the list before contained.
+        update_followers();
+    }
+}
+
 void raft_node::confirm_reads()
 {
     const auto confirmed = quorum_value(
@@ -1053,6 +1324,18 @@
            found->second.match >= commit_ && commit_ >= term_start_index_;
 }
 
+std::optional<bool> raft_node::supports_half_quorums(voter_identity voter) const
+{
+    if (voter.instance == options_.self)
+    {
+        return voter.disk == hard_.disk && options_.half_quorums;
+    }
+    const auto found = followers_.find(voter.instance);
+    const bool has_replied =
+        found != followers_.end() && found->second.disk == voter.disk;
+    return has_replied ? found->second.half_quorums : std::nullopt;
+}
+
 std::uint64_t raft_node::failure_domain_of(instance_id instance) const
 {
     if (instance == options_.self)
@@ -1136,7 +1419,7 @@
     unsynced_messages_ = std::move(still_unsynced);
     if (role_ == raft_role::candidate && !hard_dirty_)
     {
-        votes_.insert(options_.self);
+        cast_own_vote();
         count_votes();
     }
     else if (is_leader())
@@ -1230,9 +1513,11 @@
     {
         --configuration_index_;
     }
+    previous_configuration_.reset();
     if (configuration_index_ > log_.base_index())
     {
         configuration_ = configuration_at(configuration_index_);
+        previous_configuration_ = configuration_at(configuration_index_ - 1);
     }
     else if (snapshot_)
     {
--- a/src/process/consensus/raft_node.hpp
+++ b/src/process/consensus/raft_node.hpp
@@ -56,6 +56,9 @@
     // replies; zero if it is unknown.
     std::uint64_t failure_domain = 0;
 
+    // Whether this node supports voter lists with half quorums.
+    bool half_quorums = false;
+
     std::uint64_t seed = 0;
 };
 
@@ -197,10 +200,19 @@
     // entry of the current term.
     bool may_change_voters() const;
 
+    // On a leader that may change the voters: whether so many voters have
+    // replied lately, from the disks that the lists name, that the change to
+    // this list can be committed.
+    bool hears_quorum_of_change(const voter_list& next) const;
+
     // Whether a quorum confirmed this leader so recently that no other one can
     // have been elected since.
     bool holds_lease(time_point now) const;
 
+    // On the leader: whether the instance with this disk supports half quorums;
+    // nothing if it has not replied in this term.
+    std::optional<bool> supports_half_quorums(voter_identity voter) const;
+
     // On the leader: the disk with which the instance last replied (zero for
     // none), and whether that disk has all committed entries.
     disk_id disk_of(instance_id instance) const;
@@ -222,6 +234,7 @@
     {
         disk_id disk = 0;
         std::uint64_t failure_domain = 0;
+        std::optional<bool> half_quorums;
         std::uint64_t match = 0;
         std::uint64_t next = 1;
         std::uint64_t acked_sequence = 0;
@@ -259,6 +272,23 @@
         std::uint64_t index;
     };
 
+    // A vote for this node in the current election.
+    struct ballot
+    {
+        disk_id disk = 0;
+
+        // Whether the voter knows that lost_voter_ has lost its disk.
+        bool confirms_loss = false;
+    };
+
+    // An unanswered question for the disk of an instance.
+    struct disk_query
+    {
+        disk_id expected = 0;
+        std::uint64_t nonce = 0;
+        std::optional<time_point> sent_at;
+    };
+
     struct incoming_snapshot
     {
         std::uint64_t term = 0;
@@ -290,6 +320,7 @@
     void start_pre_vote();
     void start_election();
     void request_votes(bool pre_vote);
+    void cast_own_vote();
     void count_votes();
     void become_leader();
     void become_follower(std::uint64_t term, instance_id leader);
@@ -314,17 +345,45 @@
     void send_append(instance_id to, progress& follower, bool with_entries);
     void send_chunk(instance_id to, progress& follower);
     void start_broadcast();
+    bool is_list_committed() const;
+    bool counts_half_quorums(const voter_list& list) const;
+    const voter_list* joint_list() const;
+    const voter_list& election_list() const;
+    bool knows_loss_of(voter_identity voter) const;
+    std::optional<voter_identity> find_lost_voter() const;
+    void verify_disk(instance_id from, disk_id disk);
+    void query_disk(voter_identity expected);
+    void receive_disk(instance_id from, const wire::group_reply_msg& message);
     void advance_commit();
+    void advance_commit_to(std::uint64_t index);
     void confirm_reads();
     void fail_reads();
     bool heard_from_quorum() const;
 
-    // Highest value that a majority of the voters has reached; own is the value
-    // of this node.
+    // Highest value that a quorum has reached, own being the value of this
+    // node: a majority or half quorum of the voter list and, while joint_list
+    // is set, of that list, too.
     template <typename Value, typename Get>
     Value quorum_value(const Value& own, Get get) const;
+    template <typename Value, typename Get>
+    Value quorum_value(const voter_list& list, const Value& own, Get get) const;
+    template <typename Value, typename Get>
+    Value
+    majority_value(const voter_list& list, const Value& own, Get get) const;
+    template <typename Value, typename Get>
+    Value
+    half_quorum_value(const voter_list& list, const Value& own, Get get) const;
+    template <typename Value, typename Get>
+    Value
+    value_of(const voter_identity& voter, const Value& own, Get get) const;
+
+    // Whether the voters for which the predicate holds are a majority or, where
+    // the list has them, a half quorum of voters that confirmed the loss.
+    template <typename Predicate>
+    bool has_quorum(const voter_list& list, Predicate counts) const;
     template <typename Predicate>
     bool has_quorum(Predicate counts) const;
+    bool confirms_loss(const voter_list& list, instance_id voter) const;
 
     template <typename Message>
     void send(instance_id to, Message message);
@@ -346,6 +405,9 @@
     std::optional<voter_list> configuration_;
     std::uint64_t configuration_index_ = 0;
 
+    // The voter list before the one in use, if the log contains the change.
+    std::optional<voter_list> previous_configuration_;
+
     raft_role role_ = raft_role::follower;
     instance_id leader_ = 0;
     time_point election_deadline_;
@@ -360,7 +422,15 @@
     // The last other leader that this node followed; zero for none.
     instance_id last_leader_ = 0;
     time_point last_leader_contact_;
-    std::set<instance_id> votes_;
+
+    // Votes of the election in progress, or of the one that made this node the
+    // leader, and the lost voter that its requests name.
+    std::map<instance_id, ballot> votes_;
+    std::optional<voter_identity> lost_voter_;
+
+    // Disks that provably no longer exist, by instance, and the open queries.
+    std::map<instance_id, disk_id> lost_disks_;
+    std::map<instance_id, disk_query> disk_queries_;
 
     bool may_create_group_ = true;
     std::map<instance_id, wire::group_reply_msg> group_replies_;
--- a/src/process/consensus/voter_list.cpp
+++ b/src/process/consensus/voter_list.cpp
@@ -74,6 +74,13 @@
     return result;
 }
 
+voter_list voter_list::with_half_quorums(bool allowed) const
+{
+    voter_list result = *this;
+    result.half_quorums = allowed;
+    return result;
+}
+
 wire::voters_entry_msg to_wire(const voter_list& list)
 {
     wire::voters_entry_msg message;
@@ -83,6 +90,7 @@
         message.disks.push_back(voter.disk);
     }
     message.learners = list.learners;
+    message.half_quorums = list.half_quorums;
     for (const lost_disk& entry : list.lost)
     {
         auto item = std::make_unique<wire::lost_voter_msg>();
@@ -102,6 +110,7 @@
         list.voters.push_back({message.voters[i], disk});
     }
     list.learners = message.learners;
+    list.half_quorums = message.half_quorums;
     for (const auto& item : message.lost)
     {
         list.lost.push_back({item->instance, item->ticket});
@@ -112,9 +121,9 @@
 std::size_t
 count_changed_voters(const voter_list& left, const voter_list& right)
 {
-    // A voter with another disk counts once: the old disk is lost for good
-    // and can no longer vote, so any majority before the change and any after
-    // it still have a voter in common.
+    // A voter with another disk counts once, since the old disk can no longer
+    // vote. A majority before the change may contain it and have no voter in
+    // common with one after it: see raft_node::joint_list.
     const auto missing_in = [](const voter_list& from, const voter_list& other)
     {
         return static_cast<std::size_t>(std::ranges::count_if(
--- a/src/process/consensus/voter_list.hpp
+++ b/src/process/consensus/voter_list.hpp
@@ -44,8 +44,19 @@
     std::vector<instance_id> learners;
     std::vector<lost_disk> lost;
 
+    // Whether half of the voters of an even group are a quorum once a voter of
+    // the other half has provably lost its disk (a half quorum). Set only while
+    // all voters support that, because all must count by the same rule.
+    bool half_quorums = false;
+
     friend bool operator==(const voter_list&, const voter_list&) = default;
 
+    // Whether half quorums exist in this list.
+    bool has_half_quorums() const
+    {
+        return half_quorums && voters.size() % 2 == 0;
+    }
+
     // Returns the voter on that instance, or nullptr.
     const voter_identity* find_voter(instance_id instance) const;
     bool has_voter(instance_id instance, disk_id disk) const;
@@ -64,6 +75,7 @@
     voter_list with_voter(voter_identity voter) const;
     voter_list with_learner(instance_id instance) const;
     voter_list without(instance_id instance) const;
+    voter_list with_half_quorums(bool allowed) const;
 };
 
 wire::voters_entry_msg to_wire(const voter_list& list);
--- a/src/process/routing_store/routing_voter.cpp
+++ b/src/process/routing_store/routing_voter.cpp
@@ -534,16 +534,6 @@
             now_ - leads_since_ > options_.raft.election_timeout);
 }
 
-// Whether a majority of the voters has replied so recently that the change to
-// this list can be committed.
-bool routing_voter::has_live_majority(const voter_list& list) const
-{
-    const auto live = std::ranges::count_if(
-        list.voters, [this](const voter_identity& voter)
-        { return !is_silent(voter.instance, options_.raft.election_timeout); });
-    return 2 * static_cast<std::size_t>(live) > list.voters.size();
-}
-
 void routing_voter::reconcile_group()
 {
     if (!raft_.may_change_voters() || applied_index_ != raft_.commit_index())
@@ -551,35 +541,83 @@
         return;
     }
     const auto next = next_voter_list();
-    if (!next || !has_live_majority(*next))
+    if (!next || !raft_.hears_quorum_of_change(*next))
     {
         return;
     }
     const absl::Status status = raft_.propose_voters(*next, now_);
     log(status.ok() ? log_level::info : log_level::warning,
-        subsystem::consensus, "group_change voters={} learners={} outcome={}",
-        next->voters.size(), next->learners.size(),
+        subsystem::consensus,
+        "group_change voters={} learners={} half_quorums={} outcome={}",
+        next->voters.size(), next->learners.size(), next->half_quorums,
         status.ok() ? "proposed" : "refused");
 }
 
-// Returns the next membership change towards the target group, if one is
-// possible now.
+// Whether all voters of the list support half quorums. A voter that has not
+// replied in this term is taken at the word of the list in use.
+bool routing_voter::supports_half_quorums(const voter_list& next) const
+{
+    const voter_list& list = *raft_.configuration();
+    return std::ranges::all_of(
+        next.voters,
+        [&](const voter_identity& voter)
+        {
+            const bool is_listed =
+                list.half_quorums && list.has_voter(voter.instance, voter.disk);
+            return raft_.supports_half_quorums(voter).value_or(is_listed);
+        });
+}
+
+// Returns the next change of the group. A voter that counts quorums by another
+// rule is added only after the list has given up half quorums.
 std::optional<voter_list> routing_voter::next_voter_list() const
 {
     const voter_list& list = *raft_.configuration();
+    const auto next = next_membership();
+    const bool supported = supports_half_quorums(next ? *next : list);
+    if (list.half_quorums && !supported)
+    {
+        return list.with_half_quorums(false);
+    }
+    if (next)
+    {
+        return next->with_half_quorums(supported);
+    }
+    if (supported && !list.half_quorums)
+    {
+        return list.with_half_quorums(true);
+    }
+    return std::nullopt;
+}
 
-    // A voter that lost its disk votes again once the new disk has all
-    // committed entries.
+// A voter that lost its disk votes again once the new disk has all committed
+// entries.
+std::optional<voter_list> routing_voter::list_with_new_disk() const
+{
+    const voter_list& list = *raft_.configuration();
     for (const voter_identity& voter : list.voters)
     {
-        const disk_id disk = raft_.disk_of(voter.instance);
-        if (disk != 0 && disk != voter.disk &&
-            raft_.is_caught_up(voter.instance))
+        const voter_identity renewed{
+            voter.instance, raft_.disk_of(voter.instance)};
+        if (renewed.disk != 0 && renewed.disk != voter.disk &&
+            raft_.is_caught_up(voter.instance) &&
+            raft_.supports_half_quorums(renewed).has_value())
         {
-            return list.with_voter({voter.instance, disk});
+            return list.with_voter(renewed);
         }
     }
+    return std::nullopt;
+}
 
+// Returns the next membership change towards the target group, if one is
+// possible now.
+std::optional<voter_list> routing_voter::next_membership() const
+{
+    const voter_list& list = *raft_.configuration();
+    if (auto renewed = list_with_new_disk())
+    {
+        return renewed;
+    }
     const auto departing = std::ranges::find_if(
         list.voters, [this](const voter_identity& voter)
         { return departs(voter.instance); });
@@ -624,6 +662,8 @@
         if (!leaving_.contains(learner) &&
             !is_silent(learner, options_.raft.election_timeout) &&
             raft_.is_caught_up(learner) &&
+            raft_.supports_half_quorums({learner, raft_.disk_of(learner)})
+                .has_value() &&
             (needs_voter || may_add_extra_voter(learner)))
         {
             return list.with_voter({learner, raft_.disk_of(learner)});
--- a/src/process/routing_store/routing_voter.hpp
+++ b/src/process/routing_store/routing_voter.hpp
@@ -200,11 +200,13 @@
     std::size_t target_voter_count() const;
     void reconcile_group();
     std::optional<voter_list> next_voter_list() const;
+    std::optional<voter_list> next_membership() const;
+    std::optional<voter_list> list_with_new_disk() const;
+    bool supports_half_quorums(const voter_list& next) const;
     std::optional<voter_list> list_with_next_learner(bool voter_departs) const;
     bool is_silent(instance_id instance, duration limit) const;
     bool departs(instance_id instance) const;
     bool may_add_extra_voter(instance_id learner) const;
-    bool has_live_majority(const voter_list& list) const;
 
     routing_voter_options options_;
     storage_writer writer_;
--- a/src/process/voter_node/voter_node.cpp
+++ b/src/process/voter_node/voter_node.cpp
@@ -49,6 +49,7 @@
     options.raft.heartbeat_interval = raft_heartbeat_interval;
     options.raft.election_timeout = election_timeout;
     options.raft.resend_after_heartbeats = resend_after_heartbeats;
+    options.raft.half_quorums = true;
     if (!settings.instance.failure_domain.empty())
     {
         options.raft.failure_domain =
--- a/tests/process/routing_store/routing_cluster.hpp
+++ b/tests/process/routing_store/routing_cluster.hpp
@@ -47,6 +47,17 @@
         domains_ = std::move(domains);
     }
 
+    // Makes instances that are started later lack support for half quorums, as
+    // those of older releases do.
+    void lack_half_quorums()
+    {
+        half_quorums_ = false;
+    }
+    void have_half_quorums()
+    {
+        half_quorums_ = true;
+    }
+
     // Starts an instance with its existing disk, or with an empty one if it has
     // none.
     void start(instance_id id, bool bootstrap = false)
@@ -60,6 +71,7 @@
         options.lost_disks = 2;
         options.raft = raft_options_;
         options.raft.self = id;
+        options.raft.half_quorums = half_quorums_;
         options.survives_domain_loss = !domains_.empty();
         if (const auto domain = domains_.find(id); domain != domains_.end())
         {
@@ -102,6 +114,12 @@
         members_[id].leaves_until = now_ + std::chrono::seconds{2};
     }
 
+    // Makes the instance ask for its removal without ending.
+    void leave(instance_id id)
+    {
+        members_[id].voter->leave(now_);
+    }
+
     bool is_running(instance_id id) const
     {
         const auto found = members_.find(id);
@@ -162,6 +180,13 @@
                 network_.send(id, request, now_);
             }
             static_cast<void>(self.voter->flush());
+            if (self.voter->raft().is_leader())
+            {
+                const std::uint64_t term = self.voter->raft().term();
+                two_leaders_ =
+                    two_leaders_ ||
+                    leaders_.try_emplace(term, id).first->second != id;
+            }
             for (const outgoing_message& message : self.voter->take_outgoing())
             {
                 network_.send(id, message, now_);
@@ -318,6 +343,15 @@
         return result;
     }
 
+    // Whether the leader's voter list allows half quorums; false without a
+    // leader.
+    bool has_half_quorums() const
+    {
+        const auto id = leader();
+        return id &&
+               members_.at(*id).voter->raft().configuration()->half_quorums;
+    }
+
     // Number of running instances whose disk is in the voter list.
     std::size_t active_voters() const
     {
@@ -353,6 +387,12 @@
     {
         return stale_read_;
     }
+
+    // Whether two voters have led in the same term.
+    bool two_leaders() const
+    {
+        return two_leaders_;
+    }
     memory_disk& disk(instance_id id)
     {
         return *members_.at(id).disk;
@@ -389,6 +429,11 @@
     configuration_version last_version_ = 0;
     configuration_version acknowledged_ = 0;
     bool stale_read_ = false;
+    bool half_quorums_ = true;
+
+    // The first leader that was seen in each term.
+    std::map<std::uint64_t, instance_id> leaders_;
+    bool two_leaders_ = false;
 
     // Confirmed filings, with their instance.
     std::set<std::pair<instance_id, std::uint64_t>> confirmed_;
--- a/tests/support/faulty_network.hpp
+++ b/tests/support/faulty_network.hpp
@@ -85,6 +85,17 @@
         receive_blocked_.insert(instance);
     }
 
+    // Partitions these instances from all others, but not from each other,
+    // until join.
+    void split_off(std::set<instance_id> instances)
+    {
+        split_off_ = std::move(instances);
+    }
+    void join()
+    {
+        split_off_.clear();
+    }
+
     // Partitions the instance from all others; heal ends both kinds of
     // partition.
     void cut(instance_id instance)
@@ -102,7 +113,8 @@
     {
         return from != to &&
                (partitioned_.contains(from) || partitioned_.contains(to) ||
-                receive_blocked_.contains(to));
+                receive_blocked_.contains(to) ||
+                split_off_.contains(from) != split_off_.contains(to));
     }
 
     random_engine random_;
@@ -111,6 +123,7 @@
     std::multimap<time_point, delivery, std::less<>> queue_;
     std::set<instance_id> partitioned_;
     std::set<instance_id> receive_blocked_;
+    std::set<instance_id> split_off_;
 };
 
 } // namespace hickorygap::test
