Use a server again that starts again under its identifier

Cause: a router kept the announced shutdown of a server on the record of its identifier for as long as the list named it. No request is sent to such a server, so no response could ever take it back. Ruled out: a list that shows the servers as draining for longer, and an unknown software version (with new identifiers, KEEP_ID=0, the same list and version hold).

Change: what is known of a server belongs to one start of it. A record counts the starts that the list shows and forgets the former one's failures, load and time without requests.

--- a/src/process/gateway/backend_attempt.hpp
+++ b/src/process/gateway/backend_attempt.hpp
@@ -7,6 +7,7 @@
 #include "request/dialect/request_dialect.hpp"
 #include "request/dispatch/stream_versions.hpp"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -22,6 +23,9 @@
     backend_server_id backend = 0;
     std::string backend_name;
     software_version_id backend_version = 0;
+
+    // See backend_record.
+    std::uint32_t server_start = 0;
     time_point sent_at;
 
     // Last time at which the server sent a response head, a stream event, or a
--- a/src/process/gateway/backend_connection.cpp
+++ b/src/process/gateway/backend_connection.cpp
@@ -15,6 +15,7 @@
     : pool_{pool}
     , backend_{backend.id}
     , service_{hash_name(backend.listed.service)}
+    , server_start_{backend.start}
 {
 }
 
--- a/src/process/gateway/backend_connection.hpp
+++ b/src/process/gateway/backend_connection.hpp
@@ -67,6 +67,13 @@
         return *reader_;
     }
 
+    // The start of the server in which the connection was dialled, see
+    // backend_record.
+    std::uint32_t server_start() const
+    {
+        return server_start_;
+    }
+
     bool is_connected() const
     {
         return channel_->is_open() && channel_->is_connected();
@@ -112,6 +119,7 @@
     backend_pool& pool_;
     backend_server_id backend_;
     service_id service_;
+    std::uint32_t server_start_;
     std::unique_ptr<byte_channel> channel_;
 
     // The channel, if it is a tunnel.
--- a/src/process/gateway/backend_pool.cpp
+++ b/src/process/gateway/backend_pool.cpp
@@ -115,6 +115,7 @@
             blocked_since &&
             idle_connection->channel_->last_input() < *blocked_since;
         if (idle <= idle_connection->idle_timeout_ && !may_be_cut &&
+            idle_connection->server_start() == backend.start &&
             !idle_connection->has_refused(attempt) &&
             idle_connection->channel_->pending_output() == 0 &&
             !idle_connection->channel_->has_unread_input())
@@ -295,7 +296,7 @@
         return false;
     case wire::tunnel_refusal::leaving:
         connection.is_declined_ = true;
-        table_.on_leaving(connection.backend_);
+        table_.on_leaving(connection.backend_, connection.server_start());
         return false;
     default:
         // The host may be cut off, too, and not know it yet.
--- a/src/process/gateway/exchange.cpp
+++ b/src/process/gateway/exchange.cpp
@@ -553,6 +553,7 @@
     attempt_.backend = choice.backend->id;
     attempt_.backend_name = choice.backend->listed.id;
     attempt_.backend_version = choice.backend->software_version;
+    attempt_.server_start = choice.backend->start;
     tried_backends_.push_back(attempt_.backend);
     attempt_.connection = context_.pool().acquire(
         *choice.backend,
@@ -1032,7 +1033,7 @@
     const time_point now = context_.loop().now();
     const HTTPResponse& head = attempt_.connection->reader().head();
     attempt_.response = context_.dialect().decode_response(head);
-    if (attempt_.response.load)
+    if (attempt_.response.load && is_of_current_start(attempt_))
     {
         context_.table().on_load(
             attempt_.backend, *attempt_.response.load, now);
@@ -1087,7 +1088,7 @@
         log(log_level::info, subsystem::routing,
             "backend_announces_leaving backend={} id={}", attempt_.backend_name,
             call_.attempt_id);
-        context_.table().on_leaving(attempt_.backend);
+        context_.table().on_leaving(attempt_.backend, attempt_.server_start);
     }
     if (attempt_.response.leaving || attempt_.response.declines_for)
     {
@@ -1446,10 +1447,20 @@
 void exchange::record_end(
     const backend_attempt& attempt, dispatch_outcome outcome)
 {
-    context_.table().on_end(attempt.backend, outcome, context_.loop().now());
+    // How it ended says nothing about a later start of the server.
+    context_.table().on_end(
+        attempt.backend,
+        is_of_current_start(attempt) ? outcome : dispatch_outcome::withdrawn,
+        context_.loop().now());
     context_.traffic_metrics().on_attempt_end(outcome);
 }
 
+bool exchange::is_of_current_start(const backend_attempt& attempt) const
+{
+    const backend_record* server = context_.table().find(attempt.backend);
+    return server != nullptr && server->start == attempt.server_start;
+}
+
 void exchange::release_connection()
 {
     context_.loop().cancel(attempt_timer_);
--- a/src/process/gateway/exchange.hpp
+++ b/src/process/gateway/exchange.hpp
@@ -118,6 +118,7 @@
     bool take_retry();
     void give_up(dispatch_outcome outcome);
     void end_attempt(dispatch_outcome outcome);
+    bool is_of_current_start(const backend_attempt& attempt) const;
     void record_end(const backend_attempt& attempt, dispatch_outcome outcome);
     void record_broken(const backend_attempt& attempt);
     void release_connection();
--- a/src/process/gateway/gateway.cpp
+++ b/src/process/gateway/gateway.cpp
@@ -415,9 +415,10 @@
     backend_server_id backend,
     const wire::tunnel_announcement_msg& announcement)
 {
-    if (announcement.is_leaving)
+    const backend_record* record = context_.table().find(backend);
+    if (announcement.is_leaving && record != nullptr)
     {
-        context_.table().on_leaving(backend);
+        context_.table().on_leaving(backend, record->start);
     }
     if (announcement.declined_ms > 0)
     {
--- a/src/process/gateway/gateway_context.cpp
+++ b/src/process/gateway/gateway_context.cpp
@@ -54,6 +54,7 @@
     , pool_{loop, table_, dialer, settings}
     , startup_{loop}
     , permits_{loop, random_()}
+    , restarts_{loop, pool_, permits_, dialect}
     , streams_{loop}
     , cost_policy_{random_()}
     , started_at_{loop.now()}
@@ -65,6 +66,7 @@
 {
     configuration_ = std::move(applied);
     configuration_at_ = loop_.now();
+    restarts_.set_configuration(configuration_);
     update_connection_limits();
     update_cold_servers();
     release_waiting();
@@ -82,6 +84,7 @@
 {
     backend_list_at_ = loop_.now();
     table_.replace(list);
+    restarts_.check_servers();
     update_cold_servers();
     release_waiting();
 }
--- a/src/process/gateway/gateway_context.hpp
+++ b/src/process/gateway/gateway_context.hpp
@@ -11,6 +11,7 @@
 #include "process/gateway/crash_monitor.hpp"
 #include "process/gateway/permit_client.hpp"
 #include "process/gateway/request_metrics.hpp"
+#include "process/gateway/restart_monitor.hpp"
 #include "process/gateway/startup_queue.hpp"
 #include "process/gateway/stream_version_client.hpp"
 #include "process/metrics/metrics_registry.hpp"
@@ -213,6 +214,7 @@
     fleet_crash_tracker blame_;
     startup_queue startup_;
     permit_client permits_;
+    restart_monitor restarts_;
     stream_version_client streams_;
     crash_monitor crashes_{pool_, blame_};
     metrics_registry metrics_;
--- a/src/request/dialect/request_dialect.hpp
+++ b/src/request/dialect/request_dialect.hpp
@@ -94,6 +94,10 @@
     // The attempt that the response belongs to; empty when it names none.
     std::string attempt_id;
 
+    // The server that responds; empty when the response does not name it. Only
+    // responses to health checks do.
+    std::string server;
+
     // The response carries the signature of the server.
     bool sealed = false;
 
--- a/src/request/dispatch/backend_table.cpp
+++ b/src/request/dispatch/backend_table.cpp
@@ -61,6 +61,16 @@
     return record.failure_share * std::exp2(-age / failure_half_life_s);
 }
 
+// Whether an entry of the list belongs to a later start of the server than the
+// one before. A server that leaves stays in service only as another start; one
+// that was evacuated goes on.
+bool shows_new_start(const listed_backend& before, const listed_backend& now)
+{
+    const bool returns = before.leaving && !before.evacuated && !now.leaving;
+    return returns || before.version != now.version ||
+           before.address != now.address;
+}
+
 } // namespace
 
 std::string_view dispatch_outcome_name(dispatch_outcome outcome)
@@ -96,6 +106,11 @@
             record = std::make_unique<backend_record>();
             record->id = id;
         }
+        else if (shows_new_start(record->listed, entry))
+        {
+            begin_start(*record);
+            record->may_have_restarted = true;
+        }
         record->listed = entry;
         record->software_version =
             software_version_of(entry.service, entry.version);
@@ -115,6 +130,45 @@
     }
 }
 
+// Forgets what was learned of an earlier start. Requests in flight are kept
+// until they end, and an announced shutdown until on_restarted: the list may
+// show an older state.
+void backend_table::begin_start(backend_record& record)
+{
+    ++record.start;
+    record.report.reset();
+    record.first_byte_ms = 0;
+    record.failure_share = 0;
+    record.fleet_failure_share = 0;
+    record.consecutive_failures = 0;
+    record.avoided_until = {};
+    record.declines_until = {};
+}
+
+void backend_table::on_restarted(backend_server_id id)
+{
+    const auto found = records_.find(id);
+    if (found != records_.end())
+    {
+        begin_start(*found->second);
+        found->second->announced_leaving = false;
+        found->second->may_have_restarted = false;
+    }
+}
+
+std::vector<const backend_record*> backend_table::announced_leaving() const
+{
+    std::vector<const backend_record*> result;
+    for (const auto& [id, record] : records_)
+    {
+        if (record->announced_leaving && !record->listed.leaving)
+        {
+            result.push_back(record.get());
+        }
+    }
+    return result;
+}
+
 void backend_table::drop_if_unlisted(backend_server_id id)
 {
     const auto found = records_.find(id);
@@ -318,12 +372,13 @@
     update_average(record.failure_share, failed ? 1 : 0);
 }
 
-void backend_table::on_leaving(backend_server_id id)
+void backend_table::on_leaving(backend_server_id id, std::uint32_t start)
 {
     const auto found = records_.find(id);
     if (found != records_.end())
     {
         found->second->announced_leaving = true;
+        found->second->may_have_restarted = start != found->second->start;
     }
 }
 
--- a/src/request/dispatch/backend_table.hpp
+++ b/src/request/dispatch/backend_table.hpp
@@ -138,10 +138,18 @@
     // again since.
     std::optional<time_point> unreachable_at;
 
+    // Starts of the server under its identifier that this router has noticed.
+    std::uint32_t start = 0;
+
     // The server announced its shutdown, possibly before the backend list shows
-    // it.
+    // it. Holds until the server is known to have started again.
     bool announced_leaving = false;
 
+    // It may have started again since it announced that: the list shows it as
+    // in service after it did not, or the announcement came from an earlier
+    // start.
+    bool may_have_restarted = false;
+
     // The server asked this router to send no requests before this time.
     time_point declines_until;
 
@@ -212,9 +220,15 @@
     // nothing about the server.
     void on_path_blocked(backend_server_id id, time_point now);
 
-    // The server announced its shutdown. This is final: a restarted server has
-    // a new identifier.
-    void on_leaving(backend_server_id id);
+    // The server announced its shutdown, in a response to a request that was
+    // sent in this start of it. That is final for the start.
+    void on_leaving(backend_server_id id, std::uint32_t start);
+
+    // The server has started again since it announced its shutdown.
+    void on_restarted(backend_server_id id);
+
+    // Servers that have announced their shutdown, but not in the list.
+    std::vector<const backend_record*> announced_leaving() const;
 
     // The server asked for no requests from this router before `until`.
     void on_declined(backend_server_id id, time_point until);
@@ -226,6 +240,7 @@
     void count_failure(backend_record& record, time_point now);
     static void
     count_outcome(backend_record& record, bool failed, time_point now);
+    static void begin_start(backend_record& record);
     void drop_if_unlisted(backend_server_id id);
 
     absl::flat_hash_map<backend_server_id, std::unique_ptr<backend_record>>
--- a/src/request/dispatch/listed_backend.hpp
+++ b/src/request/dispatch/listed_backend.hpp
@@ -17,8 +17,8 @@
 // One entry of the backend list.
 struct listed_backend
 {
-    // Identifies one run of a backend server process; another run may use its
-    // address later.
+    // Identifies a backend server. Another one may use its address later, and
+    // the server may start again under its identifier.
     std::string id;
     std::string service;
     std::string failure_domain;
--- a/tests/process/gateway/gateway_fixture.hpp
+++ b/tests/process/gateway/gateway_fixture.hpp
@@ -217,6 +217,7 @@
         routed_service service;
         service.name = "reports";
         service.max_connections = 100;
+        service.health_path = "/health";
         routing_configuration_builder builder{5};
         builder.add_service(service).add_route(routed);
         builder.add_organisation({"diarroi", {"key-1"}, {}});
@@ -291,6 +292,18 @@
         context_.set_backend_list(list_);
     }
 
+    // Changes the entry of the server that was added first, or takes it off the
+    // list.
+    void list_first_backend(const std::function<void(listed_backend&)>& change)
+    {
+        change(list_.front());
+        context_.set_backend_list(list_);
+    }
+    void unlist_first_backend()
+    {
+        context_.set_backend_list(std::span{list_}.subspan(1));
+    }
+
     event_loop& loop()
     {
         return loop_;
--- a/tests/request/dispatch/dispatch_policy_test.cpp
+++ b/tests/request/dispatch/dispatch_policy_test.cpp
@@ -68,6 +68,84 @@
 
 } // namespace
 
+// Guards against facts about an earlier start of a server that are held against
+// the next one, and against one that ends without a new start.
+TEST_CASE("what is known of a server ends with a new start of it")
+{
+    struct list_change
+    {
+        std::string name;
+        std::function<void(std::vector<listed_backend>&)> change;
+        bool is_new_start;
+    };
+    const auto change = GENERATE(values<list_change>(
+        {{"same entry", [](auto&) {}, false},
+         {"leaves", [](auto& list) { list[0].leaving = true; }, false},
+         {"is back in service",
+          [](auto& list)
+          {
+              // The step before shows it as leaving.
+              list[0].leaving = false;
+          },
+          true},
+         {"other software", [](auto& list) { list[0].version = "v2"; }, true},
+         {"other address", [](auto& list) { list[0].address.port = 1; }, true},
+         {"cold", [](auto& list) { list[0].cold = true; }, false}}));
+    CAPTURE(change.name);
+    fixture f;
+    auto list = make_list(6);
+    const backend_server_id id = hash_name("b0");
+    const auto record = [&] { return f.table.find(id); };
+    f.table.on_sent(id, f.now);
+    f.table.on_sent(id, f.now);
+    f.table.on_unreachable(id, f.now);
+    f.table.on_end(id, dispatch_outcome::silent, f.now);
+    f.table.on_declined(id, f.now + 1h);
+    f.table.on_load(id, {16, 8, 16}, f.now);
+    f.table.on_first_byte(id, 90ms);
+    f.table.on_leaving(id, 0);
+    if (change.name == "is back in service")
+    {
+        list[0].leaving = true;
+        f.table.replace(list);
+        CHECK(record()->start == 0);
+        CHECK(record()->declines_until == f.now + 1h);
+    }
+    change.change(list);
+    f.table.replace(list);
+    REQUIRE(record() != nullptr);
+    CHECK(record()->start == (change.is_new_start ? 1 : 0));
+    CHECK(record()->may_have_restarted == change.is_new_start);
+    CHECK((record()->declines_until > f.now) != change.is_new_start);
+    CHECK((record()->avoided_until > f.now) != change.is_new_start);
+    CHECK((recent_failure_share(*record(), f.now) > 0) != change.is_new_start);
+    CHECK(record()->report.has_value() != change.is_new_start);
+    CHECK((record()->first_byte_ms > 0) != change.is_new_start);
+    CHECK(record()->in_flight == 1);
+    // The list alone does not end an announced shutdown: it may be old.
+    CHECK_FALSE(is_in_service(*record()));
+    f.table.on_restarted(id);
+    CHECK(is_in_service(*record()) != record()->listed.leaving);
+    // A late response of the former start.
+    f.table.on_leaving(id, 0);
+    CHECK_FALSE(is_in_service(*record()));
+    CHECK(record()->may_have_restarted);
+}
+
+// An evacuation that ends is no new start of the servers.
+TEST_CASE("an evacuated server that returns is the same start")
+{
+    fixture f;
+    auto list = make_list(6);
+    list[0].leaving = true;
+    list[0].evacuated = true;
+    f.table.replace(list);
+    f.table.on_declined(hash_name("b0"), f.now + 1h);
+    f.table.replace(make_list(6));
+    CHECK(f.table.find(hash_name("b0"))->start == 0);
+    CHECK(f.table.find(hash_name("b0"))->declines_until == f.now + 1h);
+}
+
 // Guards against requests, even as a last resort, to servers that have asked
 // for none or announced their shutdown, and against a wrong time until a server
 // accepts requests again. Full servers tell this router how long to send
@@ -82,7 +160,7 @@
     const auto members = f.table.members("reports");
     f.table.on_declined(members[0]->id, f.now + 2s);
     f.table.on_declined(members[0]->id, f.now + 1s);
-    f.table.on_leaving(members[1]->id);
+    f.table.on_leaving(members[1]->id, members[1]->start);
     CHECK_FALSE(time_until_accepted(members, f.now));
     for (int i = 0; i < 20; ++i)
     {
