Name the older voter list by what it is

election_list was named for elections only; it is the older one of the lists of which a quorum is needed.

--- a/src/process/consensus/raft_node.cpp
+++ b/src/process/consensus/raft_node.cpp
@@ -415,7 +415,7 @@
 // Asks a voter that replied from another disk than the list names.
 void raft_node::verify_disk(instance_id from, disk_id disk)
 {
-    const voter_list& list = election_list();
+    const voter_list& list = older_list();
     const voter_identity* voter = list.find_voter(from);
     if (list.has_half_quorums() && voter != nullptr && disk != 0 &&
         disk != voter->disk && !knows_loss_of(*voter))
@@ -1022,9 +1022,9 @@
     return is_joint ? &*previous_configuration_ : nullptr;
 }
 
-// The list of which half a quorum may elect a leader. It is committed: a list
-// is proposed only after the one before is.
-const voter_list& raft_node::election_list() const
+// The older one of the lists of which a quorum is needed. A lost disk that it
+// names is the proof that a half quorum needs.
+const voter_list& raft_node::older_list() const
 {
     const voter_list* joint = joint_list();
     return joint != nullptr ? *joint : *configuration_;
@@ -1137,7 +1137,7 @@
 std::optional<voter_identity> raft_node::find_lost_voter() const
 {
     std::optional<voter_identity> found;
-    for (const voter_identity& voter : election_list().voters)
+    for (const voter_identity& voter : older_list().voters)
     {
         const bool is_in_both =
             configuration_->has_voter(voter.instance, voter.disk);
--- a/src/process/consensus/raft_node.hpp
+++ b/src/process/consensus/raft_node.hpp
@@ -348,7 +348,7 @@
     bool is_list_committed() const;
     bool counts_half_quorums(const voter_list& list) const;
     const voter_list* joint_list() const;
-    const voter_list& election_list() const;
+    const voter_list& older_list() const;
     bool knows_loss_of(voter_identity voter) const;
     std::optional<voter_identity> find_lost_voter() const;
     void verify_disk(instance_id from, disk_id disk);
