Check a cold server for a restart only when it is warm

The health checks of all routers come when the list shows a server that has started again, so a cold one, which fails above a rate for the whole fleet, could be crashed by them. They wait until the list shows it as warm.

--- a/src/process/gateway/restart_monitor.cpp
+++ b/src/process/gateway/restart_monitor.cpp
@@ -139,7 +139,9 @@
                 loop_.now() +
                 (record->may_have_restarted ? duration{0} : list_delay);
         }
-        if (checked.check == nullptr && loop_.now() >= checked.next_check)
+        // Checks of all routers together could crash a cold server.
+        if (checked.check == nullptr && !record->listed.cold &&
+            loop_.now() >= checked.next_check)
         {
             start_check(*record, checked);
         }
--- a/tests/process/gateway/restart_monitor_test.cpp
+++ b/tests/process/gateway/restart_monitor_test.cpp
@@ -230,6 +230,29 @@
     CHECK(second.received().starts_with("HTTP/1.1 200"));
 }
 
+// Guards against a cold server that fails because all routers check it at the
+// same moment.
+TEST_CASE("a cold server is checked when it is warm")
+{
+    restart_fixture f;
+    f.server().is_leaving = false;
+    f.list_as(true);
+    f.gateway().list_first_backend(
+        [](listed_backend& entry)
+        {
+            entry.leaving = false;
+            entry.cold = true;
+        });
+    f.gateway().run_for(700ms);
+    CHECK(f.server().health_checks == 0);
+    CHECK_FALSE(f.call());
+    f.gateway().list_first_backend([](listed_backend& entry)
+                                   { entry.cold = false; });
+    f.gateway().run_for(200ms);
+    CHECK(f.server().health_checks == 1);
+    CHECK(f.call());
+}
+
 // Guards against a limit of the former start that slows down the next one.
 TEST_CASE("a new start names its own limit")
 {
