Share the voters' production timing between two tests

lost_disks_test repeated production_timing of routing_voter_test; it now stands beside routing_cluster.

--- a/tests/process/routing_store/lost_disks_test.cpp
+++ b/tests/process/routing_store/lost_disks_test.cpp
@@ -28,15 +28,6 @@
 
 constexpr instance_id successor = 6;
 
-// The heartbeat interval and election timeout of voter_node.
-raft_options production_timing()
-{
-    raft_options options;
-    options.heartbeat_interval = std::chrono::milliseconds{100};
-    options.election_timeout = std::chrono::milliseconds{600};
-    return options;
-}
-
 // Runs the cluster, with a new version every 160 ms at whichever voter leads.
 void run_with_changes(routing_cluster& cluster, int steps)
 {
--- a/tests/process/routing_store/routing_cluster.hpp
+++ b/tests/process/routing_store/routing_cluster.hpp
@@ -19,6 +19,15 @@
 namespace hickorygap::test
 {
 
+// The heartbeat interval and election timeout of voter_node.
+inline raft_options production_timing()
+{
+    raft_options options;
+    options.heartbeat_interval = std::chrono::milliseconds{100};
+    options.election_timeout = std::chrono::milliseconds{600};
+    return options;
+}
+
 // The voters of one fleet on a faulty network in simulated time. Instances 1 to
 // 3 are the seeds; all others join. Records the acknowledged versions.
 class routing_cluster
--- a/tests/process/routing_store/routing_voter_test.cpp
+++ b/tests/process/routing_store/routing_voter_test.cpp
@@ -22,15 +22,6 @@
 
 const std::set<instance_id> first_five{1, 2, 3, 4, 5};
 
-// The heartbeat interval and election timeout of voter_node.
-raft_options production_timing()
-{
-    raft_options options;
-    options.heartbeat_interval = std::chrono::milliseconds{100};
-    options.election_timeout = std::chrono::milliseconds{600};
-    return options;
-}
-
 // Starts a group of five voters that has acknowledged one version.
 void start_five_voters(routing_cluster& cluster)
 {
